--- /dev/null
+++ b/cmd/topazhollow/main.go
@@ -0,0 +1,71 @@
+// Command topazhollow is one controller of the cluster scheduler.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"topazhollow"
+	"topazhollow/internal/settings"
+)
+
+var cli struct {
+	Config  string           `required:"" placeholder:"FILE" help:"Settings file (JSON) that the platform hands over."`
+	Script  string           `placeholder:"FILE" help:"Operator's Starlark script with options (see README)."`
+	Check   bool             `help:"Check the settings and the script, then leave."`
+	Version kong.VersionFlag `help:"Print the version and leave."`
+}
+
+func main() {
+	kong.Parse(&cli,
+		kong.Name("topazhollow"),
+		kong.Description("A cluster scheduler whose controllers replicate job progress among themselves."),
+		kong.Vars{"version": topazhollow.Version})
+	log, err := logger(os.Getenv("LOG_LEVEL"))
+	if err != nil {
+		fail(err)
+	}
+	s, err := settings.Load(cli.Config)
+	if err != nil {
+		fail(err)
+	}
+	options, err := settings.LoadScript(cli.Script)
+	if err != nil {
+		fail(err)
+	}
+	if cli.Check {
+		fmt.Println("ok")
+		return
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	if err := topazhollow.Run(ctx, s, options, log); err != nil {
+		log.Error("ended", "err", err)
+		os.Exit(1)
+	}
+}
+
+func logger(level string) (*slog.Logger, error) {
+	var l slog.Level
+	switch level {
+	case "", "info":
+	case "error":
+		l = slog.LevelError
+	case "debug":
+		l = slog.LevelDebug
+	default:
+		return nil, fmt.Errorf("LOG_LEVEL: %q is not error, info or debug", level)
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: l})), nil
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, "topazhollow:", err)
+	os.Exit(1)
+}
--- /dev/null
+++ b/internal/httpx/listen.go
@@ -0,0 +1,253 @@
+package httpx
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+)
+
+// maxUnread bounds what a connection may send ahead of its goroutine.
+const maxUnread = 1 << 20
+
+// Conn is a connection accepted by gnet, read by a goroutine of its own.
+type Conn struct {
+	raw    gnet.Conn
+	remote string
+	signal chan struct{}
+	timer  *time.Timer
+
+	mu     sync.Mutex
+	unread []byte
+	ended  bool
+	used   time.Time
+	pinned bool
+	until  time.Time
+}
+
+// Remote is the peer's address.
+func (c *Conn) Remote() string { return c.remote }
+
+// SetReadDeadline bounds the following reads.
+func (c *Conn) SetReadDeadline(t time.Time) { c.until = t }
+
+// Pin keeps the connection from being dropped in favour of new ones.
+func (c *Conn) Pin() {
+	c.mu.Lock()
+	c.pinned = true
+	c.mu.Unlock()
+}
+
+func (c *Conn) Read(p []byte) (int, error) {
+	for {
+		c.mu.Lock()
+		if len(c.unread) > 0 {
+			n := copy(p, c.unread)
+			c.unread = c.unread[n:]
+			if len(c.unread) == 0 {
+				c.unread = nil
+			}
+			c.mu.Unlock()
+			return n, nil
+		}
+		ended := c.ended
+		c.mu.Unlock()
+		if ended {
+			return 0, io.EOF
+		}
+		wait := time.Until(c.until)
+		if wait <= 0 {
+			return 0, os.ErrDeadlineExceeded
+		}
+		if c.timer == nil {
+			c.timer = time.NewTimer(wait)
+		} else {
+			c.timer.Reset(wait)
+		}
+		select {
+		case <-c.signal:
+			c.timer.Stop()
+		case <-c.timer.C:
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+}
+
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	ended := c.ended
+	c.used = time.Now()
+	c.mu.Unlock()
+	if ended {
+		return 0, net.ErrClosed
+	}
+	if err := c.raw.AsyncWrite(p, nil); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// Close ends the connection after what was written has gone out.
+func (c *Conn) Close() {
+	c.mu.Lock()
+	ended := c.ended
+	c.mu.Unlock()
+	if !ended {
+		_ = c.raw.AsyncWrite(nil, func(raw gnet.Conn, _ error) error { return raw.Close() })
+	}
+}
+
+func (c *Conn) wake() {
+	select {
+	case c.signal <- struct{}{}:
+	default:
+	}
+}
+
+type listener struct {
+	gnet.BuiltinEventEngine
+	max    int
+	serve  func(*Conn)
+	engine gnet.Engine
+	booted chan struct{}
+	group  sync.WaitGroup
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+func (l *listener) OnBoot(eng gnet.Engine) gnet.Action {
+	l.engine = eng
+	close(l.booted)
+	return gnet.None
+}
+
+func (l *listener) OnOpen(raw gnet.Conn) ([]byte, gnet.Action) {
+	c := &Conn{raw: raw, signal: make(chan struct{}, 1), used: time.Now()}
+	if a := raw.RemoteAddr(); a != nil {
+		c.remote = a.String()
+	}
+	l.mu.Lock()
+	full := len(l.conns) >= l.max
+	if full {
+		if idle := l.oldest(); idle != nil {
+			idle.Close()
+		}
+		if len(l.conns) >= l.max+l.max/8 {
+			l.mu.Unlock()
+			return nil, gnet.Close
+		}
+	}
+	l.conns[c] = struct{}{}
+	l.mu.Unlock()
+	raw.SetContext(c)
+	l.group.Add(1)
+	go func() {
+		defer l.group.Done()
+		l.serve(c)
+		c.Close()
+	}()
+	return nil, gnet.None
+}
+
+// oldest is the connection that was silent for longest, of those not pinned.
+func (l *listener) oldest() *Conn {
+	var found *Conn
+	var used time.Time
+	for c := range l.conns {
+		c.mu.Lock()
+		if !c.pinned && !c.ended && (found == nil || c.used.Before(used)) {
+			found, used = c, c.used
+		}
+		c.mu.Unlock()
+	}
+	return found
+}
+
+func (l *listener) OnTraffic(raw gnet.Conn) gnet.Action {
+	c := raw.Context().(*Conn)
+	data, err := raw.Next(-1)
+	if err != nil {
+		return gnet.Close
+	}
+	c.mu.Lock()
+	c.unread = append(c.unread, data...)
+	over := len(c.unread) > maxUnread
+	c.used = time.Now()
+	c.mu.Unlock()
+	c.wake()
+	if over {
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+func (l *listener) OnClose(raw gnet.Conn, _ error) gnet.Action {
+	c, ok := raw.Context().(*Conn)
+	if !ok {
+		return gnet.None
+	}
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
+	c.wake()
+	l.mu.Lock()
+	delete(l.conns, c)
+	l.mu.Unlock()
+	return gnet.None
+}
+
+// Listen accepts connections until the context ends, at most max at once, and
+// gives each to serve in a goroutine of its own.
+func Listen(ctx context.Context, addr string, max int, serve func(*Conn)) error {
+	l := &listener{max: max, serve: serve, booted: make(chan struct{}), conns: map[*Conn]struct{}{}}
+	failed := make(chan error, 1)
+	go func() {
+		failed <- gnet.Run(l, "tcp://"+addr,
+			gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+			gnet.WithReuseAddr(true), gnet.WithLogger(quiet{}))
+	}()
+	select {
+	case err := <-failed:
+		return err
+	case <-l.booted:
+	}
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	err := l.engine.Stop(stop)
+	l.mu.Lock()
+	for c := range l.conns {
+		c.mu.Lock()
+		c.ended = true
+		c.mu.Unlock()
+		c.wake()
+	}
+	l.mu.Unlock()
+	l.group.Wait()
+	if errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return nil
+}
+
+// quiet keeps gnet's own log out of ours; failures come back as errors.
+type quiet struct{}
+
+func (quiet) Debugf(string, ...any) {}
+func (quiet) Infof(string, ...any)  {}
+func (quiet) Warnf(string, ...any)  {}
+func (quiet) Errorf(string, ...any) {}
+func (quiet) Fatalf(string, ...any) {}
+
+var _ logging.Logger = quiet{}
--- /dev/null
+++ b/internal/settings/script.go
@@ -0,0 +1,93 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+)
+
+// Options are the operator's own choices, set by a Starlark script: each is a
+// global variable of the script with the option's name.
+type Options struct {
+	SampleSize   int     // machines looked at for one placement
+	IdleReturn   float64 // seconds an idle machine is kept
+	WarmMachines int     // machines kept even when idle
+	SpotShare    float64 // largest share of spot machines in what is rented
+	NodeLease    float64 // seconds of a controller's lease
+	BitmapEvery  float64 // seconds between writes of finished tasks
+}
+
+// DefaultOptions holds without a script.
+func DefaultOptions() *Options {
+	return &Options{SampleSize: 32, IdleReturn: 20, WarmMachines: 2, SpotShare: 1, NodeLease: 5, BitmapEvery: 1}
+}
+
+type option struct {
+	name   string
+	lo, hi float64
+	whole  bool
+	set    func(*Options, float64)
+}
+
+var optionTable = []option{
+	{"sample_size", 1, 10000, true, func(o *Options, v float64) { o.SampleSize = int(v) }},
+	{"idle_return_s", 0, 86400, false, func(o *Options, v float64) { o.IdleReturn = v }},
+	{"warm_machines", 0, 10000, true, func(o *Options, v float64) { o.WarmMachines = int(v) }},
+	{"spot_share", 0, 1, false, func(o *Options, v float64) { o.SpotShare = v }},
+	{"node_lease_s", 2, 60, false, func(o *Options, v float64) { o.NodeLease = v }},
+	{"bitmap_every_s", 0.1, 60, false, func(o *Options, v float64) { o.BitmapEvery = v }},
+}
+
+// LoadScript runs the operator's script; no path means the defaults.
+func LoadScript(path string) (*Options, error) {
+	if path == "" {
+		return DefaultOptions(), nil
+	}
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("script: %w", err)
+	}
+	return ParseScript(path, src)
+}
+
+// ParseScript runs a script, bounded in size, steps and time. It can load
+// nothing and reach nothing outside itself.
+func ParseScript(name string, src []byte) (*Options, error) {
+	if len(src) > 64<<10 {
+		return nil, fmt.Errorf("script: %s: longer than 64 KiB", name)
+	}
+	thread := &starlark.Thread{Name: "script"}
+	thread.SetMaxExecutionSteps(1_000_000)
+	timer := time.AfterFunc(5*time.Second, func() { thread.Cancel("took too long") })
+	defer timer.Stop()
+	globals, err := starlark.ExecFileOptions(&syntax.FileOptions{TopLevelControl: true, GlobalReassign: true}, thread, name, src, nil)
+	if err != nil {
+		if e, ok := err.(*starlark.EvalError); ok && len(e.CallStack) > 0 {
+			return nil, fmt.Errorf("script: %s: %s", e.CallStack.At(0).Pos, e.Msg)
+		}
+		return nil, fmt.Errorf("script: %w", err)
+	}
+	o := DefaultOptions()
+	known := map[string]option{}
+	for _, opt := range optionTable {
+		known[opt.name] = opt
+	}
+	for name, value := range globals {
+		opt, ok := known[name]
+		if !ok {
+			if _, callable := value.(starlark.Callable); callable || name[0] == '_' {
+				continue
+			}
+			return nil, fmt.Errorf("script: %s: no such option (helpers start with _)", name)
+		}
+		v, ok := starlark.AsFloat(value)
+		if _, isInt := value.(starlark.Int); !ok || (opt.whole && !isInt) || !(v >= opt.lo && v <= opt.hi) {
+			return nil, fmt.Errorf("script: %s: %s is not between %g and %g", name, value, opt.lo, opt.hi)
+		}
+		opt.set(o, v)
+	}
+	return o, nil
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,441 @@
+// Package wire holds the messages of the protocol. The deployment's own words
+// appear only here, in JSON tags and in the constants below.
+package wire
+
+import (
+	"bytes"
+	stdjson "encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/segmentio/encoding/json"
+)
+
+// Paths and values of the protocol.
+const (
+	Batch   = "batch"
+	Gang    = "ensemble"
+	Service = "service"
+
+	Pending   = "pending"
+	Running   = "running"
+	Done      = "done"
+	Withdrawn = "withdrawn"
+
+	Pulling = "pulling"
+	Waiting = "waiting"
+	Saving  = "saving"
+	Exited  = "exited"
+
+	WhyDone       = "done"
+	WhyStopped    = "stopped"
+	WhyPeers      = "peers"
+	WhyIncomplete = "incomplete"
+	WhyError      = "error"
+	WhyFull       = "full"
+	WhyInUse      = "in_use"
+	WhyNoSuch     = "no_such"
+
+	Start  = "start"
+	Stop   = "stop"
+	Forget = "forget"
+
+	HostBooting = "booting"
+	HostRunning = "running"
+	HostFailed  = "failed"
+
+	PathSubmit  = "/submissions"
+	PathHealth  = "/healthz"
+	PathReport  = "/v1/report"
+	PathDo      = "/do"
+	PathInspect = "/inspect"
+)
+
+// MaxBody is the protocol's bound of a request body.
+const MaxBody = 64 << 10
+
+// MaxTasks is the protocol's bound of a job's tasks.
+const MaxTasks = 100000
+
+// Encode gives the JSON of a value of this package.
+func Encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic("wire: value without JSON form: " + err.Error())
+	}
+	return data
+}
+
+// Decode reads JSON and ignores unknown fields.
+func Decode(data []byte, v any) error {
+	return json.Unmarshal(data, v)
+}
+
+// Submission is a job as its user describes it.
+type Submission struct {
+	UID        string   `json:"uid"`
+	Class      string   `json:"clase"`
+	Team       string   `json:"equipo"`
+	Kind       string   `json:"tipo_trabajo"`
+	Priority   string   `json:"prioridad"`
+	Tasks      int      `json:"tramos"`
+	CPUs       float64  `json:"cores"`
+	GPUs       float64  `json:"cards"`
+	Memory     float64  `json:"ram_gb"`
+	Image      string   `json:"imagen"`
+	ImageGB    float64  `json:"image_gb"`
+	Types      []string `json:"modelos,omitempty"`
+	Zone       *string  `json:"zona,omitempty"`
+	OneZone    bool     `json:"together,omitempty"`
+	Spread     bool     `json:"apart,omitempty"`
+	Spot       bool     `json:"prestadas,omitempty"`
+	Estimate   float64  `json:"estimado_s"`
+	Checkpoint float64  `json:"guardado_cada_s,omitempty"`
+	Save       float64  `json:"guardar_s,omitempty"`
+	Deadline   *float64 `json:"vence_s,omitempty"`
+}
+
+// Status is the answer about a job.
+type Status struct {
+	UID     string `json:"uid"`
+	State   string `json:"estado"`
+	Done    int    `json:"done"`
+	Running int    `json:"running"`
+}
+
+// Brief is the answer to a submission or a withdrawal.
+type Brief struct {
+	UID   string `json:"uid"`
+	State string `json:"estado"`
+}
+
+// Error is the body of a refusal.
+type Error struct {
+	Error string `json:"error"`
+}
+
+// Moved tells a worker where to report.
+type Moved struct {
+	ReportTo string `json:"informar_a,omitempty"`
+}
+
+// Report is what a worker says of itself.
+type Report struct {
+	Machine string       `json:"estacion"`
+	Addr    string       `json:"address"`
+	Type    string       `json:"modelo"`
+	Zone    string       `json:"zona"`
+	Spot    bool         `json:"prestadas"`
+	Session uint64       `json:"jornada"`
+	Seq     uint64       `json:"correlativo"`
+	Token   uint64       `json:"mando"`
+	Notice  *float64     `json:"aviso_s"`
+	Tasks   []TaskStatus `json:"tramos"`
+}
+
+// TaskStatus is one task in a report.
+type TaskStatus struct {
+	Task    string `json:"tramo"`
+	Attempt uint64 `json:"intento"`
+	State   string `json:"estado"`
+	Why     string `json:"motivo,omitempty"`
+	Saved   bool   `json:"kept,omitempty"`
+}
+
+// Command is one order to a worker.
+type Command struct {
+	Op      string   `json:"orden"`
+	Task    string   `json:"tramo"`
+	Attempt uint64   `json:"intento"`
+	Grace   *float64 `json:"gracia_s,omitempty"`
+}
+
+// ReportAnswer answers a report.
+type ReportAnswer struct {
+	Token    uint64    `json:"mando"`
+	Commands []Command `json:"ordenes"`
+}
+
+// Direct is the body of a command sent straight to a worker.
+type Direct struct {
+	Token    uint64    `json:"mando"`
+	Session  uint64    `json:"jornada"`
+	Commands []Command `json:"ordenes"`
+}
+
+// Catalog lists the machine types.
+type Catalog struct {
+	Types []MachineType `json:"modelos"`
+}
+
+// MachineType is one type that the cloud rents.
+type MachineType struct {
+	Name      string   `json:"name"`
+	CPUs      float64  `json:"cores"`
+	GPUs      float64  `json:"cards"`
+	Memory    float64  `json:"ram_gb"`
+	Cache     float64  `json:"local_gb"`
+	FetchRate float64  `json:"pull_gb_per_s"`
+	Price     float64  `json:"price"`
+	SpotPrice float64  `json:"low_price"`
+	Boot      float64  `json:"ready_s"`
+	Zones     []string `json:"zonas"`
+}
+
+// Rent asks the cloud for machines.
+type Rent struct {
+	Request string `json:"pedido"`
+	Type    string `json:"modelo"`
+	Zone    string `json:"zona"`
+	Spot    bool   `json:"prestadas"`
+	Count   int    `json:"how_many"`
+}
+
+// Names lists machines.
+type Names struct {
+	Machines []string `json:"estaciones"`
+}
+
+// Host is a machine in the cloud's list.
+type Host struct {
+	UID   string  `json:"uid"`
+	Addr  string  `json:"address"`
+	Type  string  `json:"modelo"`
+	Zone  string  `json:"zona"`
+	Spot  bool    `json:"prestadas"`
+	State string  `json:"estado"`
+	Age   float64 `json:"held_s"`
+}
+
+// HostList is one page of the cloud's list.
+type HostList struct {
+	Hosts []Host `json:"estaciones"`
+	More  bool   `json:"more"`
+}
+
+// Entry is a key of the state service with its value.
+type Entry struct {
+	Key     string             `json:"path"`
+	Value   stdjson.RawMessage `json:"v"`
+	Version uint64             `json:"version"`
+	Lease   uint64             `json:"permiso,omitempty"`
+}
+
+// EntryList is one page of keys.
+type EntryList struct {
+	Items    []Entry `json:"entries"`
+	More     bool    `json:"more"`
+	Revision uint64  `json:"revision"`
+}
+
+// Guard is a condition of a transaction.
+type Guard struct {
+	Key     string `json:"path"`
+	Version uint64 `json:"version"`
+}
+
+// Op is one change of a transaction: a set or a delete.
+type Op struct {
+	Set    string             `json:"set,omitempty"`
+	Value  stdjson.RawMessage `json:"v,omitempty"`
+	Lease  uint64             `json:"permiso,omitempty"`
+	Delete string             `json:"delete,omitempty"`
+}
+
+// Txn is a transaction of the state service.
+type Txn struct {
+	Guards []Guard `json:"guards"`
+	Then   []Op    `json:"then,omitempty"`
+}
+
+// TxnResult is the state service's answer to a transaction.
+type TxnResult struct {
+	Revision uint64   `json:"revision"`
+	Failed   []string `json:"failed"`
+}
+
+// GrantRequest asks for a lease of the state service.
+type GrantRequest struct {
+	TTL int64 `json:"life_ms"`
+}
+
+// Grant is a lease of the state service.
+type Grant struct {
+	Lease uint64 `json:"permiso"`
+}
+
+// Changes is the answer of a watch.
+type Changes struct {
+	Revision uint64   `json:"revision"`
+	Events   []Change `json:"news"`
+}
+
+// Change is one change seen by a watch.
+type Change struct {
+	Set     string             `json:"set,omitempty"`
+	Delete  string             `json:"delete,omitempty"`
+	Value   stdjson.RawMessage `json:"v,omitempty"`
+	Version uint64             `json:"version"`
+}
+
+// TaskName is the wire name of a task.
+func TaskName(job string, index int) string { return job + "/" + strconv.Itoa(index) }
+
+// SplitTask takes a task's wire name apart.
+func SplitTask(name string) (job string, index int, ok bool) {
+	at := strings.LastIndexByte(name, '/')
+	if at <= 0 {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(name[at+1:])
+	if err != nil || n < 0 || n >= MaxTasks || strconv.Itoa(n) != name[at+1:] {
+		return "", 0, false
+	}
+	return name[:at], n, true
+}
+
+// ValidUID says whether a job id has the protocol's form: job- and digits.
+func ValidUID(uid string) bool {
+	digits, ok := strings.CutPrefix(uid, "job-")
+	if !ok || digits == "" || len(digits) > 64 {
+		return false
+	}
+	for _, c := range digits {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
+
+// Rank orders priorities: higher goes first.
+func Rank(priority string) int {
+	return slices.Index([]string{"low", "standard", "high", "prod"}, priority)
+}
+
+// FieldError names the field of a submission that is missing or invalid.
+type FieldError struct {
+	Field, Reason string
+}
+
+func (e *FieldError) Error() string { return fmt.Sprintf("field %s: %s", e.Field, e.Reason) }
+
+// PeekUID reads only the id of a submission, for requests whose rest may be bad.
+func PeekUID(body []byte) string {
+	var only struct {
+		UID string `json:"uid"`
+	}
+	if stdjson.Unmarshal(body, &only) != nil || !ValidUID(only.UID) {
+		return ""
+	}
+	return only.UID
+}
+
+var nullable = map[string]bool{"modelos": true, "zona": true, "vence_s": true}
+
+// ParseSubmission reads and checks a submission. An error is a *FieldError
+// where one field is to blame.
+func ParseSubmission(body []byte) (*Submission, error) {
+	trimmed := bytes.TrimSpace(body)
+	if len(trimmed) == 0 || trimmed[0] != '{' {
+		return nil, fmt.Errorf("body is not a JSON object")
+	}
+	var raw map[string]stdjson.RawMessage
+	if err := stdjson.Unmarshal(trimmed, &raw); err != nil {
+		return nil, fmt.Errorf("body is not JSON")
+	}
+	var s Submission
+	fields := []struct {
+		name string
+		into any
+	}{
+		{"uid", &s.UID}, {"clase", &s.Class}, {"equipo", &s.Team}, {"tipo_trabajo", &s.Kind},
+		{"prioridad", &s.Priority}, {"tramos", &s.Tasks}, {"cores", &s.CPUs}, {"cards", &s.GPUs},
+		{"ram_gb", &s.Memory}, {"imagen", &s.Image}, {"image_gb", &s.ImageGB}, {"modelos", &s.Types},
+		{"zona", &s.Zone}, {"together", &s.OneZone}, {"apart", &s.Spread}, {"prestadas", &s.Spot},
+		{"estimado_s", &s.Estimate}, {"guardado_cada_s", &s.Checkpoint}, {"guardar_s", &s.Save},
+		{"vence_s", &s.Deadline},
+	}
+	for _, f := range fields {
+		value, present := raw[f.name]
+		if !present || string(value) == "null" {
+			if nullable[f.name] {
+				continue
+			}
+			return nil, &FieldError{f.name, "missing"}
+		}
+		if err := stdjson.Unmarshal(value, f.into); err != nil {
+			return nil, &FieldError{f.name, "wrong type or out of range"}
+		}
+	}
+	return &s, s.check()
+}
+
+func (s *Submission) check() error {
+	bad := func(field, reason string) error { return &FieldError{field, reason} }
+	switch {
+	case !ValidUID(s.UID):
+		return bad("uid", "not of the form job-000412")
+	case s.Class == "" || len(s.Class) > 200:
+		return bad("clase", "empty or too long")
+	case s.Team == "" || len(s.Team) > 200:
+		return bad("equipo", "empty or too long")
+	case s.Kind != Batch && s.Kind != Gang && s.Kind != Service:
+		return bad("tipo_trabajo", "unknown kind")
+	case Rank(s.Priority) < 0:
+		return bad("prioridad", "unknown priority")
+	case s.Tasks < 1 || s.Tasks > MaxTasks:
+		return bad("tramos", "not between 1 and 100000")
+	case s.Image == "" || len(s.Image) > 500:
+		return bad("imagen", "empty or too long")
+	case len(s.Types) > 1000:
+		return bad("modelos", "too many")
+	}
+	if s.Types != nil && len(s.Types) == 0 {
+		return bad("modelos", "empty")
+	}
+	seen := map[string]bool{}
+	for _, t := range s.Types {
+		if t == "" || seen[t] {
+			return bad("modelos", "empty or duplicate name")
+		}
+		seen[t] = true
+	}
+	if s.Zone != nil && *s.Zone == "" {
+		return bad("zona", "empty")
+	}
+	for _, v := range []struct {
+		field string
+		value float64
+		zero  bool
+	}{
+		{"cores", s.CPUs, s.GPUs > 0 || s.Memory > 0}, {"cards", s.GPUs, true}, {"ram_gb", s.Memory, true}, {"image_gb", s.ImageGB, true},
+		{"estimado_s", s.Estimate, true}, {"guardado_cada_s", s.Checkpoint, true}, {"guardar_s", s.Save, true},
+	} {
+		if math.IsNaN(v.value) || v.value < 0 || v.value > 1e9 || (v.value == 0 && !v.zero) {
+			return bad(v.field, "out of range")
+		}
+	}
+	if s.Deadline != nil && !(*s.Deadline >= 0 && *s.Deadline <= 1e9) {
+		return bad("vence_s", "out of range")
+	}
+	return nil
+}
+
+// CheckReport says what is wrong with a report.
+func CheckReport(r *Report) error {
+	switch {
+	case r.Machine == "" || len(r.Machine) > 100 || strings.ContainsAny(r.Machine, " /\n"):
+		return &FieldError{"estacion", "missing or malformed"}
+	case r.Addr == "":
+		return &FieldError{"address", "missing"}
+	case r.Session == 0:
+		return &FieldError{"jornada", "missing"}
+	case r.Type == "" || r.Zone == "":
+		return &FieldError{"modelo", "type or zone missing"}
+	}
+	return nil
+}
