--- /dev/null
+++ b/control.go
@@ -0,0 +1,371 @@
+package topazhollow
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"topazhollow/internal/frontend"
+	"topazhollow/internal/state"
+	"topazhollow/internal/tenure"
+	"topazhollow/internal/wire"
+)
+
+// Keys of the state service beside those of the frontend.
+const (
+	controlKey = frontend.Watched + "c"
+	nodeKey    = frontend.Watched + "n/"
+	machineKey = frontend.Watched + "m/"
+	bitmapPath = "b/"
+)
+
+// present is a controller's key, held by its lease.
+type present struct {
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// keepLease holds the lease and the key that shows it.
+func (n *Node) keepLease(ctx context.Context) error {
+	every := n.lease.Life / 4
+	shown := false
+	for {
+		wait := every
+		n.mu.Lock()
+		grant := n.grant
+		n.mu.Unlock()
+		sent := time.Now()
+		var err error
+		if grant == 0 {
+			shown = false
+			if grant, err = n.state.Grant(ctx, n.lease.Life); err == nil {
+				n.mu.Lock()
+				n.grant = grant
+				n.mu.Unlock()
+			}
+		} else if shown {
+			err = n.state.Extend(ctx, grant)
+		}
+		if err == nil && !shown {
+			if err = n.show(ctx, grant); err == nil {
+				shown = true
+				n.log.Info("lease taken", "lease", grant)
+			}
+		}
+		n.mu.Lock()
+		switch {
+		case err == nil:
+			n.lease.Renewed(sent)
+		case errors.Is(err, state.ErrNoLease):
+			n.log.Info("lease ended at the state service", "lease", grant)
+			n.grant = 0
+			n.lease.Lost()
+			wait = 20 * time.Millisecond
+		default:
+			n.log.Debug("lease not renewed", "err", err)
+			wait = 250 * time.Millisecond
+		}
+		n.mu.Unlock()
+		if !pause(ctx, wait) {
+			return nil
+		}
+	}
+}
+
+// show writes this process's key. The write is guarded by the key's version, so
+// that a late one of an earlier process changes nothing.
+func (n *Node) show(ctx context.Context, grant uint64) error {
+	e, err := n.state.GetControl(ctx, nodeKey+n.name)
+	if err != nil {
+		return err
+	}
+	guard := wire.Guard{Key: nodeKey + n.name}
+	if e != nil {
+		guard.Version = e.Version
+	}
+	_, _, err = n.state.TxnControl(ctx, wire.Txn{
+		Guards: []wire.Guard{guard},
+		Then:   []wire.Op{{Set: nodeKey + n.name, Value: wire.Encode(present{n.inc}), Lease: grant}},
+	})
+	return err
+}
+
+// follow keeps what this controller knows of the watched keys up to date.
+func (n *Node) follow(ctx context.Context) error {
+	var revision uint64
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			var entries []wire.Entry
+			if entries, revision, err = n.state.List(ctx, frontend.Watched); err == nil {
+				n.mu.Lock()
+				n.reset(entries)
+				n.mu.Unlock()
+				listed = true
+			}
+		} else {
+			var ch *wire.Changes
+			if ch, err = n.state.Watch(ctx, frontend.Watched, revision); err == nil {
+				revision = max(revision, ch.Revision)
+				n.mu.Lock()
+				for _, e := range ch.Events {
+					n.changed(e)
+				}
+				n.mu.Unlock()
+				n.wake()
+			}
+		}
+		if errors.Is(err, state.ErrGone) {
+			listed = false
+		} else if err != nil {
+			n.log.Debug("watch failed", "err", err)
+			pause(ctx, 300*time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// reset takes in a full list of the watched keys.
+func (n *Node) reset(entries []wire.Entry) {
+	seen := map[string]bool{}
+	for _, e := range entries {
+		seen[e.Key] = true
+		n.changed(wire.Change{Set: e.Key, Value: e.Value, Version: e.Version})
+	}
+	for name := range n.live {
+		if !seen[nodeKey+name] {
+			delete(n.live, name)
+		}
+	}
+	for uid, j := range n.jobs {
+		if j.active && !seen[frontend.JobKey+uid] {
+			n.endJob(uid)
+		}
+	}
+	for name, m := range n.machines {
+		if m.registered != 0 && !seen[machineKey+name] {
+			n.machineGone(name)
+		}
+	}
+	n.listed = true
+}
+
+// changed takes in one change of a watched key.
+func (n *Node) changed(e wire.Change) {
+	key := e.Set + e.Delete
+	bad := func(err error) { n.log.Error("unreadable key in the state service", "key", key, "err", err) }
+	switch {
+	case key == controlKey:
+		var r tenure.Record
+		if err := json.Unmarshal(e.Value, &r); err != nil {
+			bad(err)
+			return
+		}
+		n.adopt(&r, e.Version)
+	case strings.HasPrefix(key, nodeKey):
+		name := key[len(nodeKey):]
+		if e.Delete != "" {
+			if n.live[name].Version <= e.Version {
+				delete(n.live, name)
+			}
+			return
+		}
+		var p present
+		if err := json.Unmarshal(e.Value, &p); err != nil {
+			bad(err)
+			return
+		}
+		if n.live[name].Version < e.Version {
+			n.live[name] = tenure.Presence{Incarnation: p.Incarnation, Version: e.Version}
+		}
+	case strings.HasPrefix(key, frontend.JobKey):
+		if e.Delete != "" {
+			n.endJob(key[len(frontend.JobKey):])
+			return
+		}
+		var s frontend.Stored
+		if err := json.Unmarshal(e.Value, &s); err != nil || s.Spec == nil {
+			bad(err)
+			return
+		}
+		n.learnJob(s, e.Version)
+	case strings.HasPrefix(key, machineKey):
+		name := key[len(machineKey):]
+		if e.Delete != "" {
+			n.machineGone(name)
+			return
+		}
+		m := n.machine(name)
+		m.registered = max(m.registered, e.Version)
+	}
+}
+
+// adopt takes up a control record.
+func (n *Node) adopt(r *tenure.Record, version uint64) {
+	if version <= n.version {
+		return
+	}
+	old := n.record
+	n.record, n.version = r, version
+	now := time.Now()
+	if old == nil || old.Term != r.Term {
+		if old == nil || !maps.Equal(old.Nodes, r.Nodes) {
+			n.settled = now
+		}
+		n.bumped = now
+		n.log.Info("control record", "term", r.Term, "members", r.Members(), "items", r.Items)
+		n.home.SetTerm(r.Term, func(m string) bool { return r.Home(m) == n.name })
+		for name := range n.home.All() {
+			n.fresh[name] = true
+		}
+	}
+	mine := r.Nodes[n.name] == n.inc
+	for name, it := range r.Items {
+		have := n.items[name]
+		own := mine && it.Owner == n.name
+		if have != nil && (!own || have.since != it.Since) {
+			if have.phase == ready && mine {
+				n.backups[name] = &backup{since: it.Since, rep: have.team.Replica()}
+			}
+			n.log.Info("item given up", "item", name, "owner", it.Owner, "term", r.Term)
+			delete(n.items, name)
+			have = nil
+		}
+		if own && have == nil {
+			n.takeUp(name, it)
+		} else if own {
+			have.frozen = false
+			have.adding = nil
+			if have.team != nil {
+				have.team.SetTerm(r.Term)
+			}
+		}
+	}
+	if !mine {
+		n.backups = map[string]*backup{}
+	}
+	n.wake()
+}
+
+// refresh reads the control record now, after a hint that it has changed.
+func (n *Node) refresh(ctx context.Context) error {
+	e, err := n.state.GetControl(ctx, controlKey)
+	if err != nil || e == nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.changed(wire.Change{Set: e.Key, Value: e.Value, Version: e.Version})
+	return nil
+}
+
+// hint asks for a fresh read of the control record.
+func (n *Node) hint() {
+	select {
+	case n.renew <- struct{}{}:
+	default:
+	}
+}
+
+// itemNames lists all items: the teams and the fleet.
+func (n *Node) itemNames() []string {
+	names := []string{tenure.Fleet}
+	for _, t := range n.set.Deployment.Teams {
+		names = append(names, teamItem(t.Name))
+	}
+	return names
+}
+
+// keepRecord changes the control record when members come or go, and for this
+// controller's own items.
+func (n *Node) keepRecord(ctx context.Context) error {
+	started := time.Now()
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.renew:
+			if err := n.refresh(ctx); err != nil {
+				pause(ctx, 200*time.Millisecond)
+			}
+			continue
+		case <-ticker.C:
+		}
+		now := time.Now()
+		n.mu.Lock()
+		next, conds, reason := n.proposal(now, started)
+		version := n.version
+		n.mu.Unlock()
+		if next == nil {
+			continue
+		}
+		txn := wire.Txn{Guards: []wire.Guard{{Key: controlKey, Version: version}}, Then: []wire.Op{{Set: controlKey, Value: wire.Encode(next)}}}
+		for _, c := range conds {
+			txn.Guards = append(txn.Guards, wire.Guard{Key: nodeKey + c.Node, Version: c.Version})
+		}
+		revision, failed, err := n.state.TxnControl(ctx, txn)
+		n.log.Info("control record proposed", "term", next.Term, "reason", reason, "err", err, "failed", failed)
+		if err == nil {
+			n.mu.Lock()
+			n.adopt(next, revision)
+			n.mu.Unlock()
+			continue
+		}
+		if err := n.refresh(ctx); err != nil {
+			pause(ctx, 200*time.Millisecond)
+		}
+	}
+}
+
+// proposal is the change of the record that this controller should try now.
+func (n *Node) proposal(now, started time.Time) (*tenure.Record, []tenure.Condition, string) {
+	if !n.listed || !n.lease.Valid(now) || n.live[n.name].Incarnation != n.inc {
+		return nil, nil, ""
+	}
+	record := n.record
+	if record == nil {
+		if len(n.live) < len(n.set.Peers)+1 && now.Sub(started) < 2500*time.Millisecond {
+			return nil, nil, ""
+		}
+		record = (&tenure.Record{}).Clone()
+	}
+	if next, conds := tenure.Repair(record, n.itemNames(), n.live); next != nil {
+		if n.missing.IsZero() {
+			n.missing = now
+		}
+		turn := slices.Index(slices.Sorted(maps.Keys(n.live)), n.name)
+		if now.Sub(n.missing) < time.Duration(turn)*350*time.Millisecond {
+			return nil, nil, ""
+		}
+		return next, conds, "members changed"
+	}
+	n.missing = time.Time{}
+	if !n.entitled(now) {
+		return nil, nil, ""
+	}
+	syncs := n.syncs(now)
+	rebalance := now.Sub(n.settled) > 3*time.Second
+	if next, handed := tenure.Upkeep(record, n.name, syncs, rebalance); next != nil {
+		for _, name := range handed {
+			n.items[name].frozen = true
+		}
+		for name, it := range next.Items {
+			if have := n.items[name]; have != nil {
+				have.adding = it.InSync
+			}
+		}
+		return next, nil, "upkeep"
+	}
+	if n.needTerm(now) && now.Sub(n.bumped) > 5*time.Second {
+		next := record.Clone()
+		next.Term++
+		return next, nil, "unproven attempts"
+	}
+	return nil, nil, ""
+}
--- /dev/null
+++ b/home.go
@@ -0,0 +1,355 @@
+package topazhollow
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"topazhollow/internal/httpx"
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/state"
+	"topazhollow/internal/wire"
+)
+
+// doer carries commands to one machine over one ordered connection.
+type doer struct {
+	signal chan struct{}
+}
+
+const doTimeout = 3 * time.Second
+
+// machine finds or makes what is known of a machine.
+func (n *Node) machine(name string) *machine {
+	m := n.machines[name]
+	if m == nil {
+		m = &machine{images: map[string]bool{}, errors: map[string]bool{}}
+		n.machines[name] = m
+	}
+	return m
+}
+
+// machineGone books that the cloud confirmed a machine's end.
+func (n *Node) machineGone(name string) {
+	m := n.machine(name)
+	if m.gone {
+		return
+	}
+	*m = machine{gone: true}
+	n.home.Drop(name)
+	n.log.Info("machine gone", "machine", name)
+	for _, it := range n.items {
+		if it.phase == ready {
+			it.team.Gone(name)
+		}
+	}
+	if d := n.doers[name]; d != nil {
+		delete(n.doers, name)
+		close(d.signal)
+	}
+	n.wake()
+}
+
+// report answers a worker.
+func (n *Node) report(body []byte) httpx.Answer {
+	var r wire.Report
+	if err := wire.Decode(body, &r); err != nil {
+		return httpx.Refuse(400, "body is not a report")
+	}
+	if err := wire.CheckReport(&r); err != nil {
+		return httpx.Refuse(400, err.Error())
+	}
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.entitled(now) {
+		return n.elsewhere(now)
+	}
+	if r.Token > n.record.Term {
+		n.hint()
+		return busy()
+	}
+	if home := n.record.Home(r.Machine); home != n.name {
+		return httpx.Answer{Status: 421, Body: wire.Encode(wire.Moved{ReportTo: home})}
+	}
+	if m := n.machine(r.Machine); m.gone {
+		return busy()
+	}
+	n.hear(&r, now)
+	answer := wire.ReportAnswer{Token: n.record.Term, Commands: []wire.Command{}}
+	if m := n.home.Get(r.Machine); m.Report.Seq == r.Seq && m.Report.Session == r.Session {
+		answer.Commands = append(answer.Commands, m.Answer()...)
+		n.noteView(r.Machine)
+	}
+	n.tellViews()
+	return httpx.Answer{Status: 200, Body: wire.Encode(answer)}
+}
+
+func busy() httpx.Answer {
+	a := httpx.Refuse(503, "not entitled now")
+	a.Retry = 1
+	return a
+}
+
+// elsewhere sends a worker to a controller that is entitled to act, if one is
+// known.
+func (n *Node) elsewhere(now time.Time) httpx.Answer {
+	for _, name := range slices.Sorted(maps.Keys(n.peers)) {
+		if p := n.peers[name]; p.entitled && now.Sub(p.heard) < 2*time.Second {
+			return httpx.Answer{Status: 421, Body: wire.Encode(wire.Moved{ReportTo: name})}
+		}
+	}
+	return busy()
+}
+
+// hear takes in a worker's report, from itself or from the answer to a /do.
+func (n *Node) hear(r *wire.Report, now time.Time) {
+	newer, changed := n.home.Heard(r, now)
+	if !newer {
+		return
+	}
+	x := n.machine(r.Machine)
+	x.heard = now
+	if x.registered != 0 {
+		n.home.Get(r.Machine).SetKnown()
+	} else if !x.asked {
+		x.asked = true
+		n.group.Go(func() error {
+			n.register(n.ctx, *r)
+			return nil
+		})
+	}
+	if changed || x.view == nil {
+		n.noteView(r.Machine)
+	}
+}
+
+// registered is a machine in the state service. Every machine that may get a
+// start is there first, so that a blind owner knows whom to wait for.
+type registered struct {
+	Addr string `json:"addr"`
+	Type string `json:"type"`
+	Zone string `json:"zone"`
+	Spot bool   `json:"spot"`
+}
+
+func (n *Node) register(ctx context.Context, r wire.Report) {
+	key := machineKey + r.Machine
+	value := wire.Encode(registered{Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot})
+	revision, err := n.state.Commit(ctx, state.Update{Guards: []wire.Guard{{Key: key}}, Ops: []wire.Op{{Set: key, Value: value}}})
+	if errors.Is(err, state.ErrConflict) {
+		var e *wire.Entry
+		if e, err = n.state.Get(ctx, key); err == nil && e != nil {
+			revision = e.Version
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m := n.machine(r.Machine)
+	m.asked = false
+	if err != nil || m.gone || revision == 0 {
+		return // the next report tries again
+	}
+	m.registered = max(m.registered, revision)
+	if h := n.home.Get(r.Machine); h != nil {
+		h.SetKnown()
+		n.noteView(r.Machine)
+	}
+	n.wake()
+}
+
+// noteView takes a homed machine's view into this controller's own knowledge and
+// marks it to be told to the peers.
+func (n *Node) noteView(name string) {
+	v := n.home.View(name)
+	if v == nil {
+		return
+	}
+	n.fresh[name] = true
+	n.see(v, time.Now())
+}
+
+// see takes in a view, of a machine here or told by a peer.
+func (n *Node) see(v *ledger.View, now time.Time) {
+	m := n.machine(v.Machine)
+	if m.gone || (m.view != nil && !v.Newer(m.view)) {
+		return
+	}
+	m.view = v
+	m.heard = now
+	busy := false
+	if len(m.images) > 64 {
+		m.images = map[string]bool{}
+	}
+	for _, t := range v.Tasks {
+		j := n.jobs[t.Job]
+		if t.State != wire.Exited {
+			busy = true
+		} else if t.Why == wire.WhyError {
+			m.errors[t.Job] = true
+		} else if t.Why == wire.WhyDone {
+			delete(m.errors, t.Job)
+		}
+		if j != nil {
+			m.images[j.spec.Image] = true
+		}
+	}
+	switch {
+	case busy:
+		m.idle = time.Time{}
+	case m.idle.IsZero():
+		m.idle = now
+	}
+	for _, name := range slices.Sorted(maps.Keys(n.items)) {
+		it := n.items[name]
+		if it.phase == ready {
+			n.observe(it, v)
+		} else if it.phase == barrier && it.await[v.Machine] {
+			n.passBarrier(it)
+		}
+	}
+	n.endStrays(v)
+	n.wake()
+}
+
+// endStrays lets the home end what machines list of jobs that are over: that is
+// true for good, whoever owns the team.
+func (n *Node) endStrays(v *ledger.View) {
+	if n.home.Get(v.Machine) == nil || n.record == nil || n.record.Home(v.Machine) != n.name {
+		return
+	}
+	var orders []ledger.Order
+	for _, t := range v.Tasks {
+		j := n.jobs[t.Job]
+		if t.State == ledger.Ordered || (j != nil && j.active) {
+			continue
+		}
+		if j == nil {
+			n.lookUp(t.Job)
+			continue
+		}
+		o := ledger.Order{Op: wire.Stop, Key: t.Key, Attempt: t.Attempt, Session: v.Session}
+		if t.State == wire.Exited {
+			o.Op = wire.Forget
+		}
+		orders = append(orders, o)
+	}
+	if len(orders) > 0 && n.home.Take(n.record.Term, v.Machine, orders) {
+		n.stir(v.Machine)
+	}
+}
+
+// lookUp learns what became of a job that a machine lists and that this
+// controller does not know.
+func (n *Node) lookUp(uid string) {
+	if _, known := n.jobs[uid]; known || len(n.lookups) > 64 || n.lookups[uid] {
+		return
+	}
+	n.lookups[uid] = true
+	n.group.Go(func() error {
+		final, found := n.front.Ended(n.ctx, uid)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.lookups, uid)
+		if _, known := n.jobs[uid]; found && !known {
+			n.jobs[uid] = &job{spec: &wire.Submission{UID: uid, Team: final.Team, Tasks: final.Tasks}, ended: time.Now()}
+		}
+		return nil
+	})
+}
+
+// tellViews sends the views that changed to all peers.
+func (n *Node) tellViews() {
+	if len(n.fresh) == 0 {
+		return
+	}
+	var views []*ledger.View
+	for _, name := range slices.Sorted(maps.Keys(n.fresh)) {
+		if v := n.home.View(name); v != nil {
+			views = append(views, v)
+		}
+	}
+	n.fresh = map[string]bool{}
+	if len(views) == 0 {
+		return
+	}
+	for p := range n.peers {
+		n.links.Send(p, "views", views)
+	}
+}
+
+// stir wakes the machine's doer, making one if need be.
+func (n *Node) stir(name string) {
+	d := n.doers[name]
+	if d == nil {
+		d = &doer{signal: make(chan struct{}, 1)}
+		n.doers[name] = d
+		n.group.Go(func() error {
+			n.carry(n.ctx, name, d)
+			return nil
+		})
+	}
+	select {
+	case d.signal <- struct{}{}:
+	default:
+	}
+}
+
+// carry sends a machine's urgent commands by /do, one request at a time.
+func (n *Node) carry(ctx context.Context, name string, d *doer) {
+	var link *httpx.Link
+	defer func() {
+		if link != nil {
+			link.Close()
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case _, ok := <-d.signal:
+			if !ok {
+				return
+			}
+		}
+		for n.carryOnce(ctx, name, &link) {
+		}
+	}
+}
+
+// carryOnce sends what is urgent; it says whether to look again at once.
+func (n *Node) carryOnce(ctx context.Context, name string, link **httpx.Link) bool {
+	n.mu.Lock()
+	m := n.home.Get(name)
+	if m == nil || !m.Urgent() || !n.entitled(time.Now()) {
+		n.mu.Unlock()
+		return false
+	}
+	cmds := m.Send()
+	body := wire.Encode(wire.Direct{Token: n.record.Term, Session: m.Report.Session, Commands: cmds})
+	addr := m.Report.Addr
+	n.mu.Unlock()
+	if *link == nil || (*link).Addr() != addr {
+		if *link != nil {
+			(*link).Close()
+		}
+		*link = httpx.NewLink(addr, 1<<20)
+	}
+	resp, left, err := (*link).Do(ctx, "POST", wire.PathDo, body, doTimeout)
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var r wire.Report
+	answered := err == nil && (resp.Status == 200 || resp.Status == 409) && wire.Decode(resp.Body, &r) == nil && r.Machine == name
+	if answered && n.home.Get(name) == m {
+		n.hear(&r, now)
+	}
+	if !answered {
+		n.log.Info("commands not answered", "machine", name, "commands", len(cmds), "err", err)
+	}
+	m.Sent(cmds, answered, left && (err != nil || resp.Status == 200))
+	n.noteView(name)
+	n.tellViews()
+	return answered
+}
--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,120 @@
+// Package cloud is the client of the cloud's rental interface, paced by one
+// controller's share of its rate.
+package cloud
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"topazhollow/internal/httpx"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/wire"
+)
+
+// Errors that callers tell apart.
+var (
+	ErrNoCapacity = errors.New("cloud: no capacity")
+	ErrRefused    = errors.New("cloud: refused")
+)
+
+const (
+	timeout    = 6 * time.Second
+	maxReturn  = 100
+	maxPerRent = 50
+)
+
+// Client talks to the cloud.
+type Client struct {
+	pool    *httpx.Pool
+	limiter *rate.Limiter
+}
+
+// New is a client. Only the fleet's owner sends much, so it may use most of the
+// rate; the others keep to what is left.
+func New(addr string, limits settings.Cloud, n int) *Client {
+	share := limits.RPS * 0.6
+	if n == 1 {
+		share = limits.RPS * 0.9
+	}
+	return &Client{pool: httpx.NewPool(addr, 4<<20, 8), limiter: rate.NewLimiter(rate.Limit(share), max(1, int(share)))}
+}
+
+func (c *Client) do(ctx context.Context, method, target string, body any, into any) error {
+	if err := c.limiter.Wait(ctx); err != nil {
+		return err
+	}
+	var data []byte
+	if body != nil {
+		data = wire.Encode(body)
+	}
+	resp, _, err := c.pool.Do(ctx, method, target, data, timeout)
+	if err != nil {
+		return err
+	}
+	if resp.Status != 200 {
+		var e wire.Error
+		_ = wire.Decode(resp.Body, &e)
+		if resp.Status == 503 && e.Error == "no capacity" {
+			return ErrNoCapacity
+		}
+		return fmt.Errorf("%w: status %d %s", ErrRefused, resp.Status, e.Error)
+	}
+	if into == nil {
+		return nil
+	}
+	return wire.Decode(resp.Body, into)
+}
+
+// Catalog reads the machine types with their present prices.
+func (c *Client) Catalog(ctx context.Context) ([]wire.MachineType, error) {
+	var cat wire.Catalog
+	if err := c.do(ctx, "GET", "/catalog", nil, &cat); err != nil {
+		return nil, err
+	}
+	seen := map[string]bool{}
+	for _, t := range cat.Types {
+		if t.Name == "" || seen[t.Name] || !(t.CPUs > 0) || !(t.Memory >= 0) {
+			return nil, fmt.Errorf("cloud: catalog holds an impossible type %q", t.Name)
+		}
+		seen[t.Name] = true
+	}
+	return cat.Types, nil
+}
+
+// Rent asks for machines and gives the names of those rented.
+func (c *Client) Rent(ctx context.Context, r wire.Rent) ([]string, error) {
+	r.Count = min(r.Count, maxPerRent)
+	var names wire.Names
+	err := c.do(ctx, "POST", "/hosts", r, &names)
+	return names.Machines, err
+}
+
+// Return gives machines back; when it succeeds, they and all on them are gone.
+func (c *Client) Return(ctx context.Context, machines []string) error {
+	if len(machines) > maxReturn {
+		return fmt.Errorf("cloud: %d machines in one return", len(machines))
+	}
+	return c.do(ctx, "POST", "/hosts/return", wire.Names{Machines: machines}, nil)
+}
+
+// List reads the cloud's lagging list of machines.
+func (c *Client) List(ctx context.Context) ([]wire.Host, error) {
+	var all []wire.Host
+	after := ""
+	for {
+		var page wire.HostList
+		if err := c.do(ctx, "GET", "/hosts?limit=500&after="+url.QueryEscape(after), nil, &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Hosts...)
+		if !page.More || len(page.Hosts) == 0 {
+			return all, nil
+		}
+		after = page.Hosts[len(page.Hosts)-1].UID
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,256 @@
+// Package fleet decides which machines to rent and to return. It does no I/O and
+// reads no clock.
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// Machine is what is known of a machine.
+type Machine struct {
+	Name  string
+	Type  string
+	Zone  string
+	Spot  bool
+	Heard time.Time // last report anywhere; zero before the first
+	Since time.Time // rented, or first seen
+	Idle  time.Time // idle since; zero while it has tasks
+	State string    // in the cloud's list, "" if not listed
+	CPUs  float64   // free
+	GPUs  float64
+	Mem   float64
+	Going bool // spot notice
+	Bad   bool // fails different jobs
+	Kept  bool // registered in the state service
+}
+
+// Demand is room asked for by tasks that wait.
+type Demand struct {
+	Spec  *wire.Submission
+	Count int
+	Late  time.Time
+}
+
+// Options are the operator's choices.
+type Options struct {
+	IdleReturn time.Duration
+	Warm       int
+	SpotShare  float64
+	Silent     time.Duration // a machine silent for so long is returned
+}
+
+// Plan is what to do now.
+type Plan struct {
+	Rent   []wire.Rent
+	Return []string
+}
+
+type pool struct {
+	Type, Zone string
+	Spot       bool
+}
+
+// Fleet remembers refusals and what was rented lately.
+type Fleet struct {
+	opt     Options
+	prefix  string
+	counter uint64
+	shut    map[pool]time.Time // no capacity until
+	backoff map[pool]time.Duration
+	pending map[pool]int // asked for, not yet answered
+}
+
+// New makes a fleet's decisions under names that nobody else uses.
+func New(prefix string, opt Options) *Fleet {
+	return &Fleet{opt: opt, prefix: prefix, shut: map[pool]time.Time{}, backoff: map[pool]time.Duration{}, pending: map[pool]int{}}
+}
+
+// Forget drops what was asked for but is not sent.
+func (f *Fleet) Forget() { clear(f.pending) }
+
+// Answered books the outcome of a rental request.
+func (f *Fleet) Answered(r wire.Rent, got int, now time.Time, refused bool) {
+	p := pool{r.Type, r.Zone, r.Spot}
+	f.pending[p] -= r.Count
+	if f.pending[p] <= 0 {
+		delete(f.pending, p)
+	}
+	if got < r.Count && refused {
+		d := min(max(2*f.backoff[p], 4*time.Second), 30*time.Second)
+		f.backoff[p] = d
+		f.shut[p] = now.Add(d)
+		return
+	}
+	if got > 0 {
+		delete(f.backoff, p)
+	}
+}
+
+// bin is a machine's free room, there or on its way.
+type bin struct {
+	pool            pool
+	cpus, gpus, mem float64
+}
+
+func allowed(s *wire.Submission, typ, zone string, spot bool) bool {
+	return (!spot || s.Spot) && (s.Zone == nil || *s.Zone == zone) && (s.Types == nil || slices.Contains(s.Types, typ))
+}
+
+// Decide plans with what is known. settled is when the members last changed:
+// silence counts only from then.
+func (f *Fleet) Decide(types []wire.MachineType, machines []Machine, demands []Demand, now, settled time.Time) Plan {
+	var plan Plan
+	byType := map[string]*wire.MachineType{}
+	for i := range types {
+		byType[types[i].Name] = &types[i]
+	}
+	var bins []*bin
+	var idleMachines []*Machine
+	for i := range machines {
+		m := &machines[i]
+		t := byType[m.Type]
+		boot := 60 * time.Second
+		if t != nil {
+			boot = time.Duration(t.Boot * float64(time.Second))
+		}
+		quiet := now.Sub(later(m.Heard, settled))
+		switch {
+		case m.State == wire.HostFailed, m.Bad:
+			plan.Return = append(plan.Return, m.Name)
+			continue
+		case m.Heard.IsZero() && !m.Kept && now.Sub(m.Since) > 4*boot+20*time.Second:
+			plan.Return = append(plan.Return, m.Name)
+			continue
+		case (!m.Heard.IsZero() || m.Kept) && quiet > f.opt.Silent:
+			plan.Return = append(plan.Return, m.Name)
+			continue
+		case m.Going || t == nil:
+			continue
+		case m.Heard.IsZero():
+			bins = append(bins, &bin{pool: pool{m.Type, m.Zone, m.Spot}, cpus: t.CPUs, gpus: t.GPUs, mem: t.Memory})
+			continue
+		case quiet > f.opt.Silent/2:
+			continue
+		}
+		bins = append(bins, &bin{pool: pool{m.Type, m.Zone, m.Spot}, cpus: m.CPUs, gpus: m.GPUs, mem: m.Mem})
+		if !m.Idle.IsZero() {
+			idleMachines = append(idleMachines, m)
+		}
+	}
+	for p, n := range f.pending {
+		if t := byType[p.Type]; t != nil {
+			for range n {
+				bins = append(bins, &bin{pool: p, cpus: t.CPUs, gpus: t.GPUs, mem: t.Memory})
+			}
+		}
+	}
+	f.rent(&plan, types, bins, demands, now)
+	if len(plan.Rent) == 0 && len(demands) == 0 {
+		f.giveBack(&plan, byType, idleMachines, len(bins), now)
+	}
+	return plan
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// rent packs the demand into the room there is and rents for the rest.
+func (f *Fleet) rent(plan *Plan, types []wire.MachineType, bins []*bin, demands []Demand, now time.Time) {
+	want := map[pool]int{}
+	for _, d := range demands {
+		s := d.Spec
+	tasks:
+		for range d.Count {
+			for _, b := range bins {
+				if b.cpus+1e-6 >= s.CPUs && b.gpus+1e-6 >= s.GPUs && b.mem+1e-6 >= s.Memory && allowed(s, b.pool.Type, b.pool.Zone, b.pool.Spot) {
+					b.cpus, b.gpus, b.mem = b.cpus-s.CPUs, b.gpus-s.GPUs, b.mem-s.Memory
+					continue tasks
+				}
+			}
+			p, t := f.cheapest(types, s, want, now)
+			if t == nil {
+				break
+			}
+			want[p]++
+			bins = append(bins, &bin{pool: p, cpus: t.CPUs - s.CPUs, gpus: t.GPUs - s.GPUs, mem: t.Memory - s.Memory})
+		}
+	}
+	for p, n := range want {
+		f.counter++
+		n = min(n, 50)
+		f.pending[p] += n
+		plan.Rent = append(plan.Rent, wire.Rent{Request: fmt.Sprintf("%s-%d", f.prefix, f.counter), Type: p.Type, Zone: p.Zone, Spot: p.Spot, Count: n})
+	}
+	slices.SortFunc(plan.Rent, func(a, b wire.Rent) int { return cmp.Compare(a.Request, b.Request) })
+}
+
+// cheapest is the open pool with the lowest price for a task; among equal ones
+// that with the least already wanted.
+func (f *Fleet) cheapest(types []wire.MachineType, s *wire.Submission, want map[pool]int, now time.Time) (pool, *wire.MachineType) {
+	var best pool
+	var found *wire.MachineType
+	low := math.Inf(1)
+	for i := range types {
+		t := &types[i]
+		if t.CPUs+1e-6 < s.CPUs || t.GPUs+1e-6 < s.GPUs || t.Memory+1e-6 < s.Memory {
+			continue
+		}
+		fit := math.Floor(t.CPUs / max(s.CPUs, 1e-6))
+		if s.Memory > 0 {
+			fit = min(fit, math.Floor(t.Memory/s.Memory))
+		}
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				p := pool{t.Name, zone, spot}
+				if !allowed(s, t.Name, zone, spot) || now.Before(f.shut[p]) || (spot && f.opt.SpotShare <= 0) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				price = price/max(fit, 1) + float64(want[p])*1e-6
+				if price < low {
+					best, found, low = p, t, price
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+// giveBack returns machines that have been idle for long, dear ones first, but
+// keeps a few warm.
+func (f *Fleet) giveBack(plan *Plan, types map[string]*wire.MachineType, idle []*Machine, total int, now time.Time) {
+	price := func(m *Machine) float64 {
+		if m.Spot {
+			return types[m.Type].SpotPrice
+		}
+		return types[m.Type].Price
+	}
+	slices.SortFunc(idle, func(a, b *Machine) int {
+		if d := cmp.Compare(price(b), price(a)); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
+	for _, m := range idle {
+		if total <= f.opt.Warm {
+			return
+		}
+		if now.Sub(m.Idle) > f.opt.IdleReturn && now.Sub(m.Since) > 50*time.Second {
+			plan.Return = append(plan.Return, m.Name)
+			total--
+		}
+	}
+}
--- /dev/null
+++ b/internal/frontend/frontend.go
@@ -0,0 +1,332 @@
+// Package frontend answers users: any controller can, because what it says
+// about a job rests on the state service.
+package frontend
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"topazhollow/internal/httpx"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/state"
+	"topazhollow/internal/wire"
+)
+
+// Keys of the state service. Those below Watched are followed by every
+// controller.
+const (
+	Watched  = "w/"
+	JobKey   = "w/a/" // active jobs
+	FinalKey = "f/"   // jobs that are done or withdrawn
+)
+
+// Stored is an active job in the state service.
+type Stored struct {
+	Spec *wire.Submission `json:"spec"`
+	At   int64            `json:"at"` // time of day of the submission, in ms
+}
+
+// Final is the end of a job in the state service.
+type Final struct {
+	State string `json:"state"`
+	Tasks int    `json:"tasks"`
+	Team  string `json:"team"`
+}
+
+// Backend is what the frontend needs of its controller.
+type Backend interface {
+	Types() []wire.MachineType                     // nil while unknown
+	Progress(uid string) (done, running int)       // for display
+	Accepted(s Stored, version uint64)             // a job was accepted here
+	Ended(uid string, final Final)                 // a job ended, as this node just learned
+	Cleanup(uid string, tasks int) (ops []wire.Op) // what else goes with an active job
+	Healthy() bool
+}
+
+// maxFinals bounds the cache of ended jobs.
+const maxFinals = 50000
+
+// Frontend serves the users' part of the protocol.
+type Frontend struct {
+	state *state.Client
+	teams map[string]settings.Team
+	zones map[string]bool
+	back  Backend
+
+	mu     sync.Mutex
+	finals map[string]Final
+}
+
+// New is a frontend for a deployment.
+func New(s *settings.Settings, st *state.Client, back Backend) *Frontend {
+	f := &Frontend{state: st, teams: map[string]settings.Team{}, zones: map[string]bool{}, back: back, finals: map[string]Final{}}
+	for _, t := range s.Deployment.Teams {
+		f.teams[t.Name] = t
+	}
+	for _, z := range s.Deployment.Zones {
+		f.zones[z] = true
+	}
+	return f
+}
+
+func busy(seconds int) httpx.Answer {
+	a := httpx.Refuse(503, "not now, try again")
+	a.Retry = seconds
+	return a
+}
+
+// Handle answers a user's request; ok is false if the path is none of theirs.
+func (f *Frontend) Handle(ctx context.Context, r *httpx.Request) (a httpx.Answer, ok bool) {
+	switch {
+	case r.Path == wire.PathHealth:
+		if r.Method != "GET" {
+			return notAllowed("GET"), true
+		}
+		if !f.back.Healthy() {
+			return busy(1), true
+		}
+		return httpx.Answer{Status: 200, Body: []byte("{}")}, true
+	case r.Path == wire.PathSubmit:
+		if r.Method != "POST" {
+			return notAllowed("POST"), true
+		}
+		return f.submit(ctx, r.Body), true
+	}
+	rest, found := strings.CutPrefix(r.Path, wire.PathSubmit+"/")
+	if !found {
+		return httpx.Answer{}, false
+	}
+	uid, verb, more := strings.Cut(rest, "/")
+	switch {
+	case more && verb == "withdraw":
+		if r.Method != "POST" {
+			return notAllowed("POST"), true
+		}
+		return f.withdraw(ctx, uid), true
+	case more:
+		return httpx.Refuse(404, "no such path"), true
+	case r.Method != "GET":
+		return notAllowed("GET"), true
+	}
+	return f.status(ctx, uid), true
+}
+
+func notAllowed(allow string) httpx.Answer {
+	a := httpx.Refuse(405, "method not allowed")
+	a.Allow = allow
+	return a
+}
+
+// Learn caches the end of a job.
+func (f *Frontend) Learn(uid string, final Final) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.finals) >= maxFinals {
+		for old := range f.finals {
+			delete(f.finals, old)
+			break
+		}
+	}
+	f.finals[uid] = final
+}
+
+func (f *Frontend) final(uid string) (Final, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	final, ok := f.finals[uid]
+	return final, ok
+}
+
+// find reads what the state service holds of a job: its active entry, or its
+// end, or neither. The order matters: a job moves from active to ended at once
+// and never back.
+func (f *Frontend) find(ctx context.Context, uid string) (*wire.Entry, *Final, error) {
+	if final, ok := f.final(uid); ok {
+		return nil, &final, nil
+	}
+	e, err := f.state.Get(ctx, JobKey+uid)
+	if e != nil || err != nil {
+		return e, nil, err
+	}
+	e, err = f.state.Get(ctx, FinalKey+uid)
+	if e == nil || err != nil {
+		return nil, nil, err
+	}
+	var final Final
+	if err := json.Unmarshal(e.Value, &final); err != nil {
+		return nil, nil, err
+	}
+	f.Learn(uid, final)
+	f.back.Ended(uid, final)
+	return nil, &final, nil
+}
+
+// Ended reads whether a job has ended and how. A job that nobody submitted has
+// not.
+func (f *Frontend) Ended(ctx context.Context, uid string) (Final, bool) {
+	_, final, err := f.find(ctx, uid)
+	if err != nil || final == nil {
+		return Final{}, false
+	}
+	return *final, true
+}
+
+func (f *Frontend) describe(status int, uid string, e *wire.Entry, final *Final) httpx.Answer {
+	s := wire.Status{UID: uid, State: wire.Pending}
+	if final != nil {
+		s.State = final.State
+		if final.State == wire.Done {
+			s.Done = final.Tasks
+		}
+	} else if e != nil {
+		if s.Done, s.Running = f.back.Progress(uid); s.Running > 0 || s.Done > 0 {
+			s.State = wire.Running
+		}
+	}
+	return httpx.Answer{Status: status, Body: wire.Encode(s)}
+}
+
+func (f *Frontend) status(ctx context.Context, uid string) httpx.Answer {
+	if !wire.ValidUID(uid) {
+		return httpx.Refuse(404, "no such job")
+	}
+	ctx, cancel := context.WithTimeout(ctx, 1800*time.Millisecond)
+	defer cancel()
+	e, final, err := f.find(ctx, uid)
+	switch {
+	case err != nil:
+		return busy(1)
+	case e == nil && final == nil:
+		return httpx.Refuse(404, "no such job")
+	}
+	return f.describe(200, uid, e, final)
+}
+
+func (f *Frontend) submit(ctx context.Context, body []byte) httpx.Answer {
+	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+	defer cancel()
+	spec, err := wire.ParseSubmission(body)
+	refusal := httpx.Answer{}
+	uid := ""
+	if err != nil {
+		refusal = httpx.Refuse(400, err.Error())
+		uid = wire.PeekUID(body)
+	} else {
+		uid = spec.UID
+		if reason := f.impossible(spec); reason != "" {
+			refusal = httpx.Refuse(422, reason)
+		} else if f.back.Types() == nil {
+			return busy(1)
+		}
+	}
+	if refusal.Status != 0 {
+		if uid == "" {
+			return refusal
+		}
+		e, final, err := f.find(ctx, uid)
+		switch {
+		case err != nil:
+			return busy(1)
+		case e != nil || final != nil:
+			return f.describe(200, uid, e, final)
+		case refusal.Status == 422 && f.back.Types() == nil:
+			return busy(1)
+		}
+		return refusal
+	}
+	if final, ok := f.final(uid); ok {
+		return f.describe(200, uid, nil, &final)
+	}
+	stored := Stored{Spec: spec, At: time.Now().UnixMilli()}
+	version, err := f.state.Commit(ctx, state.Update{
+		Guards: []wire.Guard{{Key: JobKey + uid}, {Key: FinalKey + uid}},
+		Ops:    []wire.Op{{Set: JobKey + uid, Value: wire.Encode(stored)}},
+	})
+	if err == nil {
+		f.back.Accepted(stored, version)
+		return httpx.Answer{Status: 201, Body: wire.Encode(wire.Brief{UID: uid, State: wire.Pending})}
+	}
+	if errors.Is(err, state.ErrConflict) {
+		e, final, err := f.find(ctx, uid)
+		if err == nil && (e != nil || final != nil) {
+			return f.describe(200, uid, e, final)
+		}
+	}
+	return busy(1)
+}
+
+// impossible says why a job can never run, or "".
+func (f *Frontend) impossible(s *wire.Submission) string {
+	team, ok := f.teams[s.Team]
+	if !ok {
+		return "field equipo: unknown team"
+	}
+	n := 1.0
+	if s.Kind != wire.Batch {
+		n = float64(s.Tasks)
+	}
+	if n*s.CPUs > team.CPUsMax+1e-6 || n*s.GPUs > team.GPUsMax+1e-6 {
+		return "field tramos: needs more than the team's limit"
+	}
+	types := f.back.Types()
+	if types == nil {
+		return ""
+	}
+	for _, t := range types {
+		if t.CPUs+1e-6 < s.CPUs || t.GPUs+1e-6 < s.GPUs || t.Memory+1e-6 < s.Memory {
+			continue
+		}
+		named := s.Types == nil
+		for _, name := range s.Types {
+			named = named || name == t.Name
+		}
+		placed := s.Zone == nil
+		for _, z := range t.Zones {
+			placed = placed || z == *s.Zone
+		}
+		if named && placed {
+			return ""
+		}
+	}
+	return "field cores: a task fits no allowed machine type"
+}
+
+func (f *Frontend) withdraw(ctx context.Context, uid string) httpx.Answer {
+	if !wire.ValidUID(uid) {
+		return httpx.Refuse(404, "no such job")
+	}
+	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+	defer cancel()
+	for range 4 {
+		e, final, err := f.find(ctx, uid)
+		switch {
+		case err != nil:
+			return busy(1)
+		case final != nil:
+			return httpx.Answer{Status: 200, Body: wire.Encode(wire.Brief{UID: uid, State: final.State})}
+		case e == nil:
+			return httpx.Refuse(404, "no such job")
+		}
+		var stored Stored
+		if err := json.Unmarshal(e.Value, &stored); err != nil || stored.Spec == nil {
+			return busy(5)
+		}
+		end := Final{State: wire.Withdrawn, Tasks: stored.Spec.Tasks, Team: stored.Spec.Team}
+		ops := append([]wire.Op{{Delete: JobKey + uid}, {Set: FinalKey + uid, Value: wire.Encode(end)}},
+			f.back.Cleanup(uid, stored.Spec.Tasks)...)
+		_, err = f.state.Commit(ctx, state.Update{Guards: []wire.Guard{{Key: JobKey + uid, Version: e.Version}}, Ops: ops})
+		if err == nil {
+			f.Learn(uid, end)
+			f.back.Ended(uid, end)
+			return httpx.Answer{Status: 200, Body: wire.Encode(wire.Brief{UID: uid, State: end.State})}
+		}
+		if !errors.Is(err, state.ErrConflict) {
+			return busy(1)
+		}
+	}
+	return busy(1)
+}
--- a/internal/httpx/client.go
+++ b/internal/httpx/client.go
@@ -20,6 +20,9 @@
 // NewLink is a link to an address with a bound for response bodies.
 func NewLink(addr string, maxBody int) *Link { return &Link{addr: addr, max: maxBody} }
 
+// Addr is the address that the link goes to.
+func (l *Link) Addr() string { return l.addr }
+
 // Open says whether a connection stands.
 func (l *Link) Open() bool { return l.conn != nil }
 
--- a/internal/httpx/listen.go
+++ b/internal/httpx/listen.go
@@ -13,9 +13,6 @@
 	"github.com/panjf2000/gnet/v2/pkg/logging"
 )
 
-// maxUnread bounds what a connection may send ahead of its goroutine.
-const maxUnread = 1 << 20
-
 // Conn is a connection accepted by gnet, read by a goroutine of its own.
 type Conn struct {
 	raw    gnet.Conn
@@ -113,6 +110,7 @@
 type listener struct {
 	gnet.BuiltinEventEngine
 	max    int
+	unread int
 	serve  func(*Conn)
 	engine gnet.Engine
 	booted chan struct{}
@@ -178,7 +176,7 @@
 	}
 	c.mu.Lock()
 	c.unread = append(c.unread, data...)
-	over := len(c.unread) > maxUnread
+	over := len(c.unread) > l.unread
 	c.used = time.Now()
 	c.mu.Unlock()
 	c.wake()
@@ -204,9 +202,10 @@
 }
 
 // Listen accepts connections until the context ends, at most max at once, and
-// gives each to serve in a goroutine of its own.
-func Listen(ctx context.Context, addr string, max int, serve func(*Conn)) error {
-	l := &listener{max: max, serve: serve, booted: make(chan struct{}), conns: map[*Conn]struct{}{}}
+// gives each to serve in a goroutine of its own. A connection that sends more
+// than unread bytes ahead of its goroutine is closed.
+func Listen(ctx context.Context, addr string, max, unread int, serve func(*Conn)) error {
+	l := &listener{max: max, unread: unread, serve: serve, booted: make(chan struct{}), conns: map[*Conn]struct{}{}}
 	failed := make(chan error, 1)
 	go func() {
 		failed <- gnet.Run(l, "tcp://"+addr,
--- a/internal/httpx/serve.go
+++ b/internal/httpx/serve.go
@@ -25,7 +25,7 @@
 
 // Serve answers HTTP requests at an address until the context ends.
 func Serve(ctx context.Context, addr string, max int, p Patience, handle Handler) error {
-	return Listen(ctx, addr, max, func(c *Conn) { serveConn(ctx, c, p, handle) })
+	return Listen(ctx, addr, max, 2*wire.MaxBody, func(c *Conn) { serveConn(ctx, c, p, handle) })
 }
 
 func serveConn(ctx context.Context, c *Conn, p Patience, handle Handler) {
--- /dev/null
+++ b/internal/ledger/replica.go
@@ -0,0 +1,126 @@
+// Package ledger is an owner's account of one team: its jobs, their tasks, the
+// attempts that may be on machines and the quota these hold; and the replica of
+// it that backups keep. It does no I/O and reads no clock.
+package ledger
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/bits-and-blooms/bitset"
+)
+
+// Key names a task.
+type Key struct {
+	Job   string `json:"j"`
+	Index int    `json:"i"`
+}
+
+// Hold is an attempt that may be on a machine: from before its start is sent
+// until it is proven off.
+type Hold struct {
+	Key
+	Attempt uint64  `json:"a"`
+	Machine string  `json:"m"`
+	Session uint64  `json:"s"`
+	CPUs    float64 `json:"c"`
+	GPUs    float64 `json:"g,omitempty"`
+	Memory  float64 `json:"r,omitempty"`
+}
+
+// Delta is one sequenced change of a team's progress.
+type Delta struct {
+	Seq   uint64 `json:"seq"`
+	Place []Hold `json:"place,omitempty"`
+	Off   []Key  `json:"off,omitempty"`
+	Done  []Key  `json:"done,omitempty"`
+	Drop  string `json:"drop,omitempty"` // a job that is over
+}
+
+// Copy is a whole replica on the wire.
+type Copy struct {
+	Seq   uint64                    `json:"seq"`
+	Holds []Hold                    `json:"holds"`
+	Done  map[string]*bitset.BitSet `json:"done"`
+}
+
+// Replica is a team's progress as owner and backups hold it.
+type Replica struct {
+	Seq   uint64
+	Holds map[Key]Hold
+	Done  map[string]*bitset.BitSet
+}
+
+// NewReplica is an empty replica.
+func NewReplica() *Replica {
+	return &Replica{Holds: map[Key]Hold{}, Done: map[string]*bitset.BitSet{}}
+}
+
+// FromCopy makes a replica of a received copy.
+func FromCopy(c Copy) *Replica {
+	r := NewReplica()
+	r.Seq = c.Seq
+	for _, h := range c.Holds {
+		r.Holds[h.Key] = h
+	}
+	for job, done := range c.Done {
+		if done != nil {
+			r.Done[job] = done
+		}
+	}
+	return r
+}
+
+// Copy is the replica as sent to a backup.
+func (r *Replica) Copy() Copy {
+	c := Copy{Seq: r.Seq, Done: r.Done, Holds: make([]Hold, 0, len(r.Holds))}
+	for _, h := range r.Holds {
+		c.Holds = append(c.Holds, h)
+	}
+	slices.SortFunc(c.Holds, func(a, b Hold) int {
+		if d := strings.Compare(a.Job, b.Job); d != 0 {
+			return d
+		}
+		return a.Index - b.Index
+	})
+	return c
+}
+
+// Apply carries out a delta. An older one is ignored; a gap is an error, which
+// a full copy mends.
+func (r *Replica) Apply(d Delta) error {
+	if d.Seq <= r.Seq {
+		return nil
+	}
+	if d.Seq != r.Seq+1 {
+		return fmt.Errorf("ledger: delta %d after %d", d.Seq, r.Seq)
+	}
+	r.Seq = d.Seq
+	for _, h := range d.Place {
+		r.Holds[h.Key] = h
+	}
+	for _, k := range d.Off {
+		delete(r.Holds, k)
+	}
+	for _, k := range d.Done {
+		r.markDone(k)
+	}
+	if d.Drop != "" {
+		delete(r.Done, d.Drop)
+	}
+	return nil
+}
+
+func (r *Replica) markDone(k Key) bool {
+	b := r.Done[k.Job]
+	if b == nil {
+		b = bitset.New(0)
+		r.Done[k.Job] = b
+	}
+	if b.Test(uint(k.Index)) {
+		return false
+	}
+	b.Set(uint(k.Index))
+	return true
+}
--- /dev/null
+++ b/internal/ledger/team.go
@@ -0,0 +1,641 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bits-and-blooms/bitset"
+
+	"topazhollow/internal/wire"
+)
+
+// termShift parts an attempt number into the term that made it and a counter.
+// Terms stay below 2^29, so that attempts stay below 2^53.
+const termShift = 24
+
+// AttemptID is an attempt number that no other owner or term can make.
+func AttemptID(term, counter uint64) uint64 { return term<<termShift | counter&(1<<termShift-1) }
+
+// TermOf is the term under which an attempt's start was sent.
+func TermOf(attempt uint64) uint64 { return attempt >> termShift }
+
+// Ordered is the state of a start that a machine's home has taken and that the
+// worker has not listed yet.
+const Ordered = "ordered"
+
+// TaskView is a task as a machine's home sees it.
+type TaskView struct {
+	Key
+	Attempt uint64 `json:"a"`
+	State   string `json:"e"`
+	Why     string `json:"w,omitempty"`
+	Saved   bool   `json:"k,omitempty"`
+}
+
+// View is what a machine's home knows of it; later (Session, Seq, Rev) is newer.
+type View struct {
+	Machine string     `json:"m"`
+	Addr    string     `json:"addr"`
+	Type    string     `json:"type"`
+	Zone    string     `json:"zone"`
+	Spot    bool       `json:"spot,omitempty"`
+	Session uint64     `json:"s"`
+	Seq     uint64     `json:"q"`
+	Rev     uint64     `json:"v"` // the home's own count of changes
+	Token   uint64     `json:"t"` // highest term the worker has seen
+	Term    uint64     `json:"h"` // the home's term
+	Notice  bool       `json:"n,omitempty"`
+	Known   bool       `json:"r,omitempty"` // registered in the state service
+	Tasks   []TaskView `json:"x,omitempty"`
+	Barred  []uint64   `json:"b,omitempty"` // attempts that the home will never send
+}
+
+// Newer says whether v replaces old.
+func (v *View) Newer(old *View) bool {
+	if v.Session != old.Session {
+		return v.Session > old.Session
+	}
+	if v.Term != old.Term {
+		return v.Term > old.Term
+	}
+	if v.Seq != old.Seq {
+		return v.Seq > old.Seq
+	}
+	return v.Rev > old.Rev
+}
+
+// Order is a command for a machine, given by an owner and carried by its home.
+type Order struct {
+	Op string `json:"o"`
+	Key
+	Attempt uint64  `json:"a"`
+	Session uint64  `json:"s"`
+	CPUs    float64 `json:"c,omitempty"`
+	GPUs    float64 `json:"g,omitempty"`
+	Memory  float64 `json:"r,omitempty"`
+	Grace   float64 `json:"z,omitempty"`
+}
+
+// Job is an active job.
+type Job struct {
+	Spec      *wire.Submission
+	Version   uint64 // of its key in the state service
+	Submitted time.Time
+	Over      bool // withdrawn or done: nothing may start
+	Finishing bool // the final write is under way
+
+	avoid    map[string]time.Time // machines that failed it
+	errors   int
+	notUntil time.Time
+	running  int
+	held     int
+	next     int            // lowest task that may be pending
+	saved    *bitset.BitSet // done tasks that the state service has
+	dirty    bool
+	retry    map[int]time.Time
+}
+
+// Due is when the job should be complete; far away without a deadline.
+func (j *Job) Due() time.Time {
+	if j.Spec.Deadline == nil {
+		return j.Submitted.Add(24 * time.Hour)
+	}
+	return j.Submitted.Add(time.Duration(*j.Spec.Deadline * float64(time.Second)))
+}
+
+// attempt is a hold with what the owner knows of it beyond the replica.
+type attempt struct {
+	Hold
+	seq     uint64 // delta that made it; 0 after a take-over: backups have it
+	state   string // as last listed, "" before
+	stop    bool
+	ordered time.Time
+	listed  time.Time
+	asked   time.Time // when its stop was first ordered
+}
+
+// Team is the owner's account.
+type Team struct {
+	Name    string
+	MaxCPUs float64
+	MaxGPUs float64
+	CPUs    float64 // guaranteed
+	GPUs    float64
+
+	rep     *Replica
+	jobs    map[string]*Job
+	held    map[Key]*attempt
+	on      map[string]map[Key]*attempt // by machine
+	usedCPU float64
+	usedGPU float64
+	out     []Delta
+
+	term    uint64
+	counter uint64
+	log     func(event string, args ...any)
+}
+
+// slack absorbs rounding in sums of amounts.
+const slack = 1e-6
+
+// NewTeam starts an account from a replica, in a term. Attempts in the replica
+// stay held until they are seen or proven off.
+func NewTeam(name string, cpus, maxCPUs, gpus, maxGPUs float64, rep *Replica, term uint64, log func(string, ...any)) *Team {
+	t := &Team{Name: name, CPUs: cpus, MaxCPUs: maxCPUs, GPUs: gpus, MaxGPUs: maxGPUs, rep: rep, term: term,
+		jobs: map[string]*Job{}, held: map[Key]*attempt{}, on: map[string]map[Key]*attempt{}, log: log}
+	for _, h := range rep.Holds {
+		t.hold(&attempt{Hold: h})
+	}
+	return t
+}
+
+// SetTerm moves the account to a later term of the same owner.
+func (t *Team) SetTerm(term uint64) {
+	if term > t.term {
+		t.term, t.counter = term, 0
+	}
+}
+
+// Replica is the team's replicated part.
+func (t *Team) Replica() *Replica { return t.rep }
+
+// TakeDeltas gives the changes since the last call.
+func (t *Team) TakeDeltas() []Delta {
+	d := t.out
+	t.out = nil
+	return d
+}
+
+func (t *Team) emit(d Delta) uint64 {
+	d.Seq = t.rep.Seq + 1
+	t.rep.Seq = d.Seq
+	t.out = append(t.out, d)
+	return d.Seq
+}
+
+// Used is what the team's held attempts take.
+func (t *Team) Used() (cpus, gpus float64) { return t.usedCPU, t.usedGPU }
+
+// Jobs calls f for each job in order of urgency.
+func (t *Team) Jobs(f func(*Job)) {
+	for _, j := range t.sorted() {
+		f(j)
+	}
+}
+
+func (t *Team) sorted() []*Job {
+	jobs := make([]*Job, 0, len(t.jobs))
+	for _, j := range t.jobs {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, Urgency)
+	return jobs
+}
+
+// Urgency orders jobs: priority, then due time, then age, then id.
+func Urgency(a, b *Job) int {
+	if d := wire.Rank(b.Spec.Priority) - wire.Rank(a.Spec.Priority); d != 0 {
+		return d
+	}
+	if d := a.Due().Compare(b.Due()); d != 0 {
+		return d
+	}
+	if d := a.Submitted.Compare(b.Submitted); d != 0 {
+		return d
+	}
+	return cmp.Compare(a.Spec.UID, b.Spec.UID)
+}
+
+// Job finds an active job.
+func (t *Team) Job(uid string) *Job { return t.jobs[uid] }
+
+// AddJob takes up an active job; done holds the finished tasks that the state
+// service knows.
+func (t *Team) AddJob(spec *wire.Submission, version uint64, submitted time.Time, done *bitset.BitSet) {
+	j := t.jobs[spec.UID]
+	if j == nil {
+		j = &Job{Spec: spec, Version: version, Submitted: submitted, saved: bitset.New(0),
+			avoid: map[string]time.Time{}, retry: map[int]time.Time{}}
+		t.jobs[spec.UID] = j
+		for k, a := range t.held {
+			if k.Job == spec.UID {
+				j.held++
+				if a.state == wire.Running {
+					j.running++
+				}
+			}
+		}
+	}
+	j.Version = version
+	if done != nil {
+		j.saved.InPlaceUnion(done)
+		for i, ok := done.NextSet(0); ok; i, ok = done.NextSet(i + 1) {
+			t.done(Key{spec.UID, int(i)})
+		}
+	}
+	if mine := t.rep.Done[spec.UID]; mine != nil && mine.Count() > j.saved.Count() {
+		j.dirty = true
+	}
+}
+
+// EndJob takes a job off the account; what it holds stays held until off.
+func (t *Team) EndJob(uid string) {
+	if j := t.jobs[uid]; j != nil {
+		j.Over = true
+		delete(t.jobs, uid)
+	}
+	if t.rep.Done[uid] != nil {
+		delete(t.rep.Done, uid)
+		t.emit(Delta{Drop: uid})
+	}
+}
+
+func (t *Team) done(k Key) {
+	if t.rep.markDone(k) {
+		t.emit(Delta{Done: []Key{k}})
+		if j := t.jobs[k.Job]; j != nil {
+			j.dirty = true
+		}
+	}
+}
+
+func (t *Team) isDone(k Key) bool {
+	b := t.rep.Done[k.Job]
+	return b != nil && b.Test(uint(k.Index))
+}
+
+func (t *Team) hold(a *attempt) {
+	t.held[a.Key] = a
+	if t.on[a.Machine] == nil {
+		t.on[a.Machine] = map[Key]*attempt{}
+	}
+	t.on[a.Machine][a.Key] = a
+	t.usedCPU += a.CPUs
+	t.usedGPU += a.GPUs
+	if j := t.jobs[a.Job]; j != nil {
+		j.held++
+	}
+}
+
+// off releases an attempt that is proven to be on no machine.
+func (t *Team) off(a *attempt, why string) {
+	if t.held[a.Key] != a {
+		return
+	}
+	t.setState(a, "")
+	delete(t.held, a.Key)
+	delete(t.on[a.Machine], a.Key)
+	if len(t.on[a.Machine]) == 0 {
+		delete(t.on, a.Machine)
+	}
+	t.usedCPU -= a.CPUs
+	t.usedGPU -= a.GPUs
+	if len(t.held) == 0 {
+		t.usedCPU, t.usedGPU = 0, 0
+	}
+	delete(t.rep.Holds, a.Key)
+	t.emit(Delta{Off: []Key{a.Key}})
+	if j := t.jobs[a.Job]; j != nil {
+		j.held--
+		j.next = min(j.next, a.Index)
+	}
+	t.log("attempt off", "task", a.Job, "index", a.Index, "attempt", a.Attempt, "machine", a.Machine, "why", why)
+}
+
+func (t *Team) setState(a *attempt, state string) {
+	j := t.jobs[a.Job]
+	if j != nil && a.state == wire.Running {
+		j.running--
+	}
+	a.state = state
+	if j != nil && a.state == wire.Running {
+		j.running++
+	}
+}
+
+// Progress is what users see of a job.
+func (t *Team) Progress(uid string) (done, running int) {
+	if b := t.rep.Done[uid]; b != nil {
+		done = int(b.Count())
+	}
+	if j := t.jobs[uid]; j != nil {
+		running = j.running
+	}
+	return done, running
+}
+
+// Complete says whether all tasks of an active job are done.
+func (t *Team) Complete(j *Job) bool {
+	b := t.rep.Done[j.Spec.UID]
+	return b != nil && int(b.Count()) >= j.Spec.Tasks
+}
+
+// Pending calls f for each task of a job that may be placed now, until f says
+// false.
+func (t *Team) Pending(j *Job, now time.Time, f func(index int) bool) {
+	if j.Over || j.Finishing || now.Before(j.notUntil) {
+		return
+	}
+	first := true
+	for i := j.next; i < j.Spec.Tasks; i++ {
+		k := Key{j.Spec.UID, i}
+		if t.held[k] != nil || t.isDone(k) {
+			continue
+		}
+		if first {
+			j.next, first = i, false
+		}
+		if until, ok := j.retry[i]; ok {
+			if now.Before(until) {
+				continue
+			}
+			delete(j.retry, i)
+		}
+		if !f(i) {
+			return
+		}
+	}
+	if first {
+		j.next = j.Spec.Tasks
+	}
+}
+
+// Unstarted counts the tasks of a job that are neither held nor done.
+func (t *Team) Unstarted(j *Job) int {
+	done, _ := t.Progress(j.Spec.UID)
+	return max(0, j.Spec.Tasks-done-j.held)
+}
+
+// Fits says whether the quota has room for one more task of a job.
+func (t *Team) Fits(j *Job) bool {
+	return t.usedCPU+j.Spec.CPUs <= t.MaxCPUs+slack && t.usedGPU+j.Spec.GPUs <= t.MaxGPUs+slack
+}
+
+// Avoids says whether a job should not go to a machine now.
+func (j *Job) Avoids(machine string, now time.Time) bool {
+	until, ok := j.avoid[machine]
+	if ok && !now.Before(until) {
+		delete(j.avoid, machine)
+		return false
+	}
+	return ok
+}
+
+// Place makes an attempt on a machine and holds task and quota for it. Its
+// start may be sent once every backup in sync acknowledged the delta.
+func (t *Team) Place(j *Job, index int, machine string, session uint64) bool {
+	k := Key{j.Spec.UID, index}
+	if t.counter >= 1<<termShift-1 || t.held[k] != nil || t.isDone(k) || j.Over || !t.Fits(j) {
+		return false
+	}
+	t.counter++
+	a := &attempt{Hold: Hold{Key: k, Attempt: AttemptID(t.term, t.counter), Machine: machine, Session: session,
+		CPUs: j.Spec.CPUs, GPUs: j.Spec.GPUs, Memory: j.Spec.Memory}}
+	t.hold(a)
+	t.rep.Holds[k] = a.Hold
+	a.seq = t.emit(Delta{Place: []Hold{a.Hold}})
+	return true
+}
+
+// On calls f for each attempt held on a machine.
+func (t *Team) On(machine string, f func(Hold)) {
+	for _, a := range t.on[machine] {
+		f(a.Hold)
+	}
+}
+
+// Machines lists the machines that hold attempts.
+func (t *Team) Machines() []string {
+	names := make([]string, 0, len(t.on))
+	for m := range t.on {
+		names = append(names, m)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Observe takes in a machine's view and gives the orders that follow from it.
+// spec finds any job that was ever active and whether it is over.
+func (t *Team) Observe(v *View, now time.Time, mine func(job string) (spec *wire.Submission, active, ok bool)) []Order {
+	var orders []Order
+	seen := map[Key]bool{}
+	for i := range v.Tasks {
+		x := &v.Tasks[i]
+		a := t.held[x.Key]
+		if a != nil && a.Machine == v.Machine && a.Attempt == x.Attempt && a.Session == v.Session {
+			seen[x.Key] = true
+			if x.State == Ordered {
+				continue
+			}
+			if x.State == wire.Exited {
+				t.exited(a, x, now)
+			} else {
+				if a.listed.IsZero() {
+					a.listed = now
+				}
+				t.setState(a, x.State)
+				continue
+			}
+		}
+		spec, active, ok := mine(x.Job)
+		if !ok || x.State == Ordered {
+			continue
+		}
+		order := Order{Key: x.Key, Attempt: x.Attempt, Session: v.Session}
+		switch {
+		case x.State == wire.Exited:
+			if x.Why == wire.WhyDone && active && x.Index < spec.Tasks {
+				t.done(x.Key)
+				if j := t.jobs[x.Job]; j == nil || !j.saved.Test(uint(x.Index)) {
+					continue // forgotten only once the state service knows
+				}
+			}
+			order.Op = wire.Forget
+			orders = append(orders, order)
+		case active && t.held[x.Key] == nil && !t.isDone(x.Key) && x.Index < spec.Tasks:
+			t.adopt(v, x, spec, now)
+			seen[x.Key] = true
+		default:
+			order.Op = wire.Stop
+			orders = append(orders, order)
+		}
+	}
+	for _, a := range t.sortedOn(v.Machine) {
+		switch {
+		case v.Session < a.Session || seen[a.Key]:
+		case v.Session > a.Session:
+			t.off(a, "newer session")
+		case slices.Contains(v.Barred, a.Attempt):
+			t.off(a, "never sent")
+		case v.Token > TermOf(a.Attempt):
+			// The worker knows a later term and does not list the attempt: its start
+			// can no longer arrive.
+			t.off(a, "later term")
+		}
+	}
+	return orders
+}
+
+func (t *Team) sortedOn(machine string) []*attempt {
+	list := make([]*attempt, 0, len(t.on[machine]))
+	for _, a := range t.on[machine] {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b *attempt) int {
+		if d := strings.Compare(a.Job, b.Job); d != 0 {
+			return d
+		}
+		return a.Index - b.Index
+	})
+	return list
+}
+
+// adopt takes up an attempt found on a machine that the account did not hold,
+// as after a full barrier.
+func (t *Team) adopt(v *View, x *TaskView, spec *wire.Submission, now time.Time) {
+	a := &attempt{Hold: Hold{Key: x.Key, Attempt: x.Attempt, Machine: v.Machine, Session: v.Session,
+		CPUs: spec.CPUs, GPUs: spec.GPUs, Memory: spec.Memory}, listed: now}
+	t.hold(a)
+	t.rep.Holds[a.Key] = a.Hold
+	a.seq = t.emit(Delta{Place: []Hold{a.Hold}})
+	t.setState(a, x.State)
+	t.log("attempt adopted", "task", a.Job, "index", a.Index, "attempt", a.Attempt, "machine", a.Machine)
+}
+
+// exited books the end of an attempt.
+func (t *Team) exited(a *attempt, x *TaskView, now time.Time) {
+	if x.Why == wire.WhyDone {
+		t.done(a.Key)
+	}
+	j := t.jobs[a.Job]
+	t.off(a, x.Why)
+	if j == nil {
+		return
+	}
+	switch x.Why {
+	case wire.WhyDone:
+		j.errors = 0
+	case wire.WhyError:
+		j.errors++
+		j.avoid[a.Machine] = now.Add(10 * time.Minute)
+		if j.errors > 3 {
+			j.notUntil = now.Add(min(time.Minute, time.Second<<min(j.errors-3, 6)))
+		}
+		t.log("task failed", "task", a.Job, "index", a.Index, "machine", a.Machine, "errors", j.errors)
+	case wire.WhyFull:
+		j.avoid[a.Machine] = now.Add(1500 * time.Millisecond)
+	case wire.WhyInUse, wire.WhyNoSuch:
+		j.retry[a.Index] = now.Add(3 * time.Second)
+	}
+}
+
+// Gone books that the cloud confirmed the end of a machine.
+func (t *Team) Gone(machine string) {
+	for _, a := range t.sortedOn(machine) {
+		t.off(a, "machine returned")
+	}
+}
+
+// resend is how long an order may take before it is given again.
+const resend = 1500 * time.Millisecond
+
+// Due gives the starts and stops to send now. acked is the sequence number that
+// every backup in sync acknowledged; ready says whether a machine's home and
+// registration allow a start under the term. Only attempts made in this term
+// are started: older ones wait until they are listed or proven off.
+func (t *Team) Due(acked uint64, now time.Time, ready func(machine string, session uint64) bool) map[string][]Order {
+	due := map[string][]Order{}
+	for m, list := range t.on {
+		for _, a := range list {
+			if now.Sub(a.ordered) < resend {
+				continue
+			}
+			order := Order{Key: a.Key, Attempt: a.Attempt, Session: a.Session, CPUs: a.CPUs, GPUs: a.GPUs, Memory: a.Memory}
+			j := t.jobs[a.Job]
+			switch {
+			case j == nil || a.stop:
+				order.Op = wire.Stop
+				if a.asked.IsZero() {
+					a.asked = now
+				}
+			case a.state == "" && a.seq <= acked && TermOf(a.Attempt) == t.term && ready(m, a.Session):
+				order.Op = wire.Start
+			default:
+				continue
+			}
+			a.ordered = now
+			due[m] = append(due[m], order)
+		}
+	}
+	for _, orders := range due {
+		slices.SortFunc(orders, func(a, b Order) int { return cmp.Compare(a.Attempt, b.Attempt) })
+	}
+	return due
+}
+
+// Unproven counts attempts of this term whose stop was ordered long ago and
+// that are still in no list: only a later term can prove them off.
+func (t *Team) Unproven(now time.Time, after time.Duration) int {
+	n := 0
+	for _, a := range t.held {
+		if a.state == "" && !a.asked.IsZero() && now.Sub(a.asked) > after && TermOf(a.Attempt) == t.term {
+			n++
+		}
+	}
+	return n
+}
+
+// Unsaved gives the jobs whose done tasks the state service does not know yet,
+// with these tasks.
+func (t *Team) Unsaved() map[*Job]*bitset.BitSet {
+	out := map[*Job]*bitset.BitSet{}
+	for uid, j := range t.jobs {
+		if b := t.rep.Done[uid]; j.dirty && b != nil {
+			out[j] = b.Clone()
+		}
+	}
+	return out
+}
+
+// Saved books that the state service has these done tasks of a job.
+func (t *Team) Saved(uid string, done *bitset.BitSet) {
+	j := t.jobs[uid]
+	if j == nil {
+		return
+	}
+	j.saved.InPlaceUnion(done)
+	if b := t.rep.Done[uid]; b != nil && b.Count() <= j.saved.Count() {
+		j.dirty = false
+	}
+}
+
+// Demand is the room that pending tasks of a job ask for now, within the quota.
+type Demand struct {
+	Spec  *wire.Submission
+	Count int
+	Late  time.Time
+}
+
+// Demands lists what the team would place if there were room, most urgent first.
+func (t *Team) Demands(now time.Time) []Demand {
+	cpus, gpus := t.usedCPU, t.usedGPU
+	var out []Demand
+	for _, j := range t.sorted() {
+		if j.Over || j.Finishing || now.Before(j.notUntil) || j.errors > 3 {
+			continue
+		}
+		n := t.Unstarted(j)
+		fit := 0
+		for fit < n && cpus+j.Spec.CPUs <= t.MaxCPUs+slack && gpus+j.Spec.GPUs <= t.MaxGPUs+slack {
+			fit++
+			cpus += j.Spec.CPUs
+			gpus += j.Spec.GPUs
+		}
+		if fit > 0 {
+			out = append(out, Demand{Spec: j.Spec, Count: fit, Late: j.Due()})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,94 @@
+// Package placement picks machines by best fit among a sample.
+package placement
+
+import "math/rand/v2"
+
+// Host is a machine that may take tasks.
+type Host struct {
+	Name    string
+	Type    int
+	Zone    int
+	Spot    bool
+	Session uint64
+	CPUs    float64 // free
+	GPUs    float64
+	Memory  float64
+	Size    float64 // all its CPUs
+	Images  map[string]bool
+}
+
+// Ask is what a task needs.
+type Ask struct {
+	CPUs, GPUs, Memory float64
+	Types              []int // nil: any
+	Zone               int   // -1: any
+	Spot               bool  // may use spot machines
+	Image              string
+	ImageGB            float64
+}
+
+const slack = 1e-6
+
+// Allows says whether a host's type, zone and kind are allowed.
+func (a *Ask) Allows(h *Host) bool {
+	if (h.Spot && !a.Spot) || (a.Zone >= 0 && h.Zone != a.Zone) {
+		return false
+	}
+	if a.Types == nil {
+		return true
+	}
+	for _, t := range a.Types {
+		if t == h.Type {
+			return true
+		}
+	}
+	return false
+}
+
+// Fits says whether a host has the room.
+func (a *Ask) Fits(h *Host) bool {
+	return h.CPUs+slack >= a.CPUs && h.GPUs+slack >= a.GPUs && h.Memory+slack >= a.Memory
+}
+
+// better says whether x suits the task better than y: it has the image, then
+// it is left with less.
+func better(a *Ask, x, y *Host) bool {
+	if xi, yi := x.Images[a.Image], y.Images[a.Image]; xi != yi {
+		return xi
+	}
+	if x.GPUs != y.GPUs {
+		return x.GPUs < y.GPUs
+	}
+	if x.CPUs != y.CPUs {
+		return x.CPUs < y.CPUs
+	}
+	return x.Name < y.Name
+}
+
+// Choose looks at hosts in random order until it has seen sample ones that fit,
+// and gives the best of these, or nil.
+func Choose(rng *rand.Rand, hosts []*Host, a *Ask, sample int, skip func(*Host) bool) *Host {
+	if len(hosts) == 0 {
+		return nil
+	}
+	var best *Host
+	at, seen := rng.IntN(len(hosts)), 0
+	for i := 0; i < len(hosts) && seen < sample; i++ {
+		h := hosts[(at+i)%len(hosts)]
+		if !a.Fits(h) || !a.Allows(h) || skip(h) {
+			continue
+		}
+		seen++
+		if best == nil || better(a, h, best) {
+			best = h
+		}
+	}
+	return best
+}
+
+// Take books a task on a host.
+func (h *Host) Take(a *Ask) {
+	h.CPUs -= a.CPUs
+	h.GPUs -= a.GPUs
+	h.Memory -= a.Memory
+}
--- /dev/null
+++ b/internal/state/batch.go
@@ -0,0 +1,188 @@
+package state
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"topazhollow/internal/settings"
+	"topazhollow/internal/wire"
+)
+
+// maxQueue bounds the updates that wait; past it they are refused at once.
+const maxQueue = 4096
+
+type outcome struct {
+	revision uint64
+	err      error
+}
+
+type pending struct {
+	Update
+	size int
+	done chan outcome
+}
+
+// batcher merges queued updates that touch different keys into shared
+// transactions. When a guard fails, only the updates that carry it get the
+// conflict; the others go again.
+type batcher struct {
+	c     *Client
+	ops   int
+	bytes int
+	queue chan *pending
+	back  chan []*pending
+}
+
+func newBatcher(c *Client, limits settings.State) *batcher {
+	return &batcher{c: c, ops: limits.TxnOps, bytes: 48 << 10,
+		queue: make(chan *pending, maxQueue), back: make(chan []*pending, 16)}
+}
+
+func (b *batcher) commit(ctx context.Context, u Update) (uint64, error) {
+	p := &pending{Update: u, done: make(chan outcome, 1)}
+	for _, o := range u.Ops {
+		p.size += len(o.Value) + len(o.Set) + len(o.Delete) + 64
+	}
+	for _, g := range u.Guards {
+		p.size += len(g.Key) + 48
+	}
+	if len(u.Ops) > b.ops || len(u.Guards) > 4*b.ops {
+		return 0, fmt.Errorf("%w: update of %d changes", ErrInvalid, len(u.Ops))
+	}
+	select {
+	case b.queue <- p:
+	default:
+		return 0, fmt.Errorf("%w: queue full", ErrRefused)
+	}
+	select {
+	case o := <-p.done:
+		return o.revision, o.err
+	case <-ctx.Done():
+		return 0, ErrUnknown
+	}
+}
+
+// run keeps up to four transactions on their way.
+func (b *batcher) run(ctx context.Context) error {
+	var waiting []*pending
+	slots := make(chan struct{}, 4)
+	for {
+		if len(waiting) == 0 {
+			select {
+			case p := <-b.queue:
+				waiting = append(waiting, p)
+			case ps := <-b.back:
+				waiting = append(waiting, ps...)
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			return nil
+		}
+		waiting = b.drain(waiting)
+		batch, rest := b.pick(waiting)
+		waiting = rest
+		writes := 0
+		for _, p := range batch {
+			writes += len(p.Ops)
+		}
+		if b.c.requests.Wait(ctx) != nil || b.c.writes.WaitN(ctx, writes) != nil {
+			return nil
+		}
+		go func() {
+			b.send(ctx, batch)
+			<-slots
+		}()
+	}
+}
+
+func (b *batcher) drain(waiting []*pending) []*pending {
+	for len(waiting) < maxQueue {
+		select {
+		case p := <-b.queue:
+			waiting = append(waiting, p)
+		case ps := <-b.back:
+			waiting = append(ps, waiting...)
+		default:
+			return waiting
+		}
+	}
+	return waiting
+}
+
+// pick takes the updates, oldest first, that fit one transaction. No two of
+// them change the same key, and none guards a key that another changes.
+func (b *batcher) pick(waiting []*pending) (batch, rest []*pending) {
+	changed, guarded := map[string]bool{}, map[string]uint64{}
+	ops, guards, size := 0, 0, 0
+	for i, p := range waiting {
+		fits := ops+len(p.Ops) <= b.ops && guards+len(p.Guards) <= 4*b.ops && size+p.size <= b.bytes
+		if len(batch) > 0 && !fits {
+			return batch, append(rest, waiting[i:]...)
+		}
+		clash := false
+		for _, o := range p.Ops {
+			key := o.Set + o.Delete
+			_, g := guarded[key]
+			clash = clash || changed[key] || g
+		}
+		for _, g := range p.Guards {
+			v, seen := guarded[g.Key]
+			clash = clash || changed[g.Key] || (seen && v != g.Version)
+		}
+		if clash {
+			rest = append(rest, p)
+			continue
+		}
+		for _, o := range p.Ops {
+			changed[o.Set+o.Delete] = true
+		}
+		for _, g := range p.Guards {
+			guarded[g.Key] = g.Version
+		}
+		ops, guards, size = ops+len(p.Ops), guards+len(p.Guards), size+p.size
+		batch = append(batch, p)
+	}
+	return batch, rest
+}
+
+func (b *batcher) send(ctx context.Context, batch []*pending) {
+	var t wire.Txn
+	seen := map[string]bool{}
+	for _, p := range batch {
+		for _, g := range p.Guards {
+			if !seen[g.Key] {
+				seen[g.Key] = true
+				t.Guards = append(t.Guards, g)
+			}
+		}
+		t.Then = append(t.Then, p.Ops...)
+	}
+	revision, failed, err := b.c.txn(ctx, b.c.calls, t)
+	var again []*pending
+	for _, p := range batch {
+		o := outcome{revision, err}
+		if errors.Is(err, ErrConflict) && !slices.ContainsFunc(p.Guards, func(g wire.Guard) bool { return slices.Contains(failed, g.Key) }) {
+			again = append(again, p)
+			continue
+		}
+		p.done <- o
+	}
+	if len(again) == len(batch) {
+		for _, p := range again { // the answer names none of our guards
+			p.done <- outcome{0, ErrInvalid}
+		}
+		return
+	}
+	if len(again) > 0 {
+		select {
+		case b.back <- again:
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,232 @@
+// Package state is the client of the region's state service: paced by the share
+// of its rates that one controller has, with group commits of independent
+// updates.
+package state
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"topazhollow/internal/httpx"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/wire"
+)
+
+// Errors that callers tell apart.
+var (
+	ErrConflict = errors.New("state: a guard did not hold")
+	ErrRefused  = errors.New("state: not executed")            // 429, 503 or never sent
+	ErrUnknown  = errors.New("state: no answer")               // may have been or yet be executed
+	ErrNoLease  = errors.New("state: no such lease")           // the lease has ended
+	ErrGone     = errors.New("state: watch fell too far back") // read again
+	ErrInvalid  = errors.New("state: malformed request or answer")
+)
+
+// timeout bounds one call; longPoll is how long a watch waits.
+const (
+	timeout  = 2 * time.Second
+	LongPoll = 10 * time.Second
+)
+
+// Client talks to the state service.
+type Client struct {
+	calls    *httpx.Pool
+	control  *httpx.Pool
+	watch    *httpx.Pool
+	requests *rate.Limiter
+	writes   *rate.Limiter
+	batch    *batcher
+}
+
+// New is a client with one of n controllers' share of the rates. A tenth is
+// held back for leases and the control record, which are not paced.
+func New(addr string, limits settings.State, n int) *Client {
+	share := 0.85 / float64(n)
+	c := &Client{
+		calls:    httpx.NewPool(addr, 1<<20, 16),
+		control:  httpx.NewPool(addr, 1<<20, 8),
+		watch:    httpx.NewPool(addr, 64<<20, 2),
+		requests: rate.NewLimiter(rate.Limit(limits.RPS*share), max(2, int(limits.RPS*share))),
+		writes:   rate.NewLimiter(rate.Limit(limits.WriteRPS*share), max(limits.TxnOps, int(limits.WriteRPS*share))),
+	}
+	c.batch = newBatcher(c, limits)
+	return c
+}
+
+// Run serves queued updates until the context ends.
+func (c *Client) Run(ctx context.Context) error { return c.batch.run(ctx) }
+
+func (c *Client) do(ctx context.Context, pool *httpx.Pool, method, target string, body []byte, wait time.Duration) (*httpx.Response, error) {
+	resp, sent, err := pool.Do(ctx, method, target, body, wait)
+	switch {
+	case err != nil && !sent:
+		return nil, fmt.Errorf("%w: %v", ErrRefused, err)
+	case err != nil:
+		return nil, fmt.Errorf("%w: %v", ErrUnknown, err)
+	case resp.Status == 429 || resp.Status == 503:
+		return nil, fmt.Errorf("%w: status %d", ErrRefused, resp.Status)
+	case resp.Status >= 500:
+		return nil, fmt.Errorf("%w: status %d", ErrUnknown, resp.Status)
+	}
+	return resp, nil
+}
+
+func decode(resp *httpx.Response, v any) error {
+	if resp.Status != 200 {
+		return fmt.Errorf("%w: status %d %.200s", ErrInvalid, resp.Status, resp.Body)
+	}
+	if err := wire.Decode(resp.Body, v); err != nil {
+		return fmt.Errorf("%w: %v", ErrInvalid, err)
+	}
+	return nil
+}
+
+// Get reads a key; nil means that it does not exist.
+func (c *Client) Get(ctx context.Context, key string) (*wire.Entry, error) {
+	if err := c.requests.Wait(ctx); err != nil {
+		return nil, ErrRefused
+	}
+	return c.get(ctx, c.calls, key)
+}
+
+// GetControl reads a key without pacing, for leases and the control record.
+func (c *Client) GetControl(ctx context.Context, key string) (*wire.Entry, error) {
+	return c.get(ctx, c.control, key)
+}
+
+func (c *Client) get(ctx context.Context, pool *httpx.Pool, key string) (*wire.Entry, error) {
+	resp, err := c.do(ctx, pool, "GET", "/store/"+key, nil, timeout)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Status == 404 {
+		return nil, nil
+	}
+	var e wire.Entry
+	return &e, decode(resp, &e)
+}
+
+// List reads all keys below a prefix and the revision of its first page.
+func (c *Client) List(ctx context.Context, prefix string) (entries []wire.Entry, revision uint64, err error) {
+	after := ""
+	for {
+		if err := c.requests.Wait(ctx); err != nil {
+			return nil, 0, ErrRefused
+		}
+		q := url.Values{"under": {prefix}, "limit": {"500"}}
+		if after != "" {
+			q.Set("after", after)
+		}
+		resp, err := c.do(ctx, c.calls, "GET", "/store?"+q.Encode(), nil, 2*timeout)
+		if err != nil {
+			return nil, 0, err
+		}
+		var page wire.EntryList
+		if err := decode(resp, &page); err != nil {
+			return nil, 0, err
+		}
+		if after == "" {
+			revision = page.Revision
+		}
+		entries = append(entries, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return entries, revision, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+// Watch waits for changes below a prefix after a revision.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64) (*wire.Changes, error) {
+	if err := c.requests.Wait(ctx); err != nil {
+		return nil, ErrRefused
+	}
+	q := url.Values{"under": {prefix}, "after": {strconv.FormatUint(after, 10)},
+		"block_ms": {strconv.FormatInt(LongPoll.Milliseconds(), 10)}}
+	resp, err := c.do(ctx, c.watch, "GET", "/changes?"+q.Encode(), nil, LongPoll+timeout)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Status == 410 {
+		return nil, ErrGone
+	}
+	var ch wire.Changes
+	return &ch, decode(resp, &ch)
+}
+
+// TxnControl commits a transaction without pacing, for leases and the control
+// record. The result is the new revision.
+func (c *Client) TxnControl(ctx context.Context, t wire.Txn) (uint64, []string, error) {
+	return c.txn(ctx, c.control, t)
+}
+
+func (c *Client) txn(ctx context.Context, pool *httpx.Pool, t wire.Txn) (uint64, []string, error) {
+	if t.Guards == nil {
+		t.Guards = []wire.Guard{}
+	}
+	resp, err := c.do(ctx, pool, "POST", "/txn", wire.Encode(t), timeout)
+	if err != nil {
+		return 0, nil, err
+	}
+	var r wire.TxnResult
+	switch resp.Status {
+	case 200:
+		err := decode(resp, &r)
+		return r.Revision, nil, err
+	case 409:
+		if err := json.Unmarshal(resp.Body, &r); err != nil {
+			return 0, nil, fmt.Errorf("%w: %v", ErrInvalid, err)
+		}
+		return r.Revision, r.Failed, ErrConflict
+	case 400:
+		var e wire.Error
+		if wire.Decode(resp.Body, &e) == nil && e.Error == "no such lease" {
+			return 0, nil, ErrNoLease
+		}
+	}
+	return 0, nil, fmt.Errorf("%w: status %d %.200s", ErrInvalid, resp.Status, resp.Body)
+}
+
+// Grant takes a lease.
+func (c *Client) Grant(ctx context.Context, life time.Duration) (uint64, error) {
+	resp, err := c.do(ctx, c.control, "POST", "/grants", wire.Encode(wire.GrantRequest{TTL: life.Milliseconds()}), timeout)
+	if err != nil {
+		return 0, err
+	}
+	var g wire.Grant
+	return g.Lease, decode(resp, &g)
+}
+
+// Extend renews a lease. ErrNoLease means that it has ended.
+func (c *Client) Extend(ctx context.Context, lease uint64) error {
+	resp, err := c.do(ctx, c.control, "POST", "/grants/"+strconv.FormatUint(lease, 10)+"/extend", []byte("{}"), timeout)
+	if err != nil {
+		return err
+	}
+	if resp.Status == 404 {
+		return ErrNoLease
+	}
+	if resp.Status != 200 {
+		return fmt.Errorf("%w: status %d", ErrInvalid, resp.Status)
+	}
+	return nil
+}
+
+// Update is one independent change: it is committed whole or not at all, in a
+// transaction that others may share.
+type Update struct {
+	Guards []wire.Guard
+	Ops    []wire.Op
+}
+
+// Commit queues an update and waits for its outcome.
+func (c *Client) Commit(ctx context.Context, u Update) (revision uint64, err error) {
+	return c.batch.commit(ctx, u)
+}
--- /dev/null
+++ b/internal/tenure/tenure.go
@@ -0,0 +1,252 @@
+// Package tenure decides who may act for what: the control record, its changes
+// and a controller's own lease. It does no I/O and reads no clock.
+package tenure
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fleet is the item that stands for renting and returning machines; every other
+// item is a team.
+const Fleet = "fleet"
+
+// Item is one thing that a controller owns.
+type Item struct {
+	Owner  string   `json:"owner"`
+	Since  uint64   `json:"since"`             // term at which the owner took it
+	InSync []string `json:"in_sync"`           // backups that know every started task
+	Blind  bool     `json:"barrier,omitempty"` // the owner was not in sync: full barrier first
+}
+
+// Record is the control record: the only source of who owns what.
+type Record struct {
+	Term  uint64            `json:"term"`
+	Nodes map[string]uint64 `json:"nodes"` // members with their incarnations
+	Items map[string]Item   `json:"items"`
+}
+
+// Clone is a deep copy.
+func (r *Record) Clone() *Record {
+	c := &Record{Term: r.Term, Nodes: maps.Clone(r.Nodes), Items: maps.Clone(r.Items)}
+	for name, it := range c.Items {
+		it.InSync = slices.Clone(it.InSync)
+		c.Items[name] = it
+	}
+	if c.Nodes == nil {
+		c.Nodes = map[string]uint64{}
+	}
+	if c.Items == nil {
+		c.Items = map[string]Item{}
+	}
+	return c
+}
+
+// Ranked orders nodes for a key by rendezvous hashing: best first.
+func Ranked(key string, nodes []string) []string {
+	type scored struct {
+		node  string
+		score uint64
+	}
+	all := make([]scored, len(nodes))
+	for i, n := range nodes {
+		all[i] = scored{n, xxhash.Sum64String(n + "\x00" + key)}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		switch {
+		case a.score > b.score:
+			return -1
+		case a.score < b.score:
+			return 1
+		case a.node < b.node:
+			return -1
+		}
+		return 1
+	})
+	out := make([]string, len(all))
+	for i, s := range all {
+		out[i] = s.node
+	}
+	return out
+}
+
+// Placement gives each item a wished-for owner: the rendezvous rank, with no
+// node taking more than its even share.
+func Placement(items, nodes []string) map[string]string {
+	items = slices.Sorted(slices.Values(items))
+	share := (len(items) + len(nodes) - 1) / max(1, len(nodes))
+	load, wish := map[string]int{}, map[string]string{}
+	for _, item := range items {
+		for _, n := range Ranked(item, nodes) {
+			if load[n] < share {
+				load[n]++
+				wish[item] = n
+				break
+			}
+		}
+	}
+	return wish
+}
+
+// Members is the record's nodes in order.
+func (r *Record) Members() []string { return slices.Sorted(maps.Keys(r.Nodes)) }
+
+// Home is the controller that a machine reports to.
+func (r *Record) Home(machine string) string {
+	best, score := "", uint64(0)
+	for n := range r.Nodes {
+		if s := xxhash.Sum64String(n + "\x00" + machine); best == "" || s > score || (s == score && n < best) {
+			best, score = n, s
+		}
+	}
+	return best
+}
+
+// Presence is what the state service says about the controllers' leases.
+type Presence struct {
+	Incarnation uint64
+	Version     uint64 // of the key that the lease holds
+}
+
+// Condition is a fact that a change of the record rests on: the node's key has
+// this version (0: it is gone).
+type Condition struct {
+	Node    string
+	Version uint64
+}
+
+// Repair is the next record when members went or came, with the conditions that
+// make it safe, or nil when nothing is to change. Every item of a missing owner
+// goes to its highest-ranked backup in sync; without one, to the highest-ranked
+// member, who then has to pass the full barrier.
+func Repair(r *Record, items []string, live map[string]Presence) (*Record, []Condition) {
+	next := r.Clone()
+	changed := false
+	var conds []Condition
+	for _, n := range r.Members() {
+		p, ok := live[n]
+		if ok && p.Incarnation == r.Nodes[n] {
+			continue
+		}
+		delete(next.Nodes, n)
+		conds = append(conds, Condition{n, p.Version})
+		changed = true
+	}
+	stays := maps.Clone(next.Nodes) // members that kept their memory
+	for _, n := range slices.Sorted(maps.Keys(live)) {
+		if _, member := next.Nodes[n]; !member {
+			next.Nodes[n] = live[n].Incarnation
+			if _, listed := r.Nodes[n]; !listed {
+				conds = append(conds, Condition{n, live[n].Version})
+			}
+			changed = true
+		}
+	}
+	if len(next.Nodes) == 0 {
+		return nil, nil
+	}
+	members := next.Members()
+	wish := Placement(items, members)
+	next.Term = r.Term + 1
+	for _, name := range items {
+		it, known := next.Items[name]
+		it.InSync = slices.DeleteFunc(it.InSync, func(n string) bool { _, ok := stays[n]; return !ok })
+		if _, ok := stays[it.Owner]; !known || !ok {
+			it.Since = next.Term
+			it.Owner = wish[name]
+			it.Blind = known || r.Term > 0
+			for _, n := range Ranked(name, members) {
+				if slices.Contains(it.InSync, n) {
+					it.Owner, it.Blind = n, next.Items[name].Blind
+					break
+				}
+			}
+			it.InSync = slices.DeleteFunc(it.InSync, func(n string) bool { return n == it.Owner || it.Blind })
+			changed = true
+		}
+		next.Items[name] = it
+	}
+	if !changed {
+		return nil, nil
+	}
+	return next, conds
+}
+
+// Sync is what an owner knows of one of its items.
+type Sync struct {
+	Ready   bool            // past its barrier
+	Whole   map[string]bool // backups that acknowledged everything
+	Lagging map[string]bool // backups that are late or unreachable
+}
+
+// Upkeep is an owner's own change of the record: backups come in sync or go out
+// of it, the barrier is passed, and items go back to the owner that the ranking
+// wishes once that one is in sync. handed lists items given away. Nil when
+// nothing is to change.
+func Upkeep(r *Record, self string, syncs map[string]Sync, rebalance bool) (next *Record, handed []string) {
+	next = r.Clone()
+	changed := false
+	items := slices.Sorted(maps.Keys(r.Items))
+	wish := Placement(items, r.Members())
+	for _, name := range items {
+		it := next.Items[name]
+		s, mine := syncs[name]
+		if it.Owner != self || !mine || !s.Ready {
+			continue
+		}
+		if it.Blind {
+			it.Blind, changed = false, true
+		}
+		for n := range s.Whole {
+			if _, member := r.Nodes[n]; member && n != self && !slices.Contains(it.InSync, n) {
+				it.InSync = append(it.InSync, n)
+				changed = true
+			}
+		}
+		before := len(it.InSync)
+		it.InSync = slices.DeleteFunc(it.InSync, func(n string) bool { return s.Lagging[n] })
+		changed = changed || len(it.InSync) != before
+		slices.Sort(it.InSync)
+		if to := wish[name]; rebalance && to != self && slices.Contains(it.InSync, to) && s.Whole[to] {
+			next.Term = r.Term + 1
+			it.Owner, it.Since = to, next.Term
+			it.InSync = slices.DeleteFunc(it.InSync, func(n string) bool { return n == to || !s.Whole[n] })
+			it.InSync = append(it.InSync, self)
+			slices.Sort(it.InSync)
+			handed = append(handed, name)
+			changed = true
+		}
+		next.Items[name] = it
+	}
+	if !changed {
+		return nil, nil
+	}
+	return next, handed
+}
+
+// Lease is a controller's proof, by its own steady clock, that its lease lives.
+type Lease struct {
+	Life   time.Duration
+	Margin time.Duration
+	sent   time.Time
+	held   bool
+}
+
+// Renewed records a successful renewal, counted from before it was sent.
+func (l *Lease) Renewed(sent time.Time) {
+	if !l.held || sent.After(l.sent) {
+		l.sent, l.held = sent, true
+	}
+}
+
+// Lost forgets the lease.
+func (l *Lease) Lost() { l.held = false }
+
+// Valid says whether the lease surely lives at a moment. Clocks drift apart by
+// at most 0.05%; twice that is taken off.
+func (l *Lease) Valid(now time.Time) bool {
+	return l.held && now.Sub(l.sent) < l.Life-l.Life/1000-l.Margin
+}
--- /dev/null
+++ b/internal/workers/home.go
@@ -0,0 +1,310 @@
+// Package workers is a controller's part as home of machines: it takes their
+// reports, relays owners' orders to them and tells what it knows of them. It
+// does no I/O and reads no clock.
+package workers
+
+import (
+	"slices"
+	"time"
+
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/wire"
+)
+
+// maxQueued bounds the commands that wait for one machine.
+const maxQueued = 512
+
+// start is what became of a start command in this term.
+type start struct {
+	order  ledger.Order
+	queued bool   // waits here
+	open   bool   // a /do with it is under way
+	stray  bool   // a /do with it was never answered: it may still arrive in this term
+	after  uint64 // sent in the answer to this report: known once a later one came
+	sent   bool
+	listed bool
+	barred bool // will never be sent
+	forgot bool // a forget was queued: never to be sent again
+}
+
+// Machine is a machine at its home.
+type Machine struct {
+	Report wire.Report // the newest
+	Heard  time.Time   // when a report last came
+	Busy   bool        // a /do is under way
+	Deaf   bool        // the last /do failed: only report answers until it is heard again
+	Known  bool        // registered in the state service
+
+	starts map[uint64]*start
+	queue  []wire.Command
+	urgent bool
+	rev    uint64
+	view   *ledger.View
+}
+
+// Size tells what a task of a job takes.
+type Size func(job string) (cpus, gpus, memory float64)
+
+// Home holds the machines that report here.
+type Home struct {
+	term     uint64
+	machines map[string]*Machine
+	capacity func(machineType string) (cpus, gpus, memory float64, ok bool)
+	size     Size
+}
+
+// New is a home without machines.
+func New(capacity func(string) (float64, float64, float64, bool), size Size) *Home {
+	return &Home{machines: map[string]*Machine{}, capacity: capacity, size: size}
+}
+
+// SetTerm begins a later term: what was ordered under the earlier one is
+// dropped, and no start of it will be sent any more.
+func (h *Home) SetTerm(term uint64, mine func(machine string) bool) {
+	if term <= h.term {
+		return
+	}
+	h.term = term
+	for name, m := range h.machines {
+		if !mine(name) {
+			delete(h.machines, name)
+			continue
+		}
+		m.starts = map[uint64]*start{}
+		m.queue, m.urgent = nil, false
+		m.changed()
+	}
+}
+
+func (m *Machine) changed() {
+	m.rev++
+	m.view = nil
+}
+
+// Get finds a machine that reports here.
+func (h *Home) Get(name string) *Machine { return h.machines[name] }
+
+// All lists the machines that report here.
+func (h *Home) All() map[string]*Machine { return h.machines }
+
+// Drop forgets a machine that is gone or reports elsewhere.
+func (h *Home) Drop(name string) { delete(h.machines, name) }
+
+// Heard takes in a report or the report in a command's answer. It says whether
+// it was newer than what was known and whether anything in it changed.
+func (h *Home) Heard(r *wire.Report, now time.Time) (newer, changed bool) {
+	m := h.machines[r.Machine]
+	if m == nil {
+		m = &Machine{starts: map[uint64]*start{}}
+		h.machines[r.Machine] = m
+	} else if r.Session < m.Report.Session || (r.Session == m.Report.Session && r.Seq <= m.Report.Seq) {
+		return false, false
+	}
+	changed = r.Session != m.Report.Session || r.Token != m.Report.Token || (r.Notice == nil) != (m.Report.Notice == nil) ||
+		!slices.Equal(r.Tasks, m.Report.Tasks)
+	if r.Session != m.Report.Session {
+		m.starts = map[uint64]*start{}
+		m.queue, m.urgent = nil, false
+	}
+	m.Report = *r
+	m.Heard = now
+	m.Deaf = false
+	for _, t := range r.Tasks {
+		if s := m.starts[t.Attempt]; s != nil {
+			s.listed, s.queued = true, false
+		}
+	}
+	if changed {
+		m.changed()
+	}
+	return true, changed
+}
+
+// settled says that no start command for the attempt can still arrive.
+func (m *Machine) settled(s *start) bool {
+	return !s.open && !s.stray && (!s.sent || m.Report.Seq > s.after)
+}
+
+// Take accepts an owner's orders for a machine under a term. It reports whether
+// commands should go out at once.
+func (h *Home) Take(term uint64, machine string, orders []ledger.Order) bool {
+	m := h.machines[machine]
+	if m == nil || term != h.term {
+		return false
+	}
+	for _, o := range orders {
+		if o.Session != m.Report.Session || len(m.queue) >= maxQueued {
+			continue
+		}
+		s := m.starts[o.Attempt]
+		cmd := wire.Command{Op: o.Op, Task: wire.TaskName(o.Job, o.Index), Attempt: o.Attempt}
+		switch o.Op {
+		case wire.Start:
+			switch {
+			case s == nil:
+				s = &start{order: o}
+				m.starts[o.Attempt] = s
+				if !h.fits(m, o) {
+					s.barred = true
+				}
+			case s.barred || s.forgot || s.listed || s.queued || s.open || (s.sent && m.Report.Seq <= s.after):
+				continue // repeated only when the last sending is decided; a stray one does no harm
+			}
+			if !s.barred {
+				s.queued = true
+				m.queue = append(m.queue, cmd)
+				m.urgent = true
+			}
+			m.changed()
+		case wire.Stop:
+			if !m.lists(o.Attempt) {
+				if s == nil || (!s.barred && !s.listed && m.settled(s)) {
+					m.unqueue(wire.Start, o.Attempt)
+					m.starts[o.Attempt] = &start{order: o, barred: true}
+					m.changed()
+				}
+				continue
+			}
+			grace := o.Grace
+			cmd.Grace = &grace
+			if !m.queued(wire.Stop, o.Attempt) {
+				m.queue = append(m.queue, cmd)
+				m.urgent = true
+			}
+		case wire.Forget:
+			if s != nil && !m.settled(s) {
+				continue // an unanswered start would run the task again
+			}
+			if s == nil {
+				s = &start{order: o}
+				m.starts[o.Attempt] = s
+			}
+			s.forgot = true
+			if m.lists(o.Attempt) && !m.queued(wire.Forget, o.Attempt) {
+				m.queue = append(m.queue, cmd)
+			}
+		}
+	}
+	return m.urgent
+}
+
+// fits says whether a start has room beside what is listed and ordered.
+func (h *Home) fits(m *Machine, o ledger.Order) bool {
+	cpus, gpus, memory, ok := h.capacity(m.Report.Type)
+	if !ok {
+		return false
+	}
+	use := func(c, g, r float64) { cpus, gpus, memory = cpus-c, gpus-g, memory-r }
+	for _, t := range m.Report.Tasks {
+		if t.State != wire.Exited {
+			job, _, _ := wire.SplitTask(t.Task)
+			use(h.size(job))
+		}
+	}
+	for _, s := range m.starts {
+		if !s.listed && !s.barred && !s.forgot && s.order.Op == wire.Start {
+			use(s.order.CPUs, s.order.GPUs, s.order.Memory)
+		}
+	}
+	const slack = 1e-6
+	if s := m.starts[o.Attempt]; s != nil { // counted above already
+		return cpus >= -slack && gpus >= -slack && memory >= -slack
+	}
+	return cpus+slack >= o.CPUs && gpus+slack >= o.GPUs && memory+slack >= o.Memory
+}
+
+func (m *Machine) lists(attempt uint64) bool {
+	return slices.ContainsFunc(m.Report.Tasks, func(t wire.TaskStatus) bool { return t.Attempt == attempt })
+}
+
+func (m *Machine) queued(op string, attempt uint64) bool {
+	return slices.ContainsFunc(m.queue, func(c wire.Command) bool { return c.Op == op && c.Attempt == attempt })
+}
+
+func (m *Machine) unqueue(op string, attempt uint64) {
+	m.queue = slices.DeleteFunc(m.queue, func(c wire.Command) bool { return c.Op == op && c.Attempt == attempt })
+}
+
+// Urgent says whether commands wait that should go out by /do now.
+func (m *Machine) Urgent() bool { return m.urgent && !m.Busy && !m.Deaf && len(m.queue) > 0 }
+
+// Send takes the queued commands for a /do.
+func (m *Machine) Send() []wire.Command {
+	cmds := m.queue
+	m.queue, m.urgent, m.Busy = nil, false, true
+	for _, c := range cmds {
+		if s := m.starts[c.Attempt]; c.Op == wire.Start && s != nil {
+			s.queued, s.sent, s.open = false, true, true
+		}
+	}
+	return cmds
+}
+
+// Sent books the outcome of a /do: answered (then its report is to be given to
+// Heard first), or not, when its commands may still be executed if left is true.
+func (m *Machine) Sent(cmds []wire.Command, answered, left bool) {
+	m.Busy = false
+	m.Deaf = !answered
+	for _, c := range cmds {
+		if s := m.starts[c.Attempt]; c.Op == wire.Start && s != nil {
+			s.open = false
+			s.stray = s.stray || (left && !answered)
+			s.sent = s.sent && left
+		}
+	}
+	m.changed()
+}
+
+// Answer takes the queued commands for the answer to the newest report. Commands
+// in an answer are executed before the worker's next report or never.
+func (m *Machine) Answer() []wire.Command {
+	if m.Busy {
+		return nil
+	}
+	cmds := m.queue
+	m.queue, m.urgent = nil, false
+	for _, c := range cmds {
+		if s := m.starts[c.Attempt]; c.Op == wire.Start && s != nil {
+			s.queued, s.sent, s.after = false, true, m.Report.Seq
+		}
+	}
+	return cmds
+}
+
+// View is what owners are told of a machine.
+func (h *Home) View(name string) *ledger.View {
+	m := h.machines[name]
+	if m == nil {
+		return nil
+	}
+	if m.view != nil {
+		return m.view
+	}
+	r := &m.Report
+	v := &ledger.View{Machine: name, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Session: r.Session, Seq: r.Seq,
+		Rev: m.rev, Token: r.Token, Term: h.term, Notice: r.Notice != nil, Known: m.Known}
+	for _, t := range r.Tasks {
+		job, index, ok := wire.SplitTask(t.Task)
+		if ok {
+			v.Tasks = append(v.Tasks, ledger.TaskView{Key: ledger.Key{Job: job, Index: index}, Attempt: t.Attempt, State: t.State, Why: t.Why, Saved: t.Saved})
+		}
+	}
+	for attempt, s := range m.starts {
+		switch {
+		case s.barred:
+			v.Barred = append(v.Barred, attempt)
+		case !s.listed && !s.forgot && s.order.Op == wire.Start:
+			v.Tasks = append(v.Tasks, ledger.TaskView{Key: s.order.Key, Attempt: attempt, State: ledger.Ordered})
+		}
+	}
+	m.view = v
+	return v
+}
+
+// SetKnown books that the machine is registered in the state service.
+func (m *Machine) SetKnown() {
+	if !m.Known {
+		m.Known = true
+		m.changed()
+	}
+}
--- a/node.go
+++ b/node.go
@@ -1,24 +1,336 @@
-// Package topazhollow is a cluster scheduler's controller as a library.
+// Package topazhollow is a cluster scheduler's controller as a library: several
+// of them run one deployment together by replicated continuation passing, as
+// docs/design.md tells.
 package topazhollow
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"math/rand/v2"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 
+	"topazhollow/internal/cloud"
+	"topazhollow/internal/frontend"
 	"topazhollow/internal/httpx"
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/peer"
 	"topazhollow/internal/settings"
-	"time"
+	"topazhollow/internal/state"
+	"topazhollow/internal/tenure"
+	"topazhollow/internal/wire"
+	"topazhollow/internal/workers"
 )
 
 // Version is the version of the program.
 const Version = "0.1.0"
 
+// tick is how often a controller looks at everything even if nothing happened.
+const tick = 100 * time.Millisecond
+
+// Node is one controller.
+type Node struct {
+	set  *settings.Settings
+	opt  *settings.Options
+	log  *slog.Logger
+	name string
+	inc  uint64 // incarnation: later processes of a controller have greater ones
+
+	state *state.Client
+	cloud *cloud.Client
+	links *peer.Links
+	front *frontend.Frontend
+	kick  chan struct{}
+	renew chan struct{} // wakes the watch's reader after a hint of a newer record
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	lease    tenure.Lease
+	grant    uint64
+	record   *tenure.Record
+	version  uint64 // of the record's key
+	settled  time.Time
+	live     map[string]tenure.Presence
+	listed   bool // the watched keys were read
+	missing  time.Time
+	items    map[string]*item
+	backups  map[string]*backup
+	peers    map[string]*peerState
+	jobs     map[string]*job
+	machines map[string]*machine
+	home     *workers.Home
+	doers    map[string]*doer
+	types    []wire.MachineType
+	fresh    map[string]bool // machines whose view is to be told to peers
+	bumped   time.Time
+	lookups  map[string]bool
+	drain    map[string]bool
+	group    *errgroup.Group
+	ctx      context.Context
+}
+
+// job is what every controller knows of a job that is or was active.
+type job struct {
+	spec    *wire.Submission
+	at      time.Time
+	version uint64
+	active  bool
+	ended   time.Time
+}
+
+// machine is what every controller knows of a machine.
+type machine struct {
+	view       *ledger.View
+	heard      time.Time
+	images     map[string]bool
+	registered uint64 // version of its key, 0 if it has none
+	asked      bool   // its registration is under way
+	gone       bool
+	idle       time.Time
+	errors     map[string]bool // jobs that failed here
+}
+
+// peerState is what a controller knows of another one.
+type peerState struct {
+	up       bool
+	inc      uint64
+	heard    time.Time
+	entitled bool
+	term     uint64
+	demands  []demand
+	progress map[string][2]int
+	drain    map[string]bool
+}
+
 // Run serves until the context ends.
 func Run(ctx context.Context, s *settings.Settings, o *settings.Options, log *slog.Logger) error {
-	log.Info("start")
-	return httpx.Serve(ctx, s.Listen, 100, httpx.Patience{Idle: time.Minute, Slow: 5 * time.Second},
-		func(ctx context.Context, c *httpx.Conn, r *httpx.Request) httpx.Answer {
-			log.Info("req", "path", r.Path)
-			return httpx.Answer{Status: 200, Body: []byte("{}")}
+	n := New(s, o, log)
+	return n.Run(ctx)
+}
+
+// New makes a controller that does nothing yet.
+func New(s *settings.Settings, o *settings.Options, log *slog.Logger) *Node {
+	count := len(s.Peers) + 1
+	now := time.Now()
+	n := &Node{
+		set: s, opt: o, log: log.With("node", s.Name), name: s.Name,
+		inc:   uint64(now.UnixMicro()),
+		state: state.New(s.Outside.State, s.Deployment.State, count),
+		cloud: cloud.New(s.Outside.Cloud, s.Deployment.Cloud, count),
+		kick:  make(chan struct{}, 1), renew: make(chan struct{}, 1),
+		rng:  rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
+		live: map[string]tenure.Presence{}, items: map[string]*item{}, backups: map[string]*backup{},
+		peers: map[string]*peerState{}, jobs: map[string]*job{}, machines: map[string]*machine{},
+		doers: map[string]*doer{}, fresh: map[string]bool{}, settled: now,
+		lookups: map[string]bool{}, drain: map[string]bool{},
+	}
+	life := settings.Seconds(o.NodeLease)
+	n.lease = tenure.Lease{Life: life, Margin: life / 20}
+	n.home = workers.New(n.capacity, n.size)
+	addrs := map[string]string{}
+	for _, p := range s.Peers {
+		addrs[p.Name] = p.Endpoint
+		n.peers[p.Name] = &peerState{}
+	}
+	n.links = peer.New(s.Name, n.inc, addrs, (*peerHandler)(n), n.log)
+	n.front = frontend.New(s, n.state, (*userBackend)(n))
+	return n
+}
+
+// Run serves until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(n.set.Deployment.Limits.MemoryMB * 0.75 * (1 << 20)))
+	group, ctx := errgroup.WithContext(ctx)
+	n.mu.Lock()
+	n.group, n.ctx = group, ctx
+	n.mu.Unlock()
+	n.log.Info("starting", "version", Version, "incarnation", n.inc, "zone", n.set.Zone, "controllers", len(n.set.Peers)+1)
+	conns := n.set.Deployment.Limits.MaxSockets*7/10 - 100
+	if conns < 32 {
+		conns = 32
+	}
+	duties := map[string]func(context.Context) error{
+		"serve": func(ctx context.Context) error {
+			return httpx.Serve(ctx, n.set.Listen, conns, httpx.Patience{Idle: 90 * time.Second, Slow: 5 * time.Second}, n.handle)
+		},
+		"peers":   func(ctx context.Context) error { return n.links.Listen(ctx, n.set.PeerListen) },
+		"state":   n.state.Run,
+		"lease":   n.keepLease,
+		"watch":   n.follow,
+		"control": n.keepRecord,
+		"tick":    n.work,
+		"status":  n.tell,
+		"save":    n.save,
+		"catalog": n.readCatalog,
+		"fleet":   n.runFleet,
+	}
+	for name, duty := range duties {
+		group.Go(func() error {
+			if err := duty(ctx); err != nil && ctx.Err() == nil {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+			return nil
 		})
+	}
+	for _, p := range n.set.Peers {
+		group.Go(func() error { return n.links.Dial(ctx, p.Name) })
+	}
+	return group.Wait()
+}
+
+func (n *Node) wake() {
+	select {
+	case n.kick <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits, and says false when the context ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// entitled says whether this controller may act: its lease lives and the record
+// names this process.
+func (n *Node) entitled(now time.Time) bool {
+	return n.record != nil && n.record.Nodes[n.name] == n.inc && n.lease.Valid(now)
+}
+
+func (n *Node) typeOf(name string) *wire.MachineType {
+	for i := range n.types {
+		if n.types[i].Name == name {
+			return &n.types[i]
+		}
+	}
+	return nil
+}
+
+func (n *Node) capacity(machineType string) (cpus, gpus, memory float64, ok bool) {
+	t := n.typeOf(machineType)
+	if t == nil {
+		return 0, 0, 0, false
+	}
+	return t.CPUs, t.GPUs, t.Memory, true
+}
+
+func (n *Node) size(uid string) (cpus, gpus, memory float64) {
+	if j := n.jobs[uid]; j != nil {
+		return j.spec.CPUs, j.spec.GPUs, j.spec.Memory
+	}
+	return 0, 0, 0
+}
+
+// handle answers what comes to the public address.
+func (n *Node) handle(ctx context.Context, c *httpx.Conn, r *httpx.Request) httpx.Answer {
+	if r.Path == wire.PathReport {
+		if r.Method != "POST" {
+			a := httpx.Refuse(405, "method not allowed")
+			a.Allow = "POST"
+			return a
+		}
+		c.Pin()
+		return n.report(r.Body)
+	}
+	if a, ok := n.front.Handle(ctx, r); ok {
+		return a
+	}
+	return httpx.Refuse(404, "no such path")
+}
+
+// userBackend is the controller as the users' frontend sees it.
+type userBackend Node
+
+func (b *userBackend) Types() []wire.MachineType {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.types
+}
+
+func (b *userBackend) Progress(uid string) (done, running int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := (*Node)(b)
+	j := n.jobs[uid]
+	if j == nil {
+		return 0, 0
+	}
+	if it := n.items[teamItem(j.spec.Team)]; it != nil && it.team != nil {
+		return it.team.Progress(uid)
+	}
+	for _, p := range n.peers {
+		if v, ok := p.progress[uid]; ok {
+			return v[0], v[1]
+		}
+	}
+	return 0, 0
+}
+
+func (b *userBackend) Accepted(s frontend.Stored, version uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	(*Node)(b).learnJob(s, version)
+}
+
+func (b *userBackend) Ended(uid string, final frontend.Final) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	(*Node)(b).endJob(uid)
+}
+
+func (b *userBackend) Cleanup(uid string, tasks int) []wire.Op {
+	n := (*Node)(b)
+	var ops []wire.Op
+	for c := 0; c*n.chunkBits() < tasks && len(ops) < n.set.Deployment.State.TxnOps-2; c++ {
+		ops = append(ops, wire.Op{Delete: bitmapKey(uid, c)})
+	}
+	return ops
+}
+
+func (b *userBackend) Healthy() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := (*Node)(b)
+	return n.types != nil && n.entitled(time.Now())
+}
+
+// learnJob takes up an active job. Owners place it at the next tick.
+func (n *Node) learnJob(s frontend.Stored, version uint64) {
+	j := n.jobs[s.Spec.UID]
+	if j != nil && !j.active {
+		return // it ended already
+	}
+	if j == nil {
+		j = &job{spec: s.Spec, at: time.UnixMilli(s.At), active: true}
+		n.jobs[s.Spec.UID] = j
+	}
+	j.version = max(j.version, version)
+	if it := n.items[teamItem(s.Spec.Team)]; it != nil && it.phase == ready && it.team.Job(s.Spec.UID) == nil {
+		it.team.AddJob(j.spec, j.version, j.at, nil)
+		n.wake()
+	}
+}
+
+// endJob books that a job is over: nothing of it may start any more.
+func (n *Node) endJob(uid string) {
+	j := n.jobs[uid]
+	if j == nil || !j.active {
+		return
+	}
+	j.active, j.ended = false, time.Now()
+	if it := n.items[teamItem(j.spec.Team)]; it != nil && it.team != nil {
+		it.team.EndJob(uid)
+		n.reobserve(it, uid)
+	}
+	n.wake()
 }
--- /dev/null
+++ b/rent.go
@@ -0,0 +1,270 @@
+package topazhollow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"topazhollow/internal/cloud"
+	"topazhollow/internal/fleet"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/state"
+	"topazhollow/internal/tenure"
+	"topazhollow/internal/wire"
+)
+
+// readCatalog keeps the machine types known. The fleet's owner reads prices
+// often, the others only until they know the types.
+func (n *Node) readCatalog(ctx context.Context) error {
+	for ctx.Err() == nil {
+		types, err := n.cloud.Catalog(ctx)
+		wait := 5 * time.Minute
+		n.mu.Lock()
+		if err == nil && len(types) > 0 {
+			n.types = types
+			n.wake()
+		} else {
+			n.log.Info("catalog not read", "err", err)
+			wait = time.Second
+		}
+		if n.items[tenure.Fleet] != nil {
+			wait = min(wait, 30*time.Second)
+		}
+		n.mu.Unlock()
+		if !pause(ctx, wait) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// rental is what the fleet's owner knows of the cloud.
+type rental struct {
+	since   uint64
+	f       *fleet.Fleet
+	list    map[string]wire.Host
+	seen    map[string]time.Time // first known, by this controller
+	rented  map[string]wire.Rent
+	giving  map[string]bool
+	polled  time.Time
+	polling bool
+	started time.Time
+}
+
+// runFleet rents and returns while this controller owns the fleet.
+func (n *Node) runFleet(ctx context.Context) error {
+	var r *rental
+	for pause(ctx, 500*time.Millisecond) {
+		now := time.Now()
+		n.mu.Lock()
+		it := n.items[tenure.Fleet]
+		if it == nil || !n.entitled(now) || n.types == nil {
+			if it == nil {
+				r = nil
+				n.drain = map[string]bool{}
+			}
+			n.mu.Unlock()
+			continue
+		}
+		if r == nil || r.since != it.since {
+			lease := settings.Seconds(n.set.Deployment.Workers.Lease)
+			r = &rental{since: it.since, started: now, list: map[string]wire.Host{}, seen: map[string]time.Time{},
+				rented: map[string]wire.Rent{}, giving: map[string]bool{},
+				f: fleet.New(fmt.Sprintf("%s-%d-%d", n.name, n.inc, it.since), fleet.Options{
+					IdleReturn: settings.Seconds(n.opt.IdleReturn), Warm: n.opt.WarmMachines, SpotShare: n.opt.SpotShare,
+					Silent: min(lease+4*time.Second, settings.Seconds(n.set.Deployment.Workers.Cancel)/2)})}
+		}
+		n.poll(r, now)
+		if r.polled.IsZero() {
+			n.mu.Unlock()
+			continue
+		}
+		machines := n.fleetView(r, now)
+		var demands []fleet.Demand
+		add := func(list []demand) {
+			for _, d := range list {
+				if j := n.jobs[d.Job]; j != nil && j.active {
+					demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count})
+				}
+			}
+		}
+		add(n.demands(now))
+		for _, p := range slices.Sorted(maps.Keys(n.peers)) {
+			if ps := n.peers[p]; now.Sub(ps.heard) < 3*time.Second && ps.entitled {
+				add(ps.demands)
+			}
+		}
+		settled := n.settled
+		if r.started.After(settled) {
+			settled = r.started
+		}
+		plan := r.f.Decide(n.types, machines, demands, now, settled)
+		lag := settings.Seconds(n.set.Deployment.Cloud.ListLag)
+		if now.Sub(r.started) < lag && r.since > 1 {
+			plan.Rent = nil // machines rented by the last owner may not be listed yet
+			r.f.Forget()
+		}
+		n.give(r, plan.Return)
+		n.mu.Unlock()
+		for _, rent := range plan.Rent {
+			n.group.Go(func() error {
+				n.rent(ctx, r, rent)
+				return nil
+			})
+		}
+	}
+	return nil
+}
+
+// poll reads the cloud's list, at most about once in half its lag.
+func (n *Node) poll(r *rental, now time.Time) {
+	every := max(2*time.Second, settings.Seconds(n.set.Deployment.Cloud.ListLag)/2)
+	if r.polling || now.Sub(r.polled) < every {
+		return
+	}
+	r.polling = true
+	n.group.Go(func() error {
+		hosts, err := n.cloud.List(n.ctx)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		r.polling = false
+		if err != nil {
+			n.log.Info("cloud list not read", "err", err)
+			return nil
+		}
+		r.polled = time.Now()
+		r.list = map[string]wire.Host{}
+		for _, h := range hosts {
+			if !n.machine(h.UID).gone {
+				r.list[h.UID] = h
+			}
+		}
+		return nil
+	})
+}
+
+// fleetView sums up every machine that is listed, registered, reporting or
+// rented lately.
+func (n *Node) fleetView(r *rental, now time.Time) []fleet.Machine {
+	names := map[string]bool{}
+	for name := range r.list {
+		names[name] = true
+	}
+	for name := range r.rented {
+		names[name] = true
+	}
+	for name, m := range n.machines {
+		if !m.gone && (m.view != nil || m.registered != 0) {
+			names[name] = true
+		}
+	}
+	var out []fleet.Machine
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		x := n.machine(name)
+		if x.gone || r.giving[name] {
+			continue
+		}
+		if r.seen[name].IsZero() {
+			r.seen[name] = now
+			if h, ok := r.list[name]; ok {
+				r.seen[name] = now.Add(-settings.Seconds(h.Age))
+			}
+		}
+		m := fleet.Machine{Name: name, Since: r.seen[name], Heard: x.heard, Idle: x.idle, Kept: x.registered != 0, Bad: len(x.errors) > 2}
+		if h, ok := r.list[name]; ok {
+			m.Type, m.Zone, m.Spot, m.State = h.Type, h.Zone, h.Spot, h.State
+		} else if rent, ok := r.rented[name]; ok {
+			m.Type, m.Zone, m.Spot = rent.Type, rent.Zone, rent.Spot
+		}
+		if x.view != nil {
+			m.Type, m.Zone, m.Spot, m.Going = x.view.Type, x.view.Zone, x.view.Spot, x.view.Notice
+			m.CPUs, m.GPUs, m.Mem = n.free(x)
+			if m.Heard.IsZero() {
+				m.Heard = r.started
+			}
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func (n *Node) rent(ctx context.Context, r *rental, rent wire.Rent) {
+	names, err := n.cloud.Rent(ctx, rent)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	n.log.Info("rent", "request", rent.Request, "type", rent.Type, "zone", rent.Zone, "spot", rent.Spot, "count", rent.Count, "got", len(names), "err", err)
+	for _, name := range names {
+		r.rented[name] = rent
+		r.seen[name] = now
+	}
+	r.f.Answered(rent, len(names), now, err == nil || errors.Is(err, cloud.ErrNoCapacity))
+}
+
+// give returns machines: first nothing more is placed there, then the cloud is
+// asked, and only its confirmation ends what may be on them.
+func (n *Node) give(r *rental, names []string) {
+	var now []string
+	for _, name := range names {
+		if n.drain[name] {
+			if len(now) < 100 {
+				now = append(now, name)
+				r.giving[name] = true
+			}
+		}
+	}
+	n.drain = map[string]bool{}
+	for _, name := range names {
+		n.drain[name] = true
+	}
+	if len(now) == 0 {
+		return
+	}
+	n.group.Go(func() error {
+		err := n.cloud.Return(n.ctx, now)
+		n.log.Info("return", "machines", now, "err", err)
+		if err == nil {
+			n.unregister(n.ctx, now)
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		for _, name := range now {
+			delete(r.giving, name)
+			if err == nil {
+				delete(r.rented, name)
+				delete(r.list, name)
+			}
+		}
+		return nil
+	})
+}
+
+// unregister deletes the keys of machines that the cloud confirmed to be gone,
+// which tells every controller.
+func (n *Node) unregister(ctx context.Context, names []string) {
+	for _, name := range names {
+		for ctx.Err() == nil {
+			n.mu.Lock()
+			m := n.machine(name)
+			version, asked := m.registered, m.asked
+			n.mu.Unlock()
+			if version == 0 && !asked {
+				n.mu.Lock()
+				n.machineGone(name)
+				n.mu.Unlock()
+				break
+			}
+			_, err := n.state.Commit(ctx, state.Update{Ops: []wire.Op{{Delete: machineKey + name}}})
+			if err == nil {
+				n.mu.Lock()
+				n.machineGone(name)
+				n.mu.Unlock()
+				break
+			}
+			pause(ctx, 300*time.Millisecond)
+		}
+	}
+}
--- /dev/null
+++ b/talk.go
@@ -0,0 +1,279 @@
+package topazhollow
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/tenure"
+	"topazhollow/internal/wire"
+)
+
+// The lines between controllers. Unknown kinds and fields are ignored.
+type (
+	ordersMsg struct {
+		Term    uint64         `json:"term"`
+		Machine string         `json:"machine"`
+		Orders  []ledger.Order `json:"orders"`
+	}
+	copyMsg struct {
+		Item  string      `json:"item"`
+		Since uint64      `json:"since"`
+		Copy  ledger.Copy `json:"copy"`
+	}
+	deltaMsg struct {
+		Item  string       `json:"item"`
+		Since uint64       `json:"since"`
+		Delta ledger.Delta `json:"delta"`
+	}
+	// ackMsg acknowledges an item up to Seq, or asks for a copy.
+	ackMsg struct {
+		Item  string `json:"item"`
+		Since uint64 `json:"since"`
+		Seq   uint64 `json:"seq"`
+		Again bool   `json:"again,omitempty"`
+	}
+	// statusMsg is told twice a second.
+	statusMsg struct {
+		Term     uint64            `json:"term"`
+		Entitled bool              `json:"entitled"`
+		Alive    map[string]int64  `json:"alive,omitempty"` // homed machines: ms since their last report
+		Demands  []demand          `json:"demands,omitempty"`
+		Progress map[string][2]int `json:"progress,omitempty"`
+		Drain    []string          `json:"drain,omitempty"`
+	}
+)
+
+// demand is room that waiting tasks of a job ask for.
+type demand struct {
+	Job   string `json:"job"`
+	Count int    `json:"count"`
+}
+
+// peerHandler is the controller as its links see it.
+type peerHandler Node
+
+func (h *peerHandler) PeerUp(node string) {
+	n := (*Node)(h)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.peers[node].up = true
+	for _, it := range n.items {
+		delete(it.acks, node)
+	}
+	for name := range n.home.All() {
+		n.fresh[name] = true
+	}
+	n.wake()
+}
+
+func (h *peerHandler) PeerDown(node string) {
+	n := (*Node)(h)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.peers[node].up = false
+	for _, it := range n.items {
+		delete(it.acks, node)
+	}
+}
+
+func (h *peerHandler) PeerMessage(node string, incarnation uint64, kind string, body []byte) {
+	n := (*Node)(h)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	p := n.peers[node]
+	p.inc, p.heard = incarnation, now
+	var err error
+	switch kind {
+	case "status":
+		var s statusMsg
+		if err = wire.Decode(body, &s); err == nil {
+			n.onStatus(p, &s, now)
+		}
+	case "views":
+		var views []*ledger.View
+		if err = wire.Decode(body, &views); err == nil {
+			for _, v := range views {
+				if v != nil && v.Machine != "" {
+					n.see(v, now)
+				}
+			}
+		}
+	case "orders":
+		var o ordersMsg
+		if err = wire.Decode(body, &o); err == nil {
+			n.onOrders(&o, now)
+		}
+	case "copy":
+		var c copyMsg
+		if err = wire.Decode(body, &c); err == nil {
+			n.onCopy(node, incarnation, &c)
+		}
+	case "delta":
+		var d deltaMsg
+		if err = wire.Decode(body, &d); err == nil {
+			n.onDelta(node, incarnation, &d)
+		}
+	case "ack":
+		var a ackMsg
+		if err = wire.Decode(body, &a); err == nil {
+			n.onAck(node, incarnation, &a)
+		}
+	}
+	if err != nil {
+		n.log.Error("unreadable line", "peer", node, "kind", kind, "err", err)
+	}
+}
+
+func (n *Node) onStatus(p *peerState, s *statusMsg, now time.Time) {
+	p.term, p.entitled, p.demands, p.progress = s.Term, s.Entitled, s.Demands, s.Progress
+	p.drain = map[string]bool{}
+	for _, m := range s.Drain {
+		p.drain[m] = true
+	}
+	for name, age := range s.Alive {
+		if m := n.machines[name]; m != nil && !m.gone {
+			if t := now.Add(-time.Duration(age) * time.Millisecond); t.After(m.heard) {
+				m.heard = t
+			}
+		}
+	}
+	if n.record == nil || s.Term > n.record.Term {
+		n.hint()
+	}
+}
+
+func (n *Node) onOrders(o *ordersMsg, now time.Time) {
+	if n.record == nil || !n.entitled(now) {
+		return
+	}
+	if o.Term > n.record.Term {
+		n.hint()
+	}
+	n.take(o.Machine, o.Term, o.Orders)
+	n.tellViews()
+}
+
+// owns says whether the record names that process of a node as an item's owner
+// since that term.
+func (n *Node) owns(node string, incarnation uint64, item string, since uint64) bool {
+	if n.record == nil || n.record.Nodes[node] != incarnation || n.record.Nodes[n.name] != n.inc {
+		n.hint()
+		return false
+	}
+	it := n.record.Items[item]
+	if it.Since < since {
+		n.hint()
+	}
+	return it.Owner == node && it.Since == since
+}
+
+func (n *Node) onCopy(node string, incarnation uint64, c *copyMsg) {
+	if !n.owns(node, incarnation, c.Item, c.Since) {
+		n.links.Send(node, "ack", ackMsg{Item: c.Item, Since: c.Since, Again: true})
+		return
+	}
+	n.backups[c.Item] = &backup{since: c.Since, rep: ledger.FromCopy(c.Copy)}
+	n.links.Send(node, "ack", ackMsg{Item: c.Item, Since: c.Since, Seq: c.Copy.Seq})
+}
+
+func (n *Node) onDelta(node string, incarnation uint64, d *deltaMsg) {
+	b := n.backups[d.Item]
+	if !n.owns(node, incarnation, d.Item, d.Since) || b == nil || b.since != d.Since || b.rep.Apply(d.Delta) != nil {
+		n.links.Send(node, "ack", ackMsg{Item: d.Item, Since: d.Since, Again: true})
+		return
+	}
+	n.links.Send(node, "ack", ackMsg{Item: d.Item, Since: d.Since, Seq: b.rep.Seq})
+}
+
+func (n *Node) onAck(node string, incarnation uint64, m *ackMsg) {
+	it := n.items[m.Item]
+	if it == nil || it.since != m.Since {
+		return
+	}
+	a := it.acks[node]
+	if a == nil {
+		return
+	}
+	if m.Again {
+		if !a.retry.IsZero() && time.Since(a.retry) < 200*time.Millisecond {
+			return
+		}
+		a.retry = time.Now()
+		a.copied, a.known = false, false
+		n.wake()
+		return
+	}
+	a.inc, a.known, a.seq = incarnation, true, m.Seq
+	if a.seq >= a.sent {
+		a.since = time.Time{}
+	} else {
+		a.since = time.Now()
+	}
+	n.wake()
+}
+
+// tell sends this controller's status to its peers.
+func (n *Node) tell(ctx context.Context) error {
+	for pause(ctx, 500*time.Millisecond) {
+		now := time.Now()
+		n.mu.Lock()
+		s := statusMsg{Entitled: n.entitled(now), Alive: map[string]int64{}, Progress: map[string][2]int{}}
+		if n.record != nil {
+			s.Term = n.record.Term
+		}
+		for name, m := range n.home.All() {
+			s.Alive[name] = now.Sub(m.Heard).Milliseconds()
+		}
+		s.Demands = n.demands(now)
+		for _, it := range n.items {
+			it.team.Jobs(func(j *ledger.Job) {
+				done, running := it.team.Progress(j.Spec.UID)
+				if done+running > 0 {
+					s.Progress[j.Spec.UID] = [2]int{done, running}
+				}
+			})
+		}
+		if n.items[tenure.Fleet] != nil {
+			s.Drain = slices.Sorted(maps.Keys(n.drain))
+		}
+		for p := range n.peers {
+			n.links.Send(p, "status", s)
+		}
+		n.mu.Unlock()
+	}
+	return nil
+}
+
+// demands lists the room that own teams ask for.
+func (n *Node) demands(now time.Time) []demand {
+	var out []demand
+	for _, name := range slices.Sorted(maps.Keys(n.items)) {
+		it := n.items[name]
+		if it.phase != ready {
+			continue
+		}
+		for _, d := range it.team.Demands(now) {
+			if d.Spec.Kind != wire.Gang {
+				out = append(out, demand{Job: d.Spec.UID, Count: d.Count})
+			}
+		}
+	}
+	return out
+}
+
+// draining is the machines that no task should go to.
+func (n *Node) draining() map[string]bool {
+	if n.items[tenure.Fleet] != nil {
+		return n.drain
+	}
+	if n.record != nil {
+		if p := n.peers[n.record.Items[tenure.Fleet].Owner]; p != nil {
+			return p.drain
+		}
+	}
+	return nil
+}
