--- a/cmd/topazhollow/main.go
+++ b/cmd/topazhollow/main.go
@@ -67,5 +67,5 @@
 
 func fail(err error) {
 	fmt.Fprintln(os.Stderr, "topazhollow:", err)
-	os.Exit(1)
+	os.Exit(2)
 }
