--- a/control.go
+++ b/control.go
@@ -59,6 +59,7 @@
 		switch {
 		case err == nil:
 			n.lease.Renewed(sent)
+			n.renewed = sent
 		case errors.Is(err, state.ErrNoLease):
 			n.log.Info("lease ended at the state service", "lease", grant)
 			n.grant = 0
@@ -209,6 +210,9 @@
 	if version <= n.version {
 		return
 	}
+	if version > n.unsure {
+		n.unsure = 0 // a change that is still on its way will meet another version
+	}
 	old := n.record
 	n.record, n.version = r, version
 	now := time.Now()
@@ -271,6 +275,21 @@
 	}
 }
 
+// mayHold says whether a member without a lease may act by a promise of this
+// controller, or of an earlier process of it: one whose key is gone. A newer
+// process of a member holds no promise.
+func (n *Node) mayHold() bool {
+	if n.record == nil {
+		return false
+	}
+	for name := range n.record.Nodes {
+		if _, there := n.live[name]; !there {
+			return true
+		}
+	}
+	return false
+}
+
 // itemNames lists all items: the teams and the fleet.
 func (n *Node) itemNames() []string {
 	names := []string{tenure.Fleet}
@@ -301,6 +320,7 @@
 		n.mu.Lock()
 		next, conds, reason := n.proposal(now, started)
 		version := n.version
+		n.raising = next != nil
 		n.mu.Unlock()
 		if next == nil {
 			continue
@@ -311,10 +331,15 @@
 		}
 		revision, failed, err := n.state.TxnControl(ctx, txn)
 		n.log.Info("control record proposed", "term", next.Term, "reason", reason, "err", err, "failed", failed)
+		n.mu.Lock()
+		n.raising = false
 		if err == nil {
-			n.mu.Lock()
 			n.adopt(next, revision)
-			n.mu.Unlock()
+		} else if !errors.Is(err, state.ErrConflict) && !errors.Is(err, state.ErrRefused) {
+			n.unsure = max(1, version)
+		}
+		n.mu.Unlock()
+		if err == nil {
 			continue
 		}
 		if err := n.refresh(ctx); err != nil {
@@ -325,7 +350,7 @@
 
 // proposal is the change of the record that this controller should try now.
 func (n *Node) proposal(now, started time.Time) (*tenure.Record, []tenure.Condition, string) {
-	if !n.listed || !n.lease.Valid(now) || n.live[n.name].Incarnation != n.inc {
+	if !n.listed || !n.lease.Valid(now) || (now.Before(n.promised) && n.mayHold()) || n.live[n.name].Incarnation != n.inc {
 		return nil, nil, ""
 	}
 	record := n.record
--- a/node.go
+++ b/node.go
@@ -67,10 +67,15 @@
 	types    []wire.MachineType
 	fresh    map[string]bool // machines whose view is to be told to peers
 	bumped   time.Time
+	renewed  time.Time // last renewal of the lease that worked
+	promised time.Time // this controller raises no term before
+	raising  bool      // a change of the record is on its way
+	unsure   uint64    // version under which a change had no answer
 	lookups  map[string]bool
 	drain    map[string]bool
 	group    *errgroup.Group
 	ctx      context.Context
+	began    time.Time
 }
 
 // job is what every controller knows of a job that is or was active.
@@ -100,7 +105,10 @@
 	inc      uint64
 	heard    time.Time
 	entitled bool
+	leased   bool
 	term     uint64
+	at       int64     // the peer's clock in its last status
+	until    time.Time // the peer promised to raise no term before
 	demands  []demand
 	progress map[string][2]int
 	drain    map[string]bool
@@ -125,7 +133,7 @@
 		rng:  rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
 		live: map[string]tenure.Presence{}, items: map[string]*item{}, backups: map[string]*backup{},
 		peers: map[string]*peerState{}, jobs: map[string]*job{}, machines: map[string]*machine{},
-		doers: map[string]*doer{}, fresh: map[string]bool{}, settled: now,
+		doers: map[string]*doer{}, fresh: map[string]bool{}, settled: now, began: now, renewed: now, promised: now.Add(promiseLife),
 		lookups: map[string]bool{}, drain: map[string]bool{},
 	}
 	life := settings.Seconds(o.NodeLease)
@@ -201,10 +209,30 @@
 	}
 }
 
-// entitled says whether this controller may act: its lease lives and the record
-// names this process.
+// promiseLife is how long a promise not to raise the term holds.
+const promiseLife = 3 * time.Second
+
+// entitled says whether this controller may act: the record names this process,
+// and either its lease lives or every other controller promised to raise no
+// term for now.
 func (n *Node) entitled(now time.Time) bool {
-	return n.record != nil && n.record.Nodes[n.name] == n.inc && n.lease.Valid(now)
+	return n.record != nil && n.record.Nodes[n.name] == n.inc && (n.lease.Valid(now) || n.holdsPromises(now))
+}
+
+func (n *Node) holdsPromises(now time.Time) bool {
+	for _, p := range n.peers {
+		if !now.Before(p.until) {
+			return false
+		}
+	}
+	return true
+}
+
+// promises says whether this controller can promise its peers not to raise the
+// term: its own lease is not being renewed, as in an outage of the state
+// service, and no change of the record that it sent may still be applied.
+func (n *Node) promises(now time.Time) bool {
+	return now.Sub(n.renewed) > n.lease.Life*2/5 && !n.raising && n.unsure == 0
 }
 
 func (n *Node) typeOf(name string) *wire.MachineType {
@@ -301,7 +329,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := (*Node)(b)
-	return n.types != nil && n.entitled(time.Now())
+	now := time.Now()
+	if n.types == nil {
+		return false
+	}
+	if n.lease.Valid(now) {
+		return true
+	}
+	// Without the state service nothing can be answered, but when no other
+	// controller is better off there is nobody to send users to.
+	for _, p := range n.peers {
+		if p.leased && now.Sub(p.heard) < 2*time.Second {
+			return false
+		}
+	}
+	return now.Sub(n.began) > 5*time.Second
 }
 
 // learnJob takes up an active job. Owners place it at the next tick.
--- a/talk.go
+++ b/talk.go
@@ -39,13 +39,23 @@
 	statusMsg struct {
 		Term     uint64            `json:"term"`
 		Entitled bool              `json:"entitled"`
-		Alive    map[string]int64  `json:"alive,omitempty"` // homed machines: ms since their last report
+		Leased   bool              `json:"leased,omitempty"`
+		At       int64             `json:"at"`                // the sender's steady clock, ms
+		Heard    map[string]echo   `json:"heard,omitempty"`   // the last At of each peer
+		Promise  bool              `json:"promise,omitempty"` // to raise no term for promiseLife
+		Alive    map[string]int64  `json:"alive,omitempty"`   // homed machines: ms since their last report
 		Demands  []demand          `json:"demands,omitempty"`
 		Progress map[string][2]int `json:"progress,omitempty"`
 		Drain    []string          `json:"drain,omitempty"`
 	}
 )
 
+// echo names a peer's status that was heard.
+type echo struct {
+	Incarnation uint64 `json:"incarnation"`
+	At          int64  `json:"at"`
+}
+
 // demand is room that waiting tasks of a job ask for.
 type demand struct {
 	Job   string `json:"job"`
@@ -85,7 +95,10 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	p := n.peers[node]
-	p.inc, p.heard = incarnation, now
+	if p.inc != incarnation {
+		p.inc, p.at = incarnation, 0
+	}
+	p.heard = now
 	var err error
 	switch kind {
 	case "status":
@@ -129,6 +142,16 @@
 }
 
 func (n *Node) onStatus(p *peerState, s *statusMsg, now time.Time) {
+	p.leased, p.at = s.Leased, s.At
+	if e, ok := s.Heard[n.name]; ok && s.Promise && e.Incarnation == n.inc {
+		// The promise runs from when the peer sent it, which was after our own
+		// status that it names: counted from then, and less the clocks' drift, it
+		// ends here first.
+		until := n.began.Add(time.Duration(e.At)*time.Millisecond + promiseLife - promiseLife/500)
+		if until.After(p.until) {
+			p.until = until
+		}
+	}
 	p.term, p.entitled, p.demands, p.progress = s.Term, s.Entitled, s.Demands, s.Progress
 	p.drain = map[string]bool{}
 	for _, m := range s.Drain {
@@ -221,7 +244,16 @@
 	for pause(ctx, 500*time.Millisecond) {
 		now := time.Now()
 		n.mu.Lock()
-		s := statusMsg{Entitled: n.entitled(now), Alive: map[string]int64{}, Progress: map[string][2]int{}}
+		s := statusMsg{Entitled: n.entitled(now), Leased: n.lease.Valid(now), At: now.Sub(n.began).Milliseconds(),
+			Heard: map[string]echo{}, Alive: map[string]int64{}, Progress: map[string][2]int{}}
+		for name, p := range n.peers {
+			if now.Sub(p.heard) < promiseLife && p.at > 0 {
+				s.Heard[name] = echo{p.inc, p.at}
+			}
+		}
+		if s.Promise = n.promises(now); s.Promise {
+			n.promised = now.Add(promiseLife)
+		}
 		if n.record != nil {
 			s.Term = n.record.Term
 		}
