--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -17,6 +17,12 @@
 	Index int    `json:"i"`
 }
 
+// Ref names an attempt: its number alone is unique only for its task.
+type Ref struct {
+	Key
+	Attempt uint64 `json:"a"`
+}
+
 // Hold is an attempt that may be on a machine: from before its start is sent
 // until it is proven off.
 type Hold struct {
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -49,7 +49,7 @@
 	Notice  bool       `json:"n,omitempty"`
 	Known   bool       `json:"r,omitempty"` // registered in the state service
 	Tasks   []TaskView `json:"x,omitempty"`
-	Barred  []uint64   `json:"b,omitempty"` // attempts that the home will never send
+	Barred  []Ref      `json:"b,omitempty"` // attempts that the home will never send
 }
 
 // Newer says whether v replaces old.
@@ -137,6 +137,11 @@
 	log     func(event string, args ...any)
 }
 
+func (h *Hold) ref() Ref { return Ref{h.Key, h.Attempt} }
+
+// Ref is the attempt that the order is for.
+func (o *Order) Ref() Ref { return Ref{o.Key, o.Attempt} }
+
 // slack absorbs rounding in sums of amounts.
 const slack = 1e-6
 
@@ -467,7 +472,7 @@
 		case v.Session < a.Session || seen[a.Key]:
 		case v.Session > a.Session:
 			t.off(a, "newer session")
-		case slices.Contains(v.Barred, a.Attempt):
+		case slices.Contains(v.Barred, a.ref()):
 			t.off(a, "never sent")
 		case v.Token > TermOf(a.Attempt):
 			// The worker knows a later term and does not list the attempt: its start
--- a/internal/workers/home.go
+++ b/internal/workers/home.go
@@ -35,7 +35,7 @@
 	Deaf   bool        // the last /do failed: only report answers until it is heard again
 	Known  bool        // registered in the state service
 
-	starts map[uint64]*start
+	starts map[ledger.Ref]*start
 	queue  []wire.Command
 	urgent bool
 	rev    uint64
@@ -70,7 +70,7 @@
 			delete(h.machines, name)
 			continue
 		}
-		m.starts = map[uint64]*start{}
+		m.starts = map[ledger.Ref]*start{}
 		m.queue, m.urgent = nil, false
 		m.changed()
 	}
@@ -95,7 +95,7 @@
 func (h *Home) Heard(r *wire.Report, now time.Time) (newer, changed bool) {
 	m := h.machines[r.Machine]
 	if m == nil {
-		m = &Machine{starts: map[uint64]*start{}}
+		m = &Machine{starts: map[ledger.Ref]*start{}}
 		h.machines[r.Machine] = m
 	} else if r.Session < m.Report.Session || (r.Session == m.Report.Session && r.Seq <= m.Report.Seq) {
 		return false, false
@@ -103,14 +103,14 @@
 	changed = r.Session != m.Report.Session || r.Token != m.Report.Token || (r.Notice == nil) != (m.Report.Notice == nil) ||
 		!slices.Equal(r.Tasks, m.Report.Tasks)
 	if r.Session != m.Report.Session {
-		m.starts = map[uint64]*start{}
+		m.starts = map[ledger.Ref]*start{}
 		m.queue, m.urgent = nil, false
 	}
 	m.Report = *r
 	m.Heard = now
 	m.Deaf = false
 	for _, t := range r.Tasks {
-		if s := m.starts[t.Attempt]; s != nil {
+		if s := m.starts[refOf(t.Task, t.Attempt)]; s != nil {
 			s.listed, s.queued = true, false
 		}
 	}
@@ -136,14 +136,14 @@
 		if o.Session != m.Report.Session || len(m.queue) >= maxQueued {
 			continue
 		}
-		s := m.starts[o.Attempt]
+		s := m.starts[o.Ref()]
 		cmd := wire.Command{Op: o.Op, Task: wire.TaskName(o.Job, o.Index), Attempt: o.Attempt}
 		switch o.Op {
 		case wire.Start:
 			switch {
 			case s == nil:
 				s = &start{order: o}
-				m.starts[o.Attempt] = s
+				m.starts[o.Ref()] = s
 				if !h.fits(m, o) {
 					s.barred = true
 				}
@@ -157,17 +157,17 @@
 			}
 			m.changed()
 		case wire.Stop:
-			if !m.lists(o.Attempt) {
+			if !m.lists(o.Ref()) {
 				if s == nil || (!s.barred && !s.listed && m.settled(s)) {
-					m.unqueue(wire.Start, o.Attempt)
-					m.starts[o.Attempt] = &start{order: o, barred: true}
+					m.unqueue(wire.Start, o.Ref())
+					m.starts[o.Ref()] = &start{order: o, barred: true}
 					m.changed()
 				}
 				continue
 			}
 			grace := o.Grace
 			cmd.Grace = &grace
-			if !m.queued(wire.Stop, o.Attempt) {
+			if !m.queued(wire.Stop, o.Ref()) {
 				m.queue = append(m.queue, cmd)
 				m.urgent = true
 			}
@@ -177,10 +177,10 @@
 			}
 			if s == nil {
 				s = &start{order: o}
-				m.starts[o.Attempt] = s
+				m.starts[o.Ref()] = s
 			}
 			s.forgot = true
-			if m.lists(o.Attempt) && !m.queued(wire.Forget, o.Attempt) {
+			if m.lists(o.Ref()) && !m.queued(wire.Forget, o.Ref()) {
 				m.queue = append(m.queue, cmd)
 			}
 		}
@@ -207,22 +207,32 @@
 		}
 	}
 	const slack = 1e-6
-	if s := m.starts[o.Attempt]; s != nil { // counted above already
+	if s := m.starts[o.Ref()]; s != nil { // counted above already
 		return cpus >= -slack && gpus >= -slack && memory >= -slack
 	}
 	return cpus+slack >= o.CPUs && gpus+slack >= o.GPUs && memory+slack >= o.Memory
 }
 
-func (m *Machine) lists(attempt uint64) bool {
-	return slices.ContainsFunc(m.Report.Tasks, func(t wire.TaskStatus) bool { return t.Attempt == attempt })
+// refOf reads an attempt's name from a worker's words; a malformed one matches
+// nothing that was ever ordered.
+func refOf(task string, attempt uint64) ledger.Ref {
+	job, index, ok := wire.SplitTask(task)
+	if !ok {
+		return ledger.Ref{}
+	}
+	return ledger.Ref{Key: ledger.Key{Job: job, Index: index}, Attempt: attempt}
+}
+
+func (m *Machine) lists(ref ledger.Ref) bool {
+	return slices.ContainsFunc(m.Report.Tasks, func(t wire.TaskStatus) bool { return refOf(t.Task, t.Attempt) == ref })
 }
 
-func (m *Machine) queued(op string, attempt uint64) bool {
-	return slices.ContainsFunc(m.queue, func(c wire.Command) bool { return c.Op == op && c.Attempt == attempt })
+func (m *Machine) queued(op string, ref ledger.Ref) bool {
+	return slices.ContainsFunc(m.queue, func(c wire.Command) bool { return c.Op == op && refOf(c.Task, c.Attempt) == ref })
 }
 
-func (m *Machine) unqueue(op string, attempt uint64) {
-	m.queue = slices.DeleteFunc(m.queue, func(c wire.Command) bool { return c.Op == op && c.Attempt == attempt })
+func (m *Machine) unqueue(op string, ref ledger.Ref) {
+	m.queue = slices.DeleteFunc(m.queue, func(c wire.Command) bool { return c.Op == op && refOf(c.Task, c.Attempt) == ref })
 }
 
 // Urgent says whether commands wait that should go out by /do now.
@@ -233,7 +243,7 @@
 	cmds := m.queue
 	m.queue, m.urgent, m.Busy = nil, false, true
 	for _, c := range cmds {
-		if s := m.starts[c.Attempt]; c.Op == wire.Start && s != nil {
+		if s := m.starts[refOf(c.Task, c.Attempt)]; c.Op == wire.Start && s != nil {
 			s.queued, s.sent, s.open = false, true, true
 		}
 	}
@@ -246,7 +256,7 @@
 	m.Busy = false
 	m.Deaf = !answered
 	for _, c := range cmds {
-		if s := m.starts[c.Attempt]; c.Op == wire.Start && s != nil {
+		if s := m.starts[refOf(c.Task, c.Attempt)]; c.Op == wire.Start && s != nil {
 			s.open = false
 			s.stray = s.stray || (left && !answered)
 			s.sent = s.sent && left
@@ -264,7 +274,7 @@
 	cmds := m.queue
 	m.queue, m.urgent = nil, false
 	for _, c := range cmds {
-		if s := m.starts[c.Attempt]; c.Op == wire.Start && s != nil {
+		if s := m.starts[refOf(c.Task, c.Attempt)]; c.Op == wire.Start && s != nil {
 			s.queued, s.sent, s.after = false, true, m.Report.Seq
 		}
 	}
@@ -289,12 +299,12 @@
 			v.Tasks = append(v.Tasks, ledger.TaskView{Key: ledger.Key{Job: job, Index: index}, Attempt: t.Attempt, State: t.State, Why: t.Why, Saved: t.Saved})
 		}
 	}
-	for attempt, s := range m.starts {
+	for ref, s := range m.starts {
 		switch {
 		case s.barred:
-			v.Barred = append(v.Barred, attempt)
+			v.Barred = append(v.Barred, ref)
 		case !s.listed && !s.forgot && s.order.Op == wire.Start:
-			v.Tasks = append(v.Tasks, ledger.TaskView{Key: s.order.Key, Attempt: attempt, State: ledger.Ordered})
+			v.Tasks = append(v.Tasks, ledger.TaskView{Key: s.order.Key, Attempt: ref.Attempt, State: ledger.Ordered})
 		}
 	}
 	m.view = v
--- a/owner.go
+++ b/owner.go
@@ -483,9 +483,9 @@
 // free is a machine's room beside what it lists and what own teams hold there.
 func (n *Node) free(m *machine) (cpus, gpus, memory float64) {
 	cpus, gpus, memory, _ = n.capacity(m.view.Type)
-	listed := map[uint64]bool{}
+	listed := map[ledger.Ref]bool{}
 	for _, t := range m.view.Tasks {
-		listed[t.Attempt] = true
+		listed[ledger.Ref{Key: t.Key, Attempt: t.Attempt}] = true
 		if t.State != wire.Exited {
 			c, g, r := n.size(t.Job)
 			cpus, gpus, memory = cpus-c, gpus-g, memory-r
@@ -493,7 +493,7 @@
 	}
 	for _, it := range n.items {
 		it.team.On(m.view.Machine, func(h ledger.Hold) {
-			if !listed[h.Attempt] {
+			if !listed[ledger.Ref{Key: h.Key, Attempt: h.Attempt}] {
 				cpus, gpus, memory = cpus-h.CPUs, gpus-h.GPUs, memory-h.Memory
 			}
 		})
