--- a/home.go
+++ b/home.go
@@ -24,7 +24,7 @@
 func (n *Node) machine(name string) *machine {
 	m := n.machines[name]
 	if m == nil {
-		m = &machine{images: map[string]bool{}, errors: map[string]bool{}}
+		m = &machine{images: map[string]bool{}, errors: map[string]bool{}, running: map[ledger.Ref]time.Time{}}
 		n.machines[name] = m
 	}
 	return m
@@ -179,6 +179,19 @@
 	m.view = v
 	m.heard = now
 	busy := false
+	running := make(map[ledger.Ref]time.Time, len(v.Tasks))
+	for _, t := range v.Tasks {
+		ref := ledger.Ref{Key: t.Key, Attempt: t.Attempt}
+		if t.State == wire.Running {
+			if since, ok := m.running[ref]; ok {
+				running[ref] = since
+			} else {
+				running[ref] = now
+			}
+		}
+	}
+	m.running = running
+	n.freed(v)
 	if len(m.images) > 64 {
 		m.images = map[string]bool{}
 	}
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -111,6 +111,7 @@
 	seq     uint64 // delta that made it; 0 after a take-over: backups have it
 	state   string // as last listed, "" before
 	stop    bool
+	grace   float64
 	ordered time.Time
 	listed  time.Time
 	asked   time.Time // when its stop was first ordered
@@ -404,6 +405,16 @@
 	return true
 }
 
+// Stop marks an attempt to be stopped, with the grace to save.
+func (t *Team) Stop(ref Ref, grace float64) bool {
+	a := t.held[ref.Key]
+	if a == nil || a.Attempt != ref.Attempt || a.stop {
+		return false
+	}
+	a.stop, a.grace, a.ordered = true, grace, time.Time{}
+	return true
+}
+
 // On calls f for each attempt held on a machine.
 func (t *Team) On(machine string, f func(Hold)) {
 	for _, a := range t.on[machine] {
@@ -561,7 +572,7 @@
 			j := t.jobs[a.Job]
 			switch {
 			case j == nil || a.stop:
-				order.Op = wire.Stop
+				order.Op, order.Grace = wire.Stop, a.grace
 				if a.asked.IsZero() {
 					a.asked = now
 				}
@@ -618,9 +629,10 @@
 
 // Demand is the room that pending tasks of a job ask for now, within the quota.
 type Demand struct {
-	Spec  *wire.Submission
-	Count int
-	Late  time.Time
+	Spec     *wire.Submission
+	Count    int
+	Late     time.Time
+	Borrowed bool // beyond the team's guarantee
 }
 
 // Demands lists what the team would place if there were room, most urgent first.
@@ -631,15 +643,23 @@
 		if j.Over || j.Finishing || now.Before(j.notUntil) || j.errors > 3 {
 			continue
 		}
-		n := t.Unstarted(j)
-		fit := 0
-		for fit < n && cpus+j.Spec.CPUs <= t.MaxCPUs+slack && gpus+j.Spec.GPUs <= t.MaxGPUs+slack {
-			fit++
+		d := Demand{Spec: j.Spec, Late: j.Due()}
+		for range t.Unstarted(j) {
+			if cpus+j.Spec.CPUs > t.MaxCPUs+slack || gpus+j.Spec.GPUs > t.MaxGPUs+slack {
+				break
+			}
 			cpus += j.Spec.CPUs
 			gpus += j.Spec.GPUs
+			if borrowed := cpus > t.CPUs+slack || gpus > t.GPUs+slack; borrowed != d.Borrowed {
+				if d.Count > 0 {
+					out = append(out, d)
+				}
+				d.Borrowed, d.Count = borrowed, 0
+			}
+			d.Count++
 		}
-		if fit > 0 {
-			out = append(out, Demand{Spec: j.Spec, Count: fit, Late: j.Due()})
+		if d.Count > 0 {
+			out = append(out, d)
 		}
 	}
 	return out
--- a/node.go
+++ b/node.go
@@ -71,6 +71,9 @@
 	promised time.Time // this controller raises no term before
 	raising  bool      // a change of the record is on its way
 	unsure   uint64    // version under which a change had no answer
+	evicting map[ledger.Ref]eviction
+	told     bool          // peers know of tasks that wait
+	news     chan struct{} // wakes the duty that tells peers
 	lookups  map[string]bool
 	drain    map[string]bool
 	group    *errgroup.Group
@@ -96,7 +99,8 @@
 	asked      bool   // its registration is under way
 	gone       bool
 	idle       time.Time
-	errors     map[string]bool // jobs that failed here
+	errors     map[string]bool          // jobs that failed here
+	running    map[ledger.Ref]time.Time // since when a listed task was seen running
 }
 
 // peerState is what a controller knows of another one.
@@ -134,7 +138,7 @@
 		live: map[string]tenure.Presence{}, items: map[string]*item{}, backups: map[string]*backup{},
 		peers: map[string]*peerState{}, jobs: map[string]*job{}, machines: map[string]*machine{},
 		doers: map[string]*doer{}, fresh: map[string]bool{}, settled: now, began: now, renewed: now, promised: now.Add(promiseLife),
-		lookups: map[string]bool{}, drain: map[string]bool{},
+		lookups: map[string]bool{}, evicting: map[ledger.Ref]eviction{}, news: make(chan struct{}, 1), drain: map[string]bool{},
 	}
 	life := settings.Seconds(o.NodeLease)
 	n.lease = tenure.Lease{Life: life, Margin: life / 20}
--- a/owner.go
+++ b/owner.go
@@ -375,62 +375,6 @@
 	n.tellViews()
 }
 
-// place starts what can be started, most urgent first; teams below their
-// guarantee come before those that borrow.
-func (n *Node) place(now time.Time) {
-	type entry struct {
-		it       *item
-		job      *ledger.Job
-		borrowed bool
-	}
-	var list []entry
-	for _, it := range n.items {
-		if it.phase != ready || it.frozen || it.name == tenure.Fleet {
-			continue
-		}
-		cpus, _ := it.team.Used()
-		it.team.Jobs(func(j *ledger.Job) {
-			if j.Spec.Kind == wire.Gang {
-				return
-			}
-			if it.team.Unstarted(j) > 0 {
-				list = append(list, entry{it, j, cpus+j.Spec.CPUs > it.team.CPUs})
-			}
-		})
-	}
-	if len(list) == 0 {
-		return
-	}
-	slices.SortFunc(list, func(a, b entry) int {
-		if a.borrowed != b.borrowed {
-			if a.borrowed {
-				return 1
-			}
-			return -1
-		}
-		return ledger.Urgency(a.job, b.job)
-	})
-	hosts := n.hosts(now)
-	for _, e := range list {
-		ask := n.ask(e.job.Spec)
-		e.it.team.Pending(e.job, now, func(index int) bool {
-			if !e.it.team.Fits(e.job) {
-				return false
-			}
-			h := placement.Choose(n.rng, hosts, ask, n.opt.SampleSize, func(h *placement.Host) bool { return e.job.Avoids(h.Name, now) })
-			if h == nil {
-				return false
-			}
-			if !e.it.team.Place(e.job, index, h.Name, h.Session) {
-				return false
-			}
-			h.Take(ask)
-			h.Images[ask.Image] = true
-			return true
-		})
-	}
-}
-
 func (n *Node) ask(s *wire.Submission) *placement.Ask {
 	a := &placement.Ask{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.Memory, Zone: -1, Spot: s.Spot, Image: s.Image, ImageGB: s.ImageGB}
 	if s.Zone != nil {
--- /dev/null
+++ b/place.go
@@ -0,0 +1,254 @@
+package topazhollow
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/placement"
+	"topazhollow/internal/tenure"
+	"topazhollow/internal/wire"
+)
+
+// wish is a job's waiting tasks, of an own team or told by a peer.
+type wish struct {
+	it       *item       // nil: a peer's, which only keeps the room
+	own      *ledger.Job // nil: a peer's
+	job      *ledger.Job
+	count    int
+	borrowed bool
+}
+
+// wishes lists what waits anywhere, most urgent first: work within its team's
+// guarantee comes before what borrows, then priority, due time and age decide.
+func (n *Node) wishes(now time.Time) []wish {
+	var list []wish
+	for _, it := range n.items {
+		if it.phase != ready || it.frozen || it.name == tenure.Fleet {
+			continue
+		}
+		for _, d := range it.team.Demands(now) {
+			if j := it.team.Job(d.Spec.UID); d.Spec.Kind != wire.Gang {
+				list = append(list, wish{it, j, j, d.Count, d.Borrowed})
+			}
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	for _, p := range n.peers {
+		if now.Sub(p.heard) > 2*time.Second {
+			continue
+		}
+		for _, d := range p.demands {
+			if j := n.jobs[d.Job]; j != nil && j.active {
+				list = append(list, wish{job: &ledger.Job{Spec: j.spec, Submitted: j.at}, count: d.Count, borrowed: d.Borrowed})
+			}
+		}
+	}
+	slices.SortStableFunc(list, func(a, b wish) int {
+		if a.borrowed != b.borrowed {
+			if a.borrowed {
+				return 1
+			}
+			return -1
+		}
+		return ledger.Urgency(a.job, b.job)
+	})
+	return list
+}
+
+// place starts what can be started, most urgent first. Room that a peer's more
+// urgent tasks will take is left to them.
+func (n *Node) place(now time.Time) {
+	list := n.wishes(now)
+	if len(list) == 0 {
+		return
+	}
+	hosts := n.hosts(now)
+	var short []wish
+	for _, w := range list {
+		ask := n.ask(w.job.Spec)
+		choose := func(skip func(*placement.Host) bool) *placement.Host {
+			return placement.Choose(n.rng, hosts, ask, n.opt.SampleSize, skip)
+		}
+		if w.own == nil {
+			for range w.count {
+				h := choose(func(*placement.Host) bool { return false })
+				if h == nil {
+					break
+				}
+				h.Take(ask)
+			}
+			continue
+		}
+		left := w.count
+		w.it.team.Pending(w.own, now, func(index int) bool {
+			if left == 0 || !w.it.team.Fits(w.own) {
+				return false
+			}
+			h := choose(func(h *placement.Host) bool { return w.own.Avoids(h.Name, now) })
+			if h == nil || !w.it.team.Place(w.own, index, h.Name, h.Session) {
+				return false
+			}
+			left--
+			h.Take(ask)
+			h.Images[ask.Image] = true
+			return true
+		})
+		if left > 0 {
+			w.count = left
+			short = append(short, w)
+		}
+	}
+	n.preempt(short, hosts, now)
+	if len(short) > 0 || n.told {
+		n.told = len(short) > 0
+		select {
+		case n.news <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// eviction is a task asked to make room for a job.
+type eviction struct {
+	job   string
+	tasks int // of the job that the room will take
+	at    time.Time
+}
+
+// evictionLife is how long an eviction may take before its room is sought again.
+const evictionLife = 5 * time.Second
+
+// victim is a task that may be stopped for a wish.
+type victim struct {
+	ref  ledger.Ref
+	spec *wire.Submission
+	lost float64 // CPU seconds of progress thrown away
+}
+
+// preempt frees room for wishes of higher priority, at the least loss.
+func (n *Node) preempt(short []wish, hosts []*placement.Host, now time.Time) {
+	coming := map[string]int{}
+	for ref, e := range n.evicting {
+		if now.Sub(e.at) > evictionLife {
+			delete(n.evicting, ref)
+		} else {
+			coming[e.job] += e.tasks
+		}
+	}
+	for _, w := range short {
+		uid := w.own.Spec.UID
+		need := w.count - coming[uid]
+		if need <= 0 || wire.Rank(w.own.Spec.Priority) <= 1 {
+			continue
+		}
+		ask := n.ask(w.own.Spec)
+		for ; need > 0; need-- {
+			host, victims := n.cheapestRoom(ask, w.own, hosts, now)
+			if host == nil {
+				break
+			}
+			for i, v := range victims {
+				e := eviction{job: uid, at: now}
+				if i == 0 {
+					e.tasks = 1
+				}
+				n.evicting[v.ref] = e
+				host.CPUs, host.GPUs, host.Memory = host.CPUs+v.spec.CPUs, host.GPUs+v.spec.GPUs, host.Memory+v.spec.Memory
+				n.evict(evictMsg{Ref: v.ref, For: uid})
+			}
+			host.Take(ask)
+		}
+	}
+}
+
+// cheapestRoom finds the machine where stopping tasks of lower priority loses
+// least.
+func (n *Node) cheapestRoom(ask *placement.Ask, job *ledger.Job, hosts []*placement.Host, now time.Time) (best *placement.Host, stop []victim) {
+	low := 0.0
+	for _, h := range hosts {
+		if !ask.Allows(h) || job.Avoids(h.Name, now) {
+			continue
+		}
+		m := n.machines[h.Name]
+		var list []victim
+		for _, t := range m.view.Tasks {
+			ref := ledger.Ref{Key: t.Key, Attempt: t.Attempt}
+			j := n.jobs[t.Job]
+			if j == nil || !j.active || t.State == wire.Exited || t.State == wire.Saving || j.spec.Kind == wire.Gang ||
+				wire.Rank(j.spec.Priority) >= wire.Rank(job.Spec.Priority) {
+				continue
+			}
+			if _, going := n.evicting[ref]; going {
+				continue
+			}
+			v := victim{ref: ref, spec: j.spec}
+			if since, ok := m.running[ref]; ok {
+				v.lost = now.Sub(since).Seconds() * j.spec.CPUs
+			}
+			list = append(list, v)
+		}
+		slices.SortFunc(list, func(a, b victim) int {
+			return cmp.Or(cmp.Compare(a.lost, b.lost), cmp.Compare(a.ref.Attempt, b.ref.Attempt))
+		})
+		room, lost := *h, 0.0
+		for i, v := range list {
+			room.CPUs, room.GPUs, room.Memory = room.CPUs+v.spec.CPUs, room.GPUs+v.spec.GPUs, room.Memory+v.spec.Memory
+			lost += v.lost
+			if best != nil && lost >= low {
+				break
+			}
+			if ask.Fits(&room) {
+				best, stop, low = h, list[:i+1], lost
+				break
+			}
+		}
+	}
+	return best, stop
+}
+
+// evict asks the owner of a task to stop it.
+func (n *Node) evict(e evictMsg) {
+	j := n.jobs[e.Ref.Job]
+	owner := n.record.Items[teamItem(j.spec.Team)].Owner
+	if owner == n.name {
+		n.onEvict(&e)
+		return
+	}
+	n.links.Send(owner, "evict", e)
+}
+
+// onEvict stops a task of an own team for a job of higher priority.
+func (n *Node) onEvict(e *evictMsg) {
+	victim, job := n.jobs[e.Ref.Job], n.jobs[e.For]
+	if victim == nil || job == nil || wire.Rank(job.spec.Priority) <= wire.Rank(victim.spec.Priority) {
+		return
+	}
+	it := n.items[teamItem(victim.spec.Team)]
+	if it == nil || it.phase != ready {
+		return
+	}
+	if it.team.Stop(e.Ref, victim.spec.Save) {
+		n.log.Debug("task preempted", "task", e.Ref.Job, "index", e.Ref.Index, "for", e.For)
+		n.wake()
+	}
+}
+
+// freed forgets evictions that are over, as a view shows.
+func (n *Node) freed(v *ledger.View) {
+	if len(n.evicting) == 0 {
+		return
+	}
+	there := map[ledger.Ref]bool{}
+	for _, t := range v.Tasks {
+		there[ledger.Ref{Key: t.Key, Attempt: t.Attempt}] = t.State != wire.Exited
+	}
+	maps.DeleteFunc(n.evicting, func(ref ledger.Ref, _ eviction) bool {
+		on, listed := there[ref]
+		return listed && !on
+	})
+}
--- a/talk.go
+++ b/talk.go
@@ -58,8 +58,16 @@
 
 // demand is room that waiting tasks of a job ask for.
 type demand struct {
-	Job   string `json:"job"`
-	Count int    `json:"count"`
+	Job      string `json:"job"`
+	Count    int    `json:"count"`
+	Borrowed bool   `json:"borrowed,omitempty"` // beyond the team's guarantee
+}
+
+// evictMsg asks the owner of a task to stop it, to give its room to a job that
+// goes before it.
+type evictMsg struct {
+	Ref ledger.Ref `json:"ref"`
+	For string     `json:"for"` // the job that needs the room
 }
 
 // peerHandler is the controller as its links see it.
@@ -120,6 +128,11 @@
 		if err = wire.Decode(body, &o); err == nil {
 			n.onOrders(&o, now)
 		}
+	case "evict":
+		var e evictMsg
+		if err = wire.Decode(body, &e); err == nil {
+			n.onEvict(&e)
+		}
 	case "copy":
 		var c copyMsg
 		if err = wire.Decode(body, &c); err == nil {
@@ -241,7 +254,15 @@
 
 // tell sends this controller's status to its peers.
 func (n *Node) tell(ctx context.Context) error {
-	for pause(ctx, 500*time.Millisecond) {
+	ticker := time.NewTicker(500 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-n.news:
+		}
 		now := time.Now()
 		n.mu.Lock()
 		s := statusMsg{Entitled: n.entitled(now), Leased: n.lease.Valid(now), At: now.Sub(n.began).Milliseconds(),
@@ -277,7 +298,6 @@
 		}
 		n.mu.Unlock()
 	}
-	return nil
 }
 
 // demands lists the room that own teams ask for.
@@ -290,7 +310,7 @@
 		}
 		for _, d := range it.team.Demands(now) {
 			if d.Spec.Kind != wire.Gang {
-				out = append(out, demand{Job: d.Spec.UID, Count: d.Count})
+				out = append(out, demand{Job: d.Spec.UID, Count: d.Count, Borrowed: d.Borrowed})
 			}
 		}
 	}
