--- a/place.go
+++ b/place.go
@@ -140,12 +140,18 @@
 			coming[e.job] += e.tasks
 		}
 	}
+	soon := n.freeing() * patience.Seconds()
 	for _, w := range short {
 		uid := w.own.Spec.UID
 		need := w.count - coming[uid]
 		if need <= 0 || wire.Rank(w.own.Spec.Priority) <= 1 {
 			continue
 		}
+		// What ends by itself within a few seconds goes to the most urgent anyway.
+		for need > 0 && soon >= w.own.Spec.CPUs {
+			soon -= w.own.Spec.CPUs
+			need--
+		}
 		ask := n.ask(w.own.Spec)
 		for ; need > 0; need-- {
 			host, victims := n.cheapestRoom(ask, w.own, hosts, now)
@@ -166,6 +172,23 @@
 	}
 }
 
+// patience is how long a job waits for room that comes free by itself before
+// others are stopped for it.
+const patience = 3 * time.Second
+
+// freeing estimates how many CPUs running tasks give back per second.
+func (n *Node) freeing() float64 {
+	rate := 0.0
+	for _, m := range n.machines {
+		for ref := range m.running {
+			if j := n.jobs[ref.Job]; j != nil && j.spec.Estimate > 0 {
+				rate += j.spec.CPUs / j.spec.Estimate
+			}
+		}
+	}
+	return rate
+}
+
 // cheapestRoom finds the machine where stopping tasks of lower priority loses
 // least.
 func (n *Node) cheapestRoom(ask *placement.Ask, job *ledger.Job, hosts []*placement.Host, now time.Time) (best *placement.Host, stop []victim) {
