--- a/place.go
+++ b/place.go
@@ -55,6 +55,15 @@
 			}
 			return -1
 		}
+		if d := wire.Rank(b.job.Spec.Priority) - wire.Rank(a.job.Spec.Priority); d != 0 {
+			return d
+		}
+		if al, bl := a.job.Hopeless(now), b.job.Hopeless(now); al != bl {
+			if al {
+				return 1
+			}
+			return -1
+		}
 		return ledger.Urgency(a.job, b.job)
 	})
 	return list
@@ -209,6 +218,9 @@
 			if _, going := n.evicting[ref]; going {
 				continue
 			}
+			if since, ok := m.running[ref]; ok && now.Sub(since).Seconds() > j.spec.Estimate/2 {
+				continue // it ends soon, and much would be lost
+			}
 			v := victim{ref: ref, spec: j.spec}
 			if since, ok := m.running[ref]; ok {
 				v.lost = now.Sub(since).Seconds() * j.spec.CPUs
