--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,6 +28,13 @@
 	Going bool // spot notice
 	Bad   bool // fails different jobs
 	Kept  bool // registered in the state service
+	Slots []Slot
+}
+
+// Slot is a task on a machine.
+type Slot struct {
+	CPUs, GPUs, Mem float64
+	Left            float64 // seconds until it probably ends
 }
 
 // Demand is room asked for by tasks that wait.
@@ -43,6 +50,7 @@
 	Warm       int
 	SpotShare  float64
 	Silent     time.Duration // a machine silent for so long is returned
+	Haste      float64       // run times kept in hand before a job is due
 }
 
 // Plan is what to do now.
@@ -92,12 +100,6 @@
 	}
 }
 
-// bin is a machine's free room, there or on its way.
-type bin struct {
-	pool            pool
-	cpus, gpus, mem float64
-}
-
 func allowed(s *wire.Submission, typ, zone string, spot bool) bool {
 	return (!spot || s.Spot) && (s.Zone == nil || *s.Zone == zone) && (s.Types == nil || slices.Contains(s.Types, typ))
 }
@@ -133,12 +135,16 @@
 		case m.Going || t == nil:
 			continue
 		case m.Heard.IsZero():
-			bins = append(bins, &bin{pool: pool{m.Type, m.Zone, m.Spot}, cpus: t.CPUs, gpus: t.GPUs, mem: t.Memory})
+			bins = append(bins, newBin(pool{m.Type, m.Zone, m.Spot}, t, max(1, t.Boot-now.Sub(m.Since).Seconds())))
 			continue
 		case quiet > f.opt.Silent/2:
 			continue
 		}
-		bins = append(bins, &bin{pool: pool{m.Type, m.Zone, m.Spot}, cpus: m.CPUs, gpus: m.GPUs, mem: m.Mem})
+		b := &bin{pool: pool{m.Type, m.Zone, m.Spot}, free: []room{{0, m.CPUs, m.GPUs, m.Mem}}}
+		for _, x := range m.Slots {
+			b.add(room{max(x.Left, 1), x.CPUs, x.GPUs, x.Mem})
+		}
+		bins = append(bins, b)
 		if !m.Idle.IsZero() {
 			idleMachines = append(idleMachines, m)
 		}
@@ -146,12 +152,12 @@
 	for p, n := range f.pending {
 		if t := byType[p.Type]; t != nil {
 			for range n {
-				bins = append(bins, &bin{pool: p, cpus: t.CPUs, gpus: t.GPUs, mem: t.Memory})
+				bins = append(bins, newBin(p, t, t.Boot))
 			}
 		}
 	}
 	f.rent(&plan, types, bins, demands, now)
-	if len(plan.Rent) == 0 && len(demands) == 0 {
+	if len(plan.Rent) == 0 {
 		f.giveBack(&plan, byType, idleMachines, len(bins), now)
 	}
 	return plan
@@ -164,25 +170,45 @@
 	return b
 }
 
-// rent packs the demand into the room there is and rents for the rest.
+// rent lays out what waits on the machines there are, now and as running tasks
+// end, and rents for what would come too late so but in better time on a new
+// machine.
 func (f *Fleet) rent(plan *Plan, types []wire.MachineType, bins []*bin, demands []Demand, now time.Time) {
 	want := map[pool]int{}
 	for _, d := range demands {
 		s := d.Spec
-	tasks:
+		run := max(s.Estimate, 1)
+		allowance := d.Late.Sub(now).Seconds() - f.opt.Haste*run
 		for range d.Count {
+			var best *bin
+			start := math.Inf(1)
 			for _, b := range bins {
-				if b.cpus+1e-6 >= s.CPUs && b.gpus+1e-6 >= s.GPUs && b.mem+1e-6 >= s.Memory && allowed(s, b.pool.Type, b.pool.Zone, b.pool.Spot) {
-					b.cpus, b.gpus, b.mem = b.cpus-s.CPUs, b.gpus-s.GPUs, b.mem-s.Memory
-					continue tasks
+				if !allowed(s, b.pool.Type, b.pool.Zone, b.pool.Spot) {
+					continue
 				}
+				if t := b.earliest(s, start); t < start {
+					best, start = b, t
+					if t <= 0 {
+						break
+					}
+				}
+			}
+			if best != nil && start <= max(allowance, 0) {
+				best.take(s, start, run)
+				continue
 			}
 			p, t := f.cheapest(types, s, want, now)
-			if t == nil {
+			if t == nil || t.Boot >= start {
+				if best != nil {
+					best.take(s, start, run)
+					continue
+				}
 				break
 			}
 			want[p]++
-			bins = append(bins, &bin{pool: p, cpus: t.CPUs - s.CPUs, gpus: t.GPUs - s.GPUs, mem: t.Memory - s.Memory})
+			b := newBin(p, t, t.Boot)
+			bins = append(bins, b)
+			b.take(s, t.Boot, run)
 		}
 	}
 	for p, n := range want {
@@ -229,17 +255,18 @@
 	return best, found
 }
 
+func (m *Machine) price(types map[string]*wire.MachineType) float64 {
+	if m.Spot {
+		return types[m.Type].SpotPrice
+	}
+	return types[m.Type].Price
+}
+
 // giveBack returns machines that have been idle for long, dear ones first, but
 // keeps a few warm.
 func (f *Fleet) giveBack(plan *Plan, types map[string]*wire.MachineType, idle []*Machine, total int, now time.Time) {
-	price := func(m *Machine) float64 {
-		if m.Spot {
-			return types[m.Type].SpotPrice
-		}
-		return types[m.Type].Price
-	}
 	slices.SortFunc(idle, func(a, b *Machine) int {
-		if d := cmp.Compare(price(b), price(a)); d != 0 {
+		if d := cmp.Compare(b.price(types), a.price(types)); d != 0 {
 			return d
 		}
 		return cmp.Compare(a.Name, b.Name)
@@ -248,7 +275,11 @@
 		if total <= f.opt.Warm {
 			return
 		}
-		if now.Sub(m.Idle) > f.opt.IdleReturn && now.Sub(m.Since) > 50*time.Second {
+		keep := f.opt.IdleReturn
+		if m.Spot && f.opt.SpotShare > 0 { // cheap to keep, and may not be had again
+			keep = time.Duration(float64(keep) * min(4, types[m.Type].Price/max(m.price(types), 1e-9)))
+		}
+		if now.Sub(m.Idle) > keep && now.Sub(m.Since) > 50*time.Second {
 			plan.Return = append(plan.Return, m.Name)
 			total--
 		}
--- a/internal/settings/script.go
+++ b/internal/settings/script.go
@@ -16,13 +16,14 @@
 	IdleReturn   float64 // seconds an idle machine is kept
 	WarmMachines int     // machines kept even when idle
 	SpotShare    float64 // largest share of spot machines in what is rented
+	Haste        float64 // estimated run times in hand before a job is due, when renting
 	NodeLease    float64 // seconds of a controller's lease
 	BitmapEvery  float64 // seconds between writes of finished tasks
 }
 
 // DefaultOptions holds without a script.
 func DefaultOptions() *Options {
-	return &Options{SampleSize: 32, IdleReturn: 20, WarmMachines: 2, SpotShare: 1, NodeLease: 5, BitmapEvery: 1}
+	return &Options{SampleSize: 32, IdleReturn: 20, WarmMachines: 2, SpotShare: 1, Haste: 1.5, NodeLease: 5, BitmapEvery: 1}
 }
 
 type option struct {
@@ -37,6 +38,7 @@
 	{"idle_return_s", 0, 86400, false, func(o *Options, v float64) { o.IdleReturn = v }},
 	{"warm_machines", 0, 10000, true, func(o *Options, v float64) { o.WarmMachines = int(v) }},
 	{"spot_share", 0, 1, false, func(o *Options, v float64) { o.SpotShare = v }},
+	{"haste", 0, 10, false, func(o *Options, v float64) { o.Haste = v }},
 	{"node_lease_s", 2, 60, false, func(o *Options, v float64) { o.NodeLease = v }},
 	{"bitmap_every_s", 0.1, 60, false, func(o *Options, v float64) { o.BitmapEvery = v }},
 }
--- a/rent.go
+++ b/rent.go
@@ -10,6 +10,7 @@
 
 	"topazhollow/internal/cloud"
 	"topazhollow/internal/fleet"
+	"topazhollow/internal/ledger"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/state"
 	"topazhollow/internal/tenure"
@@ -74,7 +75,7 @@
 			r = &rental{since: it.since, started: now, list: map[string]wire.Host{}, seen: map[string]time.Time{},
 				rented: map[string]wire.Rent{}, giving: map[string]bool{},
 				f: fleet.New(fmt.Sprintf("%s-%d-%d", n.name, n.inc, it.since), fleet.Options{
-					IdleReturn: settings.Seconds(n.opt.IdleReturn), Warm: n.opt.WarmMachines, SpotShare: n.opt.SpotShare,
+					IdleReturn: settings.Seconds(n.opt.IdleReturn), Warm: n.opt.WarmMachines, Haste: n.opt.Haste, SpotShare: n.opt.SpotShare,
 					Silent: min(lease+4*time.Second, settings.Seconds(n.set.Deployment.Workers.Cancel)/2)})}
 		}
 		n.poll(r, now)
@@ -87,7 +88,7 @@
 		add := func(list []demand) {
 			for _, d := range list {
 				if j := n.jobs[d.Job]; j != nil && j.active {
-					demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count})
+					demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count, Late: n.due(j)})
 				}
 			}
 		}
@@ -97,6 +98,12 @@
 				add(ps.demands)
 			}
 		}
+		slices.SortStableFunc(demands, func(a, b fleet.Demand) int {
+			if d := wire.Rank(b.Spec.Priority) - wire.Rank(a.Spec.Priority); d != 0 {
+				return d
+			}
+			return a.Late.Compare(b.Late)
+		})
 		settled := n.settled
 		if r.started.After(settled) {
 			settled = r.started
@@ -119,6 +126,23 @@
 	return nil
 }
 
+// due is when a job should be complete: by its deadline, or as the objectives
+// for its class say.
+func (n *Node) due(j *job) time.Time {
+	if j.spec.Deadline != nil {
+		return j.at.Add(settings.Seconds(*j.spec.Deadline))
+	}
+	within := 2*j.spec.Estimate + 60
+	for i, o := range slices.DeleteFunc(slices.Clone(n.set.Deployment.Objectives), func(o settings.Objective) bool {
+		return o.Kind != "finished" || o.Class != j.spec.Class
+	}) {
+		if i == 0 || o.Within < within {
+			within = o.Within
+		}
+	}
+	return j.at.Add(settings.Seconds(within))
+}
+
 // poll reads the cloud's list, at most about once in half its lag.
 func (n *Node) poll(r *rental, now time.Time) {
 	every := max(2*time.Second, settings.Seconds(n.set.Deployment.Cloud.ListLag)/2)
@@ -182,6 +206,17 @@
 		if x.view != nil {
 			m.Type, m.Zone, m.Spot, m.Going = x.view.Type, x.view.Zone, x.view.Spot, x.view.Notice
 			m.CPUs, m.GPUs, m.Mem = n.free(x)
+			for _, t := range x.view.Tasks {
+				if j := n.jobs[t.Job]; j != nil && t.State != wire.Exited {
+					left := max(j.spec.Estimate, 1)
+					if j.spec.Kind == wire.Service {
+						left = 1e6
+					} else if since, ok := x.running[ledger.Ref{Key: t.Key, Attempt: t.Attempt}]; ok {
+						left = max(left-now.Sub(since).Seconds(), left/8)
+					}
+					m.Slots = append(m.Slots, fleet.Slot{CPUs: j.spec.CPUs, GPUs: j.spec.GPUs, Mem: j.spec.Memory, Left: left})
+				}
+			}
 			if m.Heard.IsZero() {
 				m.Heard = r.started
 			}
