--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -13,7 +13,7 @@
 	CPUs    float64 // free
 	GPUs    float64
 	Memory  float64
-	Size    float64 // all its CPUs
+	Price   float64
 	Images  map[string]bool
 }
 
@@ -50,12 +50,15 @@
 	return h.CPUs+slack >= a.CPUs && h.GPUs+slack >= a.GPUs && h.Memory+slack >= a.Memory
 }
 
-// better says whether x suits the task better than y: it has the image, then
-// it is left with less.
+// better says whether x suits the task better than y: it has the image, then it
+// is cheaper, so that dear ones fall idle, then it is left with less.
 func better(a *Ask, x, y *Host) bool {
 	if xi, yi := x.Images[a.Image], y.Images[a.Image]; xi != yi {
 		return xi
 	}
+	if x.Price != y.Price {
+		return x.Price < y.Price
+	}
 	if x.GPUs != y.GPUs {
 		return x.GPUs < y.GPUs
 	}
--- a/owner.go
+++ b/owner.go
@@ -416,6 +416,9 @@
 			continue
 		}
 		h := &placement.Host{Name: name, Type: t, Zone: n.zoneIndex(v.Zone), Spot: v.Spot, Session: v.Session, Images: m.images}
+		if h.Price = n.types[t].Price; v.Spot {
+			h.Price = n.types[t].SpotPrice
+		}
 		h.CPUs, h.GPUs, h.Memory = n.free(m)
 		if h.CPUs > 0 || h.GPUs > 0 {
 			hosts = append(hosts, h)
