--- a/home.go
+++ b/home.go
@@ -188,6 +188,11 @@
 			} else {
 				running[ref] = now
 			}
+		} else if since, ok := m.running[ref]; ok && t.Why == wire.WhyDone {
+			if j := n.jobs[t.Job]; j != nil {
+				j.longest = max(j.longest, now.Sub(since))
+				j.runs++
+			}
 		}
 	}
 	m.running = running
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -421,6 +421,28 @@
 	return true
 }
 
+// Running calls f for each attempt of a job that was last listed as running.
+func (t *Team) Running(j *Job, f func(Hold)) {
+	if j.running == 0 {
+		return
+	}
+	for i := 0; i < j.Spec.Tasks; i++ {
+		if a := t.held[Key{j.Spec.UID, i}]; a != nil && a.state == wire.Running {
+			f(a.Hold)
+		}
+	}
+}
+
+// Move stops an attempt to start its task on another machine.
+func (t *Team) Move(h Hold, grace float64, now time.Time) bool {
+	j := t.jobs[h.Job]
+	if j == nil || !t.Stop(h.ref(), grace) {
+		return false
+	}
+	j.avoid[h.Machine] = now.Add(2 * time.Minute)
+	return true
+}
+
 // On calls f for each attempt held on a machine.
 func (t *Team) On(machine string, f func(Hold)) {
 	for _, a := range t.on[machine] {
--- a/node.go
+++ b/node.go
@@ -88,6 +88,8 @@
 	version uint64
 	active  bool
 	ended   time.Time
+	longest time.Duration // of its tasks that ran to completion as far as seen here
+	runs    int
 }
 
 // machine is what every controller knows of a machine.
@@ -99,6 +101,7 @@
 	asked      bool   // its registration is under way
 	gone       bool
 	idle       time.Time
+	slow       time.Time                // when a task here was last found far slower than its kin
 	errors     map[string]bool          // jobs that failed here
 	running    map[ledger.Ref]time.Time // since when a listed task was seen running
 }
--- a/owner.go
+++ b/owner.go
@@ -17,6 +17,7 @@
 	"topazhollow/internal/frontend"
 	"topazhollow/internal/ledger"
 	"topazhollow/internal/placement"
+	"topazhollow/internal/settings"
 	"topazhollow/internal/state"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
@@ -371,6 +372,7 @@
 			n.order(m, orders)
 		}
 		n.finish(it)
+		n.moveSlow(it, now)
 	}
 	n.tellViews()
 }
@@ -408,7 +410,7 @@
 	for _, name := range slices.Sorted(maps.Keys(n.machines)) {
 		m := n.machines[name]
 		v := m.view
-		if v == nil || m.gone || m.registered == 0 || v.Notice || now.Sub(m.heard) > fresh || drain[name] || len(m.errors) > 2 {
+		if v == nil || m.gone || m.registered == 0 || v.Notice || now.Sub(m.heard) > fresh || drain[name] || len(m.errors) > 2 || n.slow(m, now) {
 			continue
 		}
 		t := slices.IndexFunc(n.types, func(t wire.MachineType) bool { return t.Name == v.Type })
@@ -427,6 +429,35 @@
 	return hosts
 }
 
+// moveSlow stops tasks that take far longer than their kin took, to start them
+// anew elsewhere once they are proven off: as when a machine is faulty.
+func (n *Node) moveSlow(it *item, now time.Time) {
+	it.team.Jobs(func(tj *ledger.Job) {
+		uid := tj.Spec.UID
+		j := n.jobs[uid]
+		if j == nil || j.runs < max(3, tj.Spec.Tasks/3) || tj.Spec.Kind != wire.Batch {
+			return
+		}
+		limit := max(j.longest, settings.Seconds(tj.Spec.Estimate)) * 5 / 2
+		it.team.Running(tj, func(h ledger.Hold) {
+			m := n.machines[h.Machine]
+			if m == nil || tj.Avoids(h.Machine, now) {
+				return
+			}
+			since, ok := m.running[ledger.Ref{Key: h.Key, Attempt: h.Attempt}]
+			if ok && now.Sub(since) > limit && it.team.Move(h, tj.Spec.Save, now) {
+				m.slow = now
+				n.log.Info("task slower than its kin", "task", uid, "index", h.Index, "machine", h.Machine, "ran", now.Sub(since), "kin", j.longest)
+			}
+		})
+	})
+}
+
+// slow says whether a machine was found slow of late.
+func (n *Node) slow(m *machine, now time.Time) bool {
+	return !m.slow.IsZero() && now.Sub(m.slow) < time.Minute
+}
+
 // free is a machine's room beside what it lists and what own teams hold there.
 func (n *Node) free(m *machine) (cpus, gpus, memory float64) {
 	cpus, gpus, memory, _ = n.capacity(m.view.Type)
