--- /dev/null
+++ b/internal/rehearse/cloud.go
@@ -0,0 +1,159 @@
+package rehearse
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// Cloud is a stand-in for the cloud; its machines run stand-in workers.
+type Cloud struct {
+	mu       sync.Mutex
+	types    []wire.MachineType
+	hosts    map[string]*rented
+	asked    map[string][]string
+	next     int
+	capacity int
+	boot     func(name, typ, zone string, spot bool) (*Worker, error)
+	server   *http.Server
+	addr     string
+	closed   bool
+}
+
+type rented struct {
+	host   wire.Host
+	since  time.Time
+	worker *Worker
+}
+
+// NewCloud starts the stand-in with some types and room for so many machines.
+func NewCloud(types []wire.MachineType, capacity int, boot func(name, typ, zone string, spot bool) (*Worker, error)) (*Cloud, error) {
+	c := &Cloud{types: types, capacity: capacity, boot: boot, hosts: map[string]*rented{}, asked: map[string][]string{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /catalog", func(w http.ResponseWriter, _ *http.Request) { reply(w, 200, wire.Catalog{Types: c.types}) })
+	mux.HandleFunc("POST /hosts", c.rent)
+	mux.HandleFunc("POST /hosts/return", c.giveBack)
+	mux.HandleFunc("GET /hosts", c.list)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	c.addr = l.Addr().String()
+	c.server = &http.Server{Handler: mux}
+	go c.server.Serve(l)
+	return c, nil
+}
+
+// Addr is the stand-in's address.
+func (c *Cloud) Addr() string { return c.addr }
+
+// Close ends the stand-in and its machines.
+func (c *Cloud) Close() {
+	c.server.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, h := range c.hosts {
+		if h.worker != nil {
+			h.worker.End()
+		}
+	}
+}
+
+// Workers lists the machines that are up.
+func (c *Cloud) Workers() []*Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var names []string
+	for name, h := range c.hosts {
+		if h.worker != nil {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	var out []*Worker
+	for _, name := range names {
+		out = append(out, c.hosts[name].worker)
+	}
+	return out
+}
+
+func (c *Cloud) rent(w http.ResponseWriter, r *http.Request) {
+	var req wire.Rent
+	if !read(r, &req) || req.Count < 1 || req.Count > 50 || req.Request == "" {
+		reply(w, 400, wire.Error{Error: "malformed"})
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	names, again := c.asked[req.Request]
+	for !again && len(names) < req.Count && len(c.hosts) < c.capacity {
+		c.next++
+		name := fmt.Sprintf("n-%06d", c.next)
+		h := &rented{host: wire.Host{UID: name, Type: req.Type, Zone: req.Zone, Spot: req.Spot, State: wire.HostBooting}, since: time.Now()}
+		c.hosts[name] = h
+		names = append(names, name)
+		time.AfterFunc(100*time.Millisecond, func() { c.up(name) })
+	}
+	if len(names) == 0 {
+		reply(w, 503, wire.Error{Error: "no capacity"})
+		return
+	}
+	c.asked[req.Request] = names
+	reply(w, 200, wire.Names{Machines: names})
+}
+
+func (c *Cloud) up(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.hosts[name]
+	if h == nil || c.closed {
+		return
+	}
+	worker, err := c.boot(name, h.host.Type, h.host.Zone, h.host.Spot)
+	if err != nil {
+		h.host.State = wire.HostFailed
+		return
+	}
+	h.worker, h.host.State = worker, wire.HostRunning
+}
+
+func (c *Cloud) giveBack(w http.ResponseWriter, r *http.Request) {
+	var names wire.Names
+	if !read(r, &names) || len(names.Machines) > 100 {
+		reply(w, 400, wire.Error{Error: "malformed"})
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, name := range names.Machines {
+		if h := c.hosts[name]; h != nil {
+			if h.worker != nil {
+				h.worker.End()
+			}
+			delete(c.hosts, name)
+		}
+	}
+	reply(w, 200, struct{}{})
+}
+
+func (c *Cloud) list(w http.ResponseWriter, r *http.Request) {
+	after := r.URL.Query().Get("after")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	page := wire.HostList{Hosts: []wire.Host{}}
+	for name, h := range c.hosts {
+		if name > after {
+			x := h.host
+			x.Age = time.Since(h.since).Seconds()
+			page.Hosts = append(page.Hosts, x)
+		}
+	}
+	sort.Slice(page.Hosts, func(i, j int) bool { return page.Hosts[i].UID < page.Hosts[j].UID })
+	reply(w, 200, page)
+}
--- /dev/null
+++ b/internal/rehearse/state.go
@@ -0,0 +1,297 @@
+// Package rehearse holds stand-ins for everything around the controllers,
+// written from the protocol: the state service, the cloud, workers and users,
+// with faults and a checker of the protocol's rules. It is the ground of the
+// project's own rehearsals and tests.
+package rehearse
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// State is a stand-in for the state service.
+type State struct {
+	mu       sync.Mutex
+	changed  *sync.Cond
+	revision uint64
+	keys     map[string]entry
+	log      []event
+	leases   map[uint64]*lease
+	next     uint64
+	out      bool
+	ops      int
+	valueMax int
+	server   *http.Server
+	addr     string
+}
+
+type entry struct {
+	value   json.RawMessage
+	version uint64
+	lease   uint64
+}
+
+type event struct {
+	key     string
+	value   json.RawMessage
+	deleted bool
+	version uint64
+}
+
+type lease struct {
+	life time.Duration
+	ends time.Time
+}
+
+// NewState starts the stand-in on a free port of loopback.
+func NewState(txnOps, valueKB int) (*State, error) {
+	s := &State{keys: map[string]entry{}, leases: map[uint64]*lease{}, ops: txnOps, valueMax: valueKB << 10}
+	s.changed = sync.NewCond(&s.mu)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /store/", s.get)
+	mux.HandleFunc("GET /store", s.list)
+	mux.HandleFunc("POST /txn", s.txn)
+	mux.HandleFunc("POST /grants", s.grant)
+	mux.HandleFunc("POST /grants/{id}/extend", s.extend)
+	mux.HandleFunc("GET /changes", s.watch)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s.addr = l.Addr().String()
+	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.expire()
+		out := s.out
+		s.mu.Unlock()
+		if out {
+			reply(w, 503, wire.Error{Error: "trouble"})
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})}
+	go s.server.Serve(l)
+	go s.tickLeases()
+	return s, nil
+}
+
+// Addr is the stand-in's address.
+func (s *State) Addr() string { return s.addr }
+
+// Close ends the stand-in.
+func (s *State) Close() { s.server.Close() }
+
+// Outage begins or ends an outage; after one, all leases get their full time.
+func (s *State) Outage(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.out && !on {
+		for _, l := range s.leases {
+			l.ends = time.Now().Add(l.life)
+		}
+	}
+	s.out = on
+}
+
+// Value reads a key for a test.
+func (s *State) Value(key string) (json.RawMessage, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.keys[key]
+	return e.value, ok
+}
+
+func (s *State) tickLeases() {
+	for range time.Tick(20 * time.Millisecond) {
+		s.mu.Lock()
+		s.expire()
+		s.mu.Unlock()
+	}
+}
+
+func (s *State) expire() {
+	if s.out {
+		return
+	}
+	for id, l := range s.leases {
+		if time.Now().After(l.ends) {
+			delete(s.leases, id)
+			for key, e := range s.keys {
+				if e.lease == id {
+					s.revision++
+					s.remove(key)
+				}
+			}
+		}
+	}
+}
+
+func (s *State) remove(key string) {
+	if _, ok := s.keys[key]; ok {
+		delete(s.keys, key)
+		s.log = append(s.log, event{key: key, deleted: true, version: s.revision})
+		s.changed.Broadcast()
+	}
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(wire.Encode(v))
+}
+
+func read(r *http.Request, v any) bool {
+	return json.NewDecoder(http.MaxBytesReader(nil, r.Body, wire.MaxBody)).Decode(v) == nil
+}
+
+func (s *State) get(w http.ResponseWriter, r *http.Request) {
+	key := strings.TrimPrefix(r.URL.Path, "/store/")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.keys[key]
+	if !ok {
+		reply(w, 404, wire.TxnResult{Revision: s.revision})
+		return
+	}
+	reply(w, 200, wire.Entry{Key: key, Value: e.value, Version: e.version, Lease: e.lease})
+}
+
+func (s *State) list(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, _ := strconv.Atoi(q.Get("limit"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for key := range s.keys {
+		if strings.HasPrefix(key, q.Get("under")) && key > q.Get("after") {
+			names = append(names, key)
+		}
+	}
+	sort.Strings(names)
+	page := wire.EntryList{Revision: s.revision, Items: []wire.Entry{}}
+	for _, key := range names {
+		if len(page.Items) == limit {
+			page.More = true
+			break
+		}
+		e := s.keys[key]
+		page.Items = append(page.Items, wire.Entry{Key: key, Value: e.value, Version: e.version, Lease: e.lease})
+	}
+	reply(w, 200, page)
+}
+
+func (s *State) txn(w http.ResponseWriter, r *http.Request) {
+	var t wire.Txn
+	if !read(r, &t) || len(t.Then) > s.ops || len(t.Guards) > 4*s.ops {
+		reply(w, 400, wire.Error{Error: "malformed"})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range t.Then {
+		if o.Lease != 0 && s.leases[o.Lease] == nil {
+			reply(w, 400, wire.Error{Error: "no such lease"})
+			return
+		}
+		if len(o.Value) > s.valueMax || (o.Set == "") == (o.Delete == "") {
+			reply(w, 400, wire.Error{Error: "malformed"})
+			return
+		}
+	}
+	var failed []string
+	for _, g := range t.Guards {
+		if s.keys[g.Key].version != g.Version {
+			failed = append(failed, g.Key)
+		}
+	}
+	if failed != nil {
+		reply(w, 409, wire.TxnResult{Revision: s.revision, Failed: failed})
+		return
+	}
+	if len(t.Then) > 0 {
+		s.revision++
+	}
+	for _, o := range t.Then {
+		if o.Delete != "" {
+			s.remove(o.Delete)
+			continue
+		}
+		s.keys[o.Set] = entry{o.Value, s.revision, o.Lease}
+		s.log = append(s.log, event{key: o.Set, value: o.Value, version: s.revision})
+	}
+	s.changed.Broadcast()
+	reply(w, 200, wire.TxnResult{Revision: s.revision})
+}
+
+func (s *State) grant(w http.ResponseWriter, r *http.Request) {
+	var g wire.GrantRequest
+	if !read(r, &g) || g.TTL < 100 || g.TTL > 600000 {
+		reply(w, 400, wire.Error{Error: "malformed"})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	life := time.Duration(g.TTL) * time.Millisecond
+	s.leases[s.next] = &lease{life, time.Now().Add(life)}
+	reply(w, 200, wire.Grant{Lease: s.next})
+}
+
+func (s *State) extend(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		reply(w, 404, wire.Error{Error: "no such lease"})
+		return
+	}
+	l.ends = time.Now().Add(l.life)
+	reply(w, 200, wire.Grant{Lease: id})
+}
+
+func (s *State) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("block_ms"))
+	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	wake := time.AfterFunc(time.Until(until), s.changed.Broadcast)
+	defer wake.Stop()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-r.Context().Done():
+			s.changed.Broadcast()
+		case <-stop:
+		}
+	}()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		ch := wire.Changes{Revision: s.revision, Events: []wire.Change{}}
+		for _, e := range s.log {
+			if e.version <= after || !strings.HasPrefix(e.key, q.Get("under")) {
+				continue
+			}
+			c := wire.Change{Set: e.key, Value: e.value, Version: e.version}
+			if e.deleted {
+				c = wire.Change{Delete: e.key, Version: e.version}
+			}
+			ch.Events = append(ch.Events, c)
+		}
+		if (len(ch.Events) > 0 && !s.out) || time.Now().After(until) || r.Context().Err() != nil {
+			reply(w, 200, ch)
+			return
+		}
+		s.changed.Wait()
+	}
+}
--- /dev/null
+++ b/internal/rehearse/worker.go
@@ -0,0 +1,229 @@
+package rehearse
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// Periods are a worker's times.
+type Periods struct {
+	Report, Lease time.Duration
+	Run           func(task string) time.Duration
+}
+
+// Worker is a stand-in for a machine's worker.
+type Worker struct {
+	name, typ, zone string
+	spot            bool
+	nodes           map[string]string // controller -> address
+	order           []string
+	per             Periods
+	check           *Checker
+	server          *http.Server
+	addr            string
+	stop            context.CancelFunc
+	wake            chan struct{}
+
+	mu      sync.Mutex
+	cut     bool
+	session uint64
+	seq     uint64
+	token   uint64
+	tasks   map[string]*wire.TaskStatus // by task, the newest attempt first known
+	ended   map[string]bool             // results that are kept
+	alive   time.Time                   // when the last answered report was sent
+	timers  map[string]*time.Timer
+}
+
+// NewWorker starts a worker that reports to one of the controllers.
+func NewWorker(name, typ, zone string, spot bool, nodes map[string]string, order []string, per Periods, check *Checker) (*Worker, error) {
+	w := &Worker{name: name, typ: typ, zone: zone, spot: spot, nodes: nodes, order: order, per: per, check: check,
+		session: 1, tasks: map[string]*wire.TaskStatus{}, ended: map[string]bool{}, alive: time.Now(),
+		timers: map[string]*time.Timer{}, wake: make(chan struct{}, 1)}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w.addr = l.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /do", w.do)
+	w.server = &http.Server{Handler: mux}
+	go w.server.Serve(l)
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stop = cancel
+	go w.run(ctx)
+	return w, nil
+}
+
+// Cut takes the worker's network away or gives it back.
+func (w *Worker) Cut(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = on
+}
+
+// End takes the machine away with everything on it.
+func (w *Worker) End() {
+	w.stop()
+	w.server.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.killAll()
+	w.cut = true
+}
+
+func (w *Worker) killAll() {
+	for task, t := range w.tasks {
+		if t.State != wire.Exited {
+			w.check.End(task, false)
+		}
+		if timer := w.timers[task]; timer != nil {
+			timer.Stop()
+		}
+	}
+	w.tasks = map[string]*wire.TaskStatus{}
+}
+
+func (w *Worker) report() wire.Report {
+	w.seq++
+	r := wire.Report{Machine: w.name, Addr: w.addr, Type: w.typ, Zone: w.zone, Spot: w.spot, Session: w.session, Seq: w.seq, Token: w.token, Tasks: []wire.TaskStatus{}}
+	for _, t := range w.tasks {
+		r.Tasks = append(r.Tasks, *t)
+	}
+	return r
+}
+
+func (w *Worker) do(rw http.ResponseWriter, r *http.Request) {
+	var d wire.Direct
+	if !read(r, &d) || d.Token == 0 {
+		reply(rw, 400, wire.Error{Error: "malformed"})
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut {
+		panic(http.ErrAbortHandler)
+	}
+	if d.Token < w.token || d.Session != w.session {
+		reply(rw, 409, w.report())
+		return
+	}
+	w.token = d.Token
+	w.execute(d.Commands)
+	reply(rw, 200, w.report())
+}
+
+func (w *Worker) execute(cmds []wire.Command) {
+	for _, c := range cmds {
+		t := w.tasks[c.Task]
+		switch c.Op {
+		case wire.Start:
+			uid, _, _ := wire.SplitTask(c.Task)
+			switch {
+			case t != nil && t.Attempt == c.Attempt:
+			case t != nil && t.State != wire.Exited:
+				continue // refused as in_use; the listed attempt stays
+			case w.check.Spec(uid) == nil:
+				w.tasks[c.Task] = &wire.TaskStatus{Task: c.Task, Attempt: c.Attempt, State: wire.Exited, Why: wire.WhyNoSuch}
+			default:
+				w.tasks[c.Task] = &wire.TaskStatus{Task: c.Task, Attempt: c.Attempt, State: wire.Running}
+				w.check.Start(c.Task, w.name, w.typ, w.zone, w.spot, false)
+				w.finishLater(c.Task, c.Attempt)
+			}
+		case wire.Stop:
+			if t != nil && t.Attempt == c.Attempt && t.State != wire.Exited {
+				w.exit(t, wire.WhyStopped)
+			}
+		case wire.Forget:
+			if t != nil && t.Attempt == c.Attempt && t.State == wire.Exited {
+				delete(w.tasks, c.Task)
+			}
+		}
+	}
+}
+
+func (w *Worker) exit(t *wire.TaskStatus, why string) {
+	t.State, t.Why = wire.Exited, why
+	w.check.End(t.Task, why == wire.WhyDone)
+	if timer := w.timers[t.Task]; timer != nil {
+		timer.Stop()
+	}
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *Worker) finishLater(task string, attempt uint64) {
+	run := w.per.Run(task)
+	if w.ended[task] {
+		run = 0
+	}
+	w.timers[task] = time.AfterFunc(run, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if t := w.tasks[task]; t != nil && t.Attempt == attempt && t.State == wire.Running {
+			w.ended[task] = true
+			w.exit(t, wire.WhyDone)
+		}
+	})
+}
+
+func (w *Worker) run(ctx context.Context) {
+	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	at := 0
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		if time.Since(w.alive) > w.per.Lease {
+			w.killAll()
+			w.session++
+			w.alive = time.Now()
+		}
+		body, cut, session := wire.Encode(w.report()), w.cut, w.session
+		w.mu.Unlock()
+		sent := time.Now()
+		next := w.per.Report
+		if !cut {
+			resp, err := client.Post("http://"+w.nodes[w.order[at]]+wire.PathReport, "application/json", bytes.NewReader(body))
+			at = (at + 1) % len(w.order)
+			if err == nil {
+				var a wire.ReportAnswer
+				var m wire.Moved
+				switch resp.StatusCode {
+				case 200:
+					at = (at + len(w.order) - 1) % len(w.order)
+					_ = json.NewDecoder(resp.Body).Decode(&a)
+					w.mu.Lock()
+					if a.Token >= w.token && a.Token > 0 && w.session == session && !w.cut {
+						w.token = a.Token
+						w.alive = sent
+						w.execute(a.Commands)
+					}
+					w.mu.Unlock()
+				case 421:
+					_ = json.NewDecoder(resp.Body).Decode(&m)
+					for i, n := range w.order {
+						if n == m.ReportTo {
+							at, next = i, 10*time.Millisecond
+						}
+					}
+				}
+				resp.Body.Close()
+			}
+		}
+		select {
+		case <-time.After(next):
+		case <-w.wake:
+			time.Sleep(20 * time.Millisecond)
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/node_test.go
@@ -0,0 +1,271 @@
+package topazhollow
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"topazhollow/internal/rehearse"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/wire"
+)
+
+// region is three controllers with stand-ins for everything around them.
+type region struct {
+	t     *testing.T
+	state *rehearse.State
+	cloud *rehearse.Cloud
+	check *rehearse.Checker
+	sets  []*settings.Settings
+	nodes []*process
+	rng   *rand.Rand
+	httpc *http.Client
+}
+
+type process struct {
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+func freePort(t *testing.T) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newRegion(t *testing.T, run time.Duration) *region {
+	r := &region{t: t, rng: rand.New(rand.NewPCG(1, 2)), httpc: &http.Client{Timeout: 4 * time.Second}}
+	r.check = rehearse.NewChecker(map[string]float64{"red": 24, "blue": 16})
+	var err error
+	if r.state, err = rehearse.NewState(16, 16); err != nil {
+		t.Fatal(err)
+	}
+	names := []string{"node-a", "node-b", "node-c"}
+	listen, peers := map[string]string{}, map[string]string{}
+	for _, n := range names {
+		listen[n], peers[n] = freePort(t), freePort(t)
+	}
+	per := rehearse.Periods{Report: 200 * time.Millisecond, Lease: 20 * time.Second, Run: func(string) time.Duration { return run }}
+	types := []wire.MachineType{{Name: "m8", CPUs: 8, Memory: 64, Price: 2, SpotPrice: 1, Boot: 1, Zones: []string{"east", "west"}}}
+	r.cloud, err = rehearse.NewCloud(types, 6, func(name, typ, zone string, spot bool) (*rehearse.Worker, error) {
+		return rehearse.NewWorker(name, typ, zone, spot, listen, names, per, r.check)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, n := range names {
+		s := &settings.Settings{Name: n, Zone: "east", Listen: listen[n], PeerListen: peers[n],
+			Outside: settings.Outside{Cloud: r.cloud.Addr(), State: r.state.Addr()},
+			Deployment: settings.Deployment{Size: 3, Zones: []string{"east", "west"},
+				Teams:   []settings.Team{{Name: "red", CPUs: 16, CPUsMax: 24}, {Name: "blue", CPUs: 8, CPUsMax: 16}},
+				Workers: settings.Workers{Report: 0.2, Lease: 20, GangWait: 10, GangPeer: 4, Cancel: 60},
+				State:   settings.State{RPS: 400, WriteRPS: 200, ValueKB: 16, TxnOps: 16},
+				Cloud:   settings.Cloud{RPS: 20, ListLag: 0.2}, Limits: settings.Limits{Cores: 1, MemoryMB: 256, MaxSockets: 512}}}
+		for _, p := range names {
+			if p != n {
+				s.Peers = append(s.Peers, settings.Peer{Name: p, Zone: "east", Endpoint: peers[p]})
+			}
+		}
+		r.sets = append(r.sets, s)
+		r.nodes = append(r.nodes, nil)
+		r.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range r.nodes {
+			r.crash(i)
+		}
+		r.cloud.Close()
+		r.state.Close()
+	})
+	return r
+}
+
+func (r *region) start(i int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &process{cancel: cancel, ended: make(chan struct{})}
+	var out io.Writer = io.Discard
+	if os.Getenv("TEST_LOG") != "" {
+		out = os.Stderr
+	}
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	options := settings.DefaultOptions()
+	options.NodeLease = 2
+	go func() {
+		defer close(p.ended)
+		if err := Run(ctx, r.sets[i], options, log); err != nil && ctx.Err() == nil {
+			r.t.Errorf("controller %d ended by itself: %v", i, err)
+		}
+	}()
+	r.nodes[i] = p
+}
+
+func (r *region) crash(i int) {
+	if p := r.nodes[i]; p != nil {
+		p.cancel()
+		<-p.ended
+		r.nodes[i] = nil
+	}
+}
+
+// ask sends a request to one of the controllers, as the load balancer would.
+func (r *region) ask(method, path string, body any) (int, wire.Status) {
+	var data []byte
+	if body != nil {
+		data = wire.Encode(body)
+	}
+	s := r.sets[r.rng.IntN(len(r.sets))]
+	req, err := http.NewRequest(method, "http://"+s.Listen+path, bytes.NewReader(data))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	resp, err := r.httpc.Do(req)
+	if err != nil {
+		return 0, wire.Status{}
+	}
+	defer resp.Body.Close()
+	var st wire.Status
+	_ = json.NewDecoder(resp.Body).Decode(&st)
+	return resp.StatusCode, st
+}
+
+func array(i, tasks int, team string) *wire.Submission {
+	return &wire.Submission{UID: fmt.Sprintf("job-%06d", i), Class: "c", Team: team, Kind: wire.Batch, Priority: "standard",
+		Tasks: tasks, CPUs: 2, Memory: 4, Image: "img", Estimate: 1, Spot: i%2 == 0}
+}
+
+func (r *region) submit(spec *wire.Submission) {
+	r.check.Submitting(spec)
+	r.until("accepting "+spec.UID, func() bool {
+		status, st := r.ask("POST", wire.PathSubmit, spec)
+		if status == 200 || status == 201 {
+			r.check.Told(spec.UID, status, st.State, true)
+			return true
+		}
+		return false
+	})
+}
+
+func (r *region) poll(uid string) string {
+	status, st := r.ask("GET", wire.PathSubmit+"/"+uid, nil)
+	r.check.Told(uid, status, st.State, false)
+	return st.State
+}
+
+// until tries until something holds; the bound only keeps a hung test from
+// running for ever.
+func (r *region) until(what string, f func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(2 * time.Minute); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if broken := r.check.Rules(); len(broken) > 0 {
+			r.t.Fatalf("rules broken: %v", broken)
+		}
+		if f() {
+			return
+		}
+	}
+	r.t.Fatalf("never came true: %s", what)
+}
+
+func (r *region) allDone(jobs []*wire.Submission) {
+	for _, j := range jobs {
+		r.until(j.UID+" done", func() bool { return r.poll(j.UID) == wire.Done })
+	}
+	for _, j := range jobs { // final states stay
+		r.until(j.UID+" still done", func() bool { return r.poll(j.UID) == wire.Done })
+	}
+}
+
+// TestQuietDay: arrays of two teams run to their end under their quotas, an
+// unknown job gets 404 and a repeated submission is known however late.
+func TestQuietDay(t *testing.T) {
+	r := newRegion(t, 300*time.Millisecond)
+	var jobs []*wire.Submission
+	for i := range 6 {
+		jobs = append(jobs, array(i, 5+i, []string{"red", "blue"}[i%2]))
+		r.submit(jobs[i])
+	}
+	r.allDone(jobs)
+	r.until("404 for a job that nobody submitted", func() bool {
+		status, _ := r.ask("GET", wire.PathSubmit+"/job-999999", nil)
+		return status == 404
+	})
+	r.until("a late repeat with another body is known", func() bool {
+		changed := *jobs[0]
+		changed.Team = "nobody"
+		status, st := r.ask("POST", wire.PathSubmit, &changed)
+		r.check.Told(changed.UID, status, st.State, true)
+		return status == 200 && st.State == wire.Done
+	})
+	if r.check.Started == 0 {
+		t.Fatal("nothing ran")
+	}
+}
+
+// TestControllersCrash: each controller alone and then all at once are killed
+// while tasks run. A successor that was in sync goes on with what it knows; one
+// without memory has to pass the full barrier. Either way no task runs twice.
+func TestControllersCrash(t *testing.T) {
+	r := newRegion(t, 3*time.Second)
+	var jobs []*wire.Submission
+	for i := range 4 {
+		jobs = append(jobs, array(100+i, 10, []string{"red", "blue"}[i%2]))
+		r.submit(jobs[i])
+	}
+	r.until("tasks run", func() bool { return r.check.On() > 4 })
+	for i := range r.nodes {
+		r.crash(i)
+		r.poll(jobs[0].UID)
+		r.start(i)
+		r.until("tasks run again", func() bool { return r.check.On() > 2 })
+	}
+	for i := range r.nodes {
+		r.crash(i)
+	}
+	for i := range r.nodes {
+		r.start(i)
+	}
+	r.allDone(jobs)
+}
+
+// TestOutageAndCut: the state service is out while machines run and one machine
+// loses its network; then a job is withdrawn. Withdrawn stays withdrawn, and its
+// tasks end.
+func TestOutageAndCut(t *testing.T) {
+	r := newRegion(t, 2*time.Second)
+	jobs := []*wire.Submission{array(200, 16, "red"), array(201, 8, "blue")}
+	for _, j := range jobs {
+		r.submit(j)
+	}
+	r.until("tasks run", func() bool { return r.check.On() > 4 })
+	r.state.Outage(true)
+	ws := r.cloud.Workers()
+	ws[0].Cut(true)
+	time.Sleep(4 * time.Second)
+	r.state.Outage(false)
+	ws[0].Cut(false)
+	long := array(202, 8, "blue")
+	r.submit(long)
+	r.check.Withdrawing(long.UID)
+	r.until("withdrawn", func() bool {
+		status, st := r.ask("POST", wire.PathSubmit+"/"+long.UID+"/withdraw", struct{}{})
+		r.check.Told(long.UID, status, st.State, false)
+		return status == 200 && st.State == wire.Withdrawn
+	})
+	r.allDone(jobs)
+	r.until("nothing is left on machines", func() bool { return r.check.On() == 0 })
+	if st := r.poll(long.UID); st != wire.Withdrawn && st != "" {
+		t.Fatalf("withdrawn job is %s", st)
+	}
+}
