--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -89,12 +89,12 @@
 	ImageGB    float64  `json:"image_gb"`
 	Types      []string `json:"modelos,omitempty"`
 	Zone       *string  `json:"zona,omitempty"`
-	OneZone    bool     `json:"together,omitempty"`
-	Spread     bool     `json:"apart,omitempty"`
-	Spot       bool     `json:"prestadas,omitempty"`
+	OneZone    bool     `json:"together"`
+	Spread     bool     `json:"apart"`
+	Spot       bool     `json:"prestadas"`
 	Estimate   float64  `json:"estimado_s"`
-	Checkpoint float64  `json:"guardado_cada_s,omitempty"`
-	Save       float64  `json:"guardar_s,omitempty"`
+	Checkpoint float64  `json:"guardado_cada_s"`
+	Save       float64  `json:"guardar_s"`
 	Deadline   *float64 `json:"vence_s,omitempty"`
 }
 
--- a/node_test.go
+++ b/node_test.go
@@ -100,11 +100,11 @@
 		out = os.Stderr
 	}
 	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
-	options := settings.DefaultOptions()
+	set, options := r.sets[i], settings.DefaultOptions()
 	options.NodeLease = 2
 	go func() {
 		defer close(p.ended)
-		if err := Run(ctx, r.sets[i], options, log); err != nil && ctx.Err() == nil {
+		if err := Run(ctx, set, options, log); err != nil && ctx.Err() == nil {
 			r.t.Errorf("controller %d ended by itself: %v", i, err)
 		}
 	}()
@@ -135,6 +135,9 @@
 		return 0, wire.Status{}
 	}
 	defer resp.Body.Close()
+	if os.Getenv("TEST_LOG") != "" {
+		fmt.Fprintln(os.Stderr, method, path, resp.StatusCode)
+	}
 	var st wire.Status
 	_ = json.NewDecoder(resp.Body).Decode(&st)
 	return resp.StatusCode, st
@@ -167,7 +170,7 @@
 // running for ever.
 func (r *region) until(what string, f func() bool) {
 	r.t.Helper()
-	for end := time.Now().Add(2 * time.Minute); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if broken := r.check.Rules(); len(broken) > 0 {
 			r.t.Fatalf("rules broken: %v", broken)
 		}
