--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,115 @@
+package fleet
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// TestEarliestModel compares a bin's answer with a plain walk over time.
+func TestEarliestModel(t *testing.T) {
+	for seed := range uint64(500) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		b := &bin{free: []room{{0, float64(rng.IntN(5)), 0, 100}}}
+		for range rng.IntN(6) {
+			b.add(room{at: float64(1 + rng.IntN(10)), cpus: float64(rng.IntN(4))})
+		}
+		s := &wire.Submission{CPUs: float64(1 + rng.IntN(8))}
+		for range rng.IntN(3) {
+			if at := b.earliest(s, math.Inf(1)); !math.IsInf(at, 1) {
+				b.take(s, at, float64(1+rng.IntN(5)))
+			}
+		}
+		fits := func(at float64) bool { // from then on, for good
+			for t := at; t <= 60; t++ {
+				sum := 0.0
+				for _, r := range b.free {
+					if r.at <= t {
+						sum += r.cpus
+					}
+				}
+				if sum < s.CPUs {
+					return false
+				}
+			}
+			return true
+		}
+		want := math.Inf(1)
+		for at := 0.0; at <= 60; at++ {
+			if fits(at) {
+				want = at
+				break
+			}
+		}
+		if got := b.earliest(s, math.Inf(1)); got != want {
+			t.Fatalf("seed %d: %g, plainly %g in %v", seed, got, want, b.free)
+		}
+	}
+}
+
+func setup() (*Fleet, []wire.MachineType, time.Time) {
+	f := New("x", Options{IdleReturn: 20 * time.Second, SpotShare: 1, Silent: 10 * time.Second, Haste: 1.5})
+	return f, []wire.MachineType{{Name: "m8", CPUs: 8, Memory: 64, Price: 2, SpotPrice: 1, Boot: 10, Zones: []string{"a", "b"}}}, time.Unix(10000, 0)
+}
+
+// TestRentsOnceAndElsewhereWhenRefused: machines on their way count, names are
+// never reused, and a pool without capacity is left alone for a while.
+func TestRentsOnceAndElsewhereWhenRefused(t *testing.T) {
+	f, types, now := setup()
+	spec := &wire.Submission{CPUs: 8, Estimate: 10, Spot: true}
+	demand := []Demand{{Spec: spec, Count: 3, Late: now.Add(5 * time.Second)}}
+	p := f.Decide(types, nil, demand, now, now)
+	total := 0
+	seen := map[string]bool{}
+	for _, r := range p.Rent {
+		total += r.Count
+		if !r.Spot || seen[r.Request] {
+			t.Fatalf("rents %+v", p.Rent)
+		}
+		seen[r.Request] = true
+	}
+	if total != 3 {
+		t.Fatalf("rents %+v for three machines' worth", p.Rent)
+	}
+	if again := f.Decide(types, nil, demand, now, now); len(again.Rent) != 0 {
+		t.Fatalf("rents again while the first is under way: %+v", again.Rent)
+	}
+	for _, r := range p.Rent {
+		f.Answered(r, 0, now, true)
+	}
+	p = f.Decide(types, nil, demand, now, now)
+	for _, r := range p.Rent {
+		if r.Spot || seen[r.Request] {
+			t.Fatalf("after refusals rents %+v", r)
+		}
+	}
+	if len(p.Rent) == 0 {
+		t.Fatal("rents nothing on demand when spot is out")
+	}
+}
+
+// TestReturns: failed, silent, never booted and long idle machines go back; busy
+// ones and those silent only since the controllers changed do not.
+func TestReturns(t *testing.T) {
+	f, types, now := setup()
+	old := now.Add(-5 * time.Minute)
+	ms := []Machine{
+		{Name: "failed", Type: "m8", Zone: "a", State: wire.HostFailed, Since: old},
+		{Name: "silent", Type: "m8", Zone: "a", Heard: now.Add(-time.Minute), Since: old, Kept: true},
+		{Name: "stuck", Type: "m8", Zone: "a", State: wire.HostBooting, Since: old},
+		{Name: "idle", Type: "m8", Zone: "a", Heard: now, Idle: now.Add(-time.Minute), Since: old, CPUs: 8, Mem: 64},
+		{Name: "busy", Type: "m8", Zone: "a", Heard: now, Since: old},
+		{Name: "new", Type: "m8", Zone: "a", State: wire.HostBooting, Since: now},
+	}
+	got := f.Decide(types, ms, nil, now, now.Add(-2*time.Minute)).Return
+	if want := []string{"failed", "silent", "stuck", "idle"}; !slices.Equal(got, want) {
+		t.Fatalf("returns %v, want %v", got, want)
+	}
+	if got := f.Decide(types, ms[1:2], nil, now, now).Return; len(got) != 0 {
+		t.Fatalf("returns %v though nobody could hear it yet", got)
+	}
+}
--- /dev/null
+++ b/internal/rehearse/check_test.go
@@ -0,0 +1,42 @@
+package rehearse
+
+import (
+	"strings"
+	"testing"
+
+	"topazhollow/internal/wire"
+)
+
+// TestCheckerCatches shows that the checker fails on a break of each rule, so
+// that a run without findings means something.
+func TestCheckerCatches(t *testing.T) {
+	zone := "east"
+	spec := &wire.Submission{UID: "job-1", Team: "red", Tasks: 3, CPUs: 4, Zone: &zone}
+	for rule, breaks := range map[string]func(c *Checker){
+		"ran_twice": func(c *Checker) {
+			c.Start("job-1/0", "m1", "t", "east", false, false)
+			c.Start("job-1/0", "m2", "t", "east", false, false)
+		},
+		"quota": func(c *Checker) {
+			c.Start("job-1/0", "m1", "t", "east", false, false)
+			c.Start("job-1/1", "m1", "t", "east", false, false)
+			c.Start("job-1/2", "m1", "t", "east", false, false)
+		},
+		"wrong_place":   func(c *Checker) { c.Start("job-1/0", "m1", "t", "west", false, false) },
+		"ran_cancelled": func(c *Checker) { c.Start("job-1/0", "m1", "t", "east", false, true) },
+		"forgotten":     func(c *Checker) { c.Told("job-1", 201, wire.Pending, false); c.Told("job-1", 404, "", false) },
+		"invented":      func(c *Checker) { c.Told("job-2", 200, wire.Pending, false) },
+		"not_done":      func(c *Checker) { c.Told("job-1", 200, wire.Done, false) },
+		"went_back":     func(c *Checker) { c.Told("job-1", 200, wire.Withdrawn, false) },
+	} {
+		c := NewChecker(map[string]float64{"red": 8})
+		c.Submitting(spec)
+		if len(c.Rules()) != 0 {
+			t.Fatalf("%s: broken before anything happened", rule)
+		}
+		breaks(c)
+		if got := c.Rules(); len(got) == 0 || !strings.HasPrefix(got[0], rule) {
+			t.Errorf("%s: checker says %v", rule, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/tenure/tenure_test.go
@@ -0,0 +1,183 @@
+package tenure
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// world is a plain model of the state service's part: leases, node keys, the
+// record with its version, and writes that are held and applied late.
+type world struct {
+	record  *Record
+	version uint64
+	keys    map[string]Presence
+	next    uint64
+	late    []write
+}
+
+type write struct {
+	next  *Record
+	base  uint64
+	conds []Condition
+}
+
+func (w *world) apply(x write) bool {
+	if x.base != w.version {
+		return false
+	}
+	for _, c := range x.conds {
+		if w.keys[c.Node].Version != c.Version {
+			return false
+		}
+	}
+	w.next++
+	w.record, w.version = x.next, w.next
+	return true
+}
+
+// TestRecordModel drives the control record through lapsed leases, restarts,
+// stale readers and late writes. It guards that a change of owner always raises
+// the term, that a successor not marked for the barrier is a process that was in
+// sync, and that no live member loses an item without its own doing.
+func TestRecordModel(t *testing.T) {
+	items := []string{Fleet, "team/a", "team/b", "team/c"}
+	nodes := []string{"n0", "n1", "n2"}
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		w := &world{record: (&Record{}).Clone(), keys: map[string]Presence{}}
+		inc := map[string]uint64{}
+		type reader struct {
+			record  *Record
+			version uint64
+			keys    map[string]Presence
+		}
+		views := map[string]reader{}
+		copyKeys := func() map[string]Presence {
+			m := map[string]Presence{}
+			for k, v := range w.keys {
+				m[k] = v
+			}
+			return m
+		}
+		for range 200 {
+			n := nodes[rng.IntN(3)]
+			before := w.record
+			switch rng.IntN(8) {
+			case 0: // restart: a new incarnation takes over the key
+				inc[n]++
+				w.next++
+				w.keys[n] = Presence{inc[n], w.next}
+			case 1: // the lease lapses, and the process may come back with its memory
+				delete(w.keys, n)
+			case 2:
+				if inc[n] > 0 {
+					w.next++
+					w.keys[n] = Presence{inc[n], w.next}
+				}
+			case 3, 4: // read
+				views[n] = reader{w.record, w.version, copyKeys()}
+			default: // propose from what was read, now or late
+				v, ok := views[n]
+				if !ok {
+					continue
+				}
+				next, conds := Repair(v.record, items, v.keys)
+				if next == nil {
+					syncs := map[string]Sync{}
+					for name := range v.record.Items {
+						s := Sync{Ready: rng.IntN(4) > 0, Whole: map[string]bool{}, Lagging: map[string]bool{}}
+						for _, p := range nodes {
+							if p != n && v.record.Nodes[p] != 0 {
+								s.Whole[p] = rng.IntN(2) == 0
+								s.Lagging[p] = !s.Whole[p] && rng.IntN(3) == 0
+								if !s.Whole[p] {
+									delete(s.Whole, p)
+								}
+							}
+						}
+						syncs[name] = s
+					}
+					next, _ = Upkeep(v.record, n, syncs, rng.IntN(2) == 0)
+				}
+				if next == nil {
+					continue
+				}
+				x := write{next, v.version, conds}
+				if rng.IntN(3) == 0 {
+					w.late = append(w.late, x)
+					continue
+				}
+				w.apply(x)
+			}
+			if len(w.late) > 0 && rng.IntN(4) == 0 {
+				w.apply(w.late[0])
+				w.late = w.late[1:]
+			}
+			after := w.record
+			for name, it := range after.Items {
+				old, had := before.Items[name]
+				if !had || before == after {
+					continue
+				}
+				if it.Owner != old.Owner || it.Since != old.Since {
+					if after.Term <= before.Term || it.Since != after.Term {
+						t.Fatalf("seed %d: %s changed hands without a raised term", seed, name)
+					}
+					oldAlive := after.Nodes[old.Owner] == before.Nodes[old.Owner] && before.Nodes[old.Owner] != 0
+					if !it.Blind && (!slices.Contains(old.InSync, it.Owner) && !oldAlive) {
+						t.Fatalf("seed %d: %s went to %s, who was not in sync, without a barrier", seed, name, it.Owner)
+					}
+					if !it.Blind && after.Nodes[it.Owner] != before.Nodes[it.Owner] {
+						t.Fatalf("seed %d: %s went to a new process without a barrier", seed, name)
+					}
+				}
+				if slices.Contains(it.InSync, it.Owner) {
+					t.Fatalf("seed %d: %s: owner among its backups", seed, name)
+				}
+				for _, b := range it.InSync {
+					if after.Nodes[b] == 0 || (slices.Contains(old.InSync, b) && before.Nodes[b] != after.Nodes[b]) {
+						t.Fatalf("seed %d: %s: %s is in sync without its memory", seed, name, b)
+					}
+				}
+			}
+		}
+	}
+}
+
+// TestRepairPicksHighestRanked guards take-over by rank among those in sync.
+func TestRepairPicksHighestRanked(t *testing.T) {
+	all := []string{"n0", "n1", "n2"}
+	r := &Record{Term: 4, Nodes: map[string]uint64{"n0": 1, "n1": 1, "n2": 1}, Items: map[string]Item{}}
+	r.Items["team/a"] = Item{Owner: "n0", Since: 2, InSync: []string{"n1", "n2"}}
+	next, conds := Repair(r, []string{"team/a"}, map[string]Presence{"n1": {1, 8}, "n2": {1, 9}})
+	want := Ranked("team/a", slices.DeleteFunc(slices.Clone(all), func(n string) bool { return n == "n0" }))[0]
+	it := next.Items["team/a"]
+	if it.Owner != want || it.Blind || next.Term != 5 || it.Since != 5 {
+		t.Fatalf("took over: %+v in term %d, want owner %s", it, next.Term, want)
+	}
+	if !slices.Contains(conds, Condition{"n0", 0}) {
+		t.Fatalf("no condition that the missing owner's key is gone: %v", conds)
+	}
+}
+
+// TestLeaseEndsEarly guards that a node stops before the state service can give
+// its lease to others, whatever the clocks' drift, counted from before sending.
+func TestLeaseEndsEarly(t *testing.T) {
+	l := Lease{Life: 5 * time.Second, Margin: 250 * time.Millisecond}
+	now := time.Unix(1000, 0)
+	if l.Valid(now) {
+		t.Fatal("valid before it was taken")
+	}
+	l.Renewed(now)
+	l.Renewed(now.Add(-time.Second)) // an older answer that came late
+	drifted := now.Add(5*time.Second - 5*time.Second/2000)
+	if !l.Valid(now.Add(4*time.Second)) || l.Valid(drifted) {
+		t.Fatal("lease ends at the wrong time")
+	}
+	l.Lost()
+	if l.Valid(now) {
+		t.Fatal("valid after it was lost")
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,58 @@
+package wire
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+const good = `{"uid":"job-000412","clase":"train","equipo":"vision","tipo_trabajo":"ensemble","prioridad":"high","tramos":16,
+"cores":8.0,"cards":1.0,"ram_gb":64.0,"imagen":"img-07","image_gb":6.2,"modelos":["g8"],"zona":null,"together":true,"apart":false,
+"prestadas":true,"estimado_s":240.0,"guardado_cada_s":30.0,"guardar_s":4.0,"vence_s":900.0,"nuevo":{"x":1}}`
+
+// TestSubmissions: what is taken and which field a refusal names.
+func TestSubmissions(t *testing.T) {
+	if s, err := ParseSubmission([]byte(good)); err != nil || s.Tasks != 16 || s.Zone != nil || *s.Deadline != 900 {
+		t.Fatalf("%+v %v", s, err)
+	}
+	for _, c := range []struct{ old, new, field string }{
+		{`"job-000412"`, `"000412"`, "uid"},
+		{`"job-000412"`, `"job-0/1"`, "uid"},
+		{`"tramos":16`, `"tramos":1.5`, "tramos"},
+		{`"tramos":16`, `"tramos":0`, "tramos"},
+		{`"tramos":16`, `"tramos":100001`, "tramos"},
+		{`"cores":8.0`, `"cores":-1`, "cores"},
+		{`"cores":8.0`, `"cores":1e400`, "cores"},
+		{`"cores":8.0`, `"cores":"8"`, "cores"},
+		{`"ram_gb":64.0`, `"ram_gb":null`, "ram_gb"},
+		{`"ram_gb":64.0,`, ``, "ram_gb"},
+		{`["g8"]`, `["g8","g8"]`, "modelos"},
+		{`["g8"]`, `[]`, "modelos"},
+		{`"high"`, `"urgent"`, "prioridad"},
+		{`"ensemble"`, `"gang"`, "tipo_trabajo"},
+		{`900.0`, `-900.0`, "vence_s"},
+		{`"together":true`, `"together":1`, "together"},
+	} {
+		_, err := ParseSubmission([]byte(strings.Replace(good, c.old, c.new, 1)))
+		var bad *FieldError
+		if !errors.As(err, &bad) || bad.Field != c.field {
+			t.Errorf("%s: %v, want field %s", c.new, err, c.field)
+		}
+	}
+	for _, body := range []string{"", "[]", "null", "{", "\"x\"", good + "x"} {
+		if _, err := ParseSubmission([]byte(body)); err == nil {
+			t.Errorf("took %.20q", body)
+		}
+	}
+}
+
+func TestTaskNames(t *testing.T) {
+	if job, i, ok := SplitTask(TaskName("job-1", 42)); !ok || job != "job-1" || i != 42 {
+		t.Fatal(job, i, ok)
+	}
+	for _, name := range []string{"", "/1", "job-1", "job-1/", "job-1/-1", "job-1/01", "job-1/100000", "job-1/x"} {
+		if _, _, ok := SplitTask(name); ok {
+			t.Errorf("took %q", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/workers/home_test.go
@@ -0,0 +1,112 @@
+package workers
+
+import (
+	"testing"
+	"time"
+
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/wire"
+)
+
+func home(t *testing.T) (*Home, *Machine) {
+	h := New(func(string) (float64, float64, float64, bool) { return 8, 0, 64, true }, func(string) (float64, float64, float64) { return 2, 0, 4 })
+	h.SetTerm(1, func(string) bool { return true })
+	h.Heard(&wire.Report{Machine: "m", Addr: "a", Type: "t", Zone: "z", Session: 1, Seq: 1, Token: 1}, time.Unix(1, 0))
+	return h, h.Get("m")
+}
+
+func startOf(job string) ledger.Order {
+	return ledger.Order{Op: wire.Start, Key: ledger.Key{Job: job}, Attempt: 5, Session: 1, CPUs: 2, Memory: 4}
+}
+
+func report(seq uint64, tasks ...wire.TaskStatus) *wire.Report {
+	return &wire.Report{Machine: "m", Addr: "a", Type: "t", Zone: "z", Session: 1, Seq: seq, Token: 1, Tasks: tasks}
+}
+
+// TestSameNumberOfTwoOwners: attempt numbers are unique only for a task. Two
+// owners' attempts of one term once met in one entry, and the second start was
+// never sent.
+func TestSameNumberOfTwoOwners(t *testing.T) {
+	h, m := home(t)
+	h.Take(1, "m", []ledger.Order{startOf("job-1")})
+	h.Take(1, "m", []ledger.Order{startOf("job-2")})
+	if cmds := m.Send(); len(cmds) != 2 {
+		t.Fatalf("sends %v", cmds)
+	}
+}
+
+// TestUnansweredStartIsNotForgotten: a start whose /do got no answer may still
+// arrive; once the worker forgot the attempt, it would run again.
+func TestUnansweredStartIsNotForgotten(t *testing.T) {
+	h, m := home(t)
+	o := startOf("job-1")
+	h.Take(1, "m", []ledger.Order{o})
+	m.Sent(m.Send(), false, true)
+	h.Heard(report(2, wire.TaskStatus{Task: "job-1/0", Attempt: 5, State: wire.Exited, Why: wire.WhyDone}), time.Unix(2, 0))
+	o.Op = wire.Forget
+	h.Take(1, "m", []ledger.Order{o})
+	if cmds := m.Answer(); len(cmds) != 0 {
+		t.Fatalf("forgets beside a start in flight: %v", cmds)
+	}
+	// Under a later term the worker refuses the old start, so it may be forgotten.
+	h.SetTerm(2, func(string) bool { return true })
+	h.Take(2, "m", []ledger.Order{o})
+	if cmds := m.Answer(); len(cmds) != 1 || cmds[0].Op != wire.Forget {
+		t.Fatalf("answers %v under the later term", cmds)
+	}
+}
+
+// TestBarredIsNeverSent: a stop for a start that was not sent bars it, and the
+// owner may count on it.
+func TestBarredIsNeverSent(t *testing.T) {
+	h, m := home(t)
+	o := startOf("job-1")
+	h.Take(1, "m", []ledger.Order{o})
+	o.Op = wire.Stop
+	h.Take(1, "m", []ledger.Order{o})
+	o.Op = wire.Start
+	h.Take(1, "m", []ledger.Order{o})
+	if cmds := m.Send(); len(cmds) != 0 {
+		t.Fatalf("sends %v after the owner was told never", cmds)
+	}
+	if v := h.View("m"); len(v.Barred) != 1 || v.Barred[0] != o.Ref() {
+		t.Fatalf("view bars %v", v.Barred)
+	}
+}
+
+// TestSentIsNotBarred: what was sent without an answer is never called unsent.
+func TestSentIsNotBarred(t *testing.T) {
+	h, m := home(t)
+	o := startOf("job-1")
+	h.Take(1, "m", []ledger.Order{o})
+	m.Sent(m.Send(), false, true)
+	o.Op = wire.Stop
+	h.Take(1, "m", []ledger.Order{o})
+	h.Heard(report(2), time.Unix(2, 0))
+	h.Take(1, "m", []ledger.Order{o})
+	if v := h.View("m"); len(v.Barred) != 0 {
+		t.Fatalf("view bars %v, which may still arrive", v.Barred)
+	}
+}
+
+// TestOtherTermIsRefused: a home carries no order of another term, so that a
+// replaced owner's starts end with their term.
+func TestOtherTermIsRefused(t *testing.T) {
+	h, m := home(t)
+	h.SetTerm(2, func(string) bool { return true })
+	h.Take(1, "m", []ledger.Order{startOf("job-1")})
+	if cmds := m.Send(); len(cmds) != 0 {
+		t.Fatalf("sends %v", cmds)
+	}
+}
+
+// TestNoRoomIsBarred: two owners that guessed the same room get one yes.
+func TestNoRoomIsBarred(t *testing.T) {
+	h, _ := home(t)
+	for i, job := range []string{"job-1", "job-2", "job-3", "job-4", "job-5"} {
+		h.Take(1, "m", []ledger.Order{startOf(job)})
+		if barred := len(h.View("m").Barred); (i < 4 && barred != 0) || (i == 4 && barred != 1) {
+			t.Fatalf("after %d starts %d are barred", i+1, barred)
+		}
+	}
+}
