--- /dev/null
+++ b/internal/ledger/gang.go
@@ -0,0 +1,102 @@
+package ledger
+
+import (
+	"topazhollow/internal/wire"
+)
+
+// Gang says what a gang needs now: the missing tasks, all of them for a new
+// attempt (id 0), or those to complete one that has not started. Nothing is
+// missing while an attempt runs or ends.
+func (t *Team) Gang(j *Job) (missing []int, id uint64) {
+	if j.Over || j.Finishing || t.Complete(j) {
+		return nil, 0
+	}
+	for i := range j.Spec.Tasks {
+		if a := t.held[Key{j.Spec.UID, i}]; a == nil {
+			missing = append(missing, i)
+		} else if id = a.Attempt; j.broken || TermOf(id) != t.term {
+			return nil, 0
+		}
+	}
+	if id == 0 {
+		j.broken = false
+	}
+	return missing, id
+}
+
+// PlaceGang makes the attempts of a gang's missing tasks, all or none.
+func (t *Team) PlaceGang(j *Job, id uint64, spots map[int]Spot) bool {
+	n := float64(len(spots))
+	if t.usedCPU+n*j.Spec.CPUs > t.MaxCPUs+slack || t.usedGPU+n*j.Spec.GPUs > t.MaxGPUs+slack || t.counter >= 1<<termShift-1 {
+		return false
+	}
+	if id == 0 {
+		t.counter++
+		id = AttemptID(t.term, t.counter)
+	}
+	t.start(j, id, spots)
+	return true
+}
+
+// breakGangs stops what is left of gangs that lost a task for good: one that had
+// started, ran out of patience or was begun in an earlier term and is not whole.
+// The next attempt begins when all its tasks are proven off.
+func (t *Team) breakGangs() {
+	for _, j := range t.jobs {
+		if j.Spec.Kind != wire.Gang || j.held == 0 {
+			continue
+		}
+		if old := t.incomplete(j); j.broken || old {
+			t.StopJob(j, j.Spec.Save)
+		}
+	}
+}
+
+func (t *Team) incomplete(j *Job) bool {
+	old := false
+	for i := range j.Spec.Tasks {
+		if a := t.held[Key{j.Spec.UID, i}]; a != nil && TermOf(a.Attempt) != t.term {
+			old = true
+		}
+	}
+	return old && j.held < j.Spec.Tasks
+}
+
+// StopJob stops every attempt of a job at once, with the grace to save.
+func (t *Team) StopJob(j *Job, grace float64) {
+	for i := range j.Spec.Tasks {
+		if a := t.held[Key{j.Spec.UID, i}]; a != nil {
+			t.Stop(a.ref(), grace)
+		}
+	}
+	if j.Spec.Kind == wire.Gang {
+		j.broken = true
+	}
+}
+
+// lost books that a gang lost a task. Before it started, a replacement with the
+// same attempt may complete it.
+func (j *Job) lost(a *attempt, why string) {
+	if j.Spec.Kind != wire.Gang {
+		return
+	}
+	switch {
+	case j.running > 0 || a.state == wire.Running || a.state == wire.Saving:
+		j.broken = true
+	case why == wire.WhyIncomplete || why == wire.WhyPeers || why == wire.WhyStopped:
+		j.broken = true
+	}
+}
+
+// Zones counts a job's tasks that may be on machines, by zone.
+func (t *Team) Zones(j *Job) map[string]int {
+	zones := map[string]int{}
+	if j.held > 0 {
+		for i := range j.Spec.Tasks {
+			if a := t.held[Key{j.Spec.UID, i}]; a != nil {
+				zones[a.Zone]++
+			}
+		}
+	}
+	return zones
+}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -135,7 +135,7 @@
 		m.team.Jobs(func(j *Job) {
 			m.team.Pending(j, m.now, func(i int) bool {
 				x := m.workers[m.rng.IntN(len(m.workers))]
-				return m.team.Fits(j) && !x.dead && m.team.Place(j, i, x.name, x.session)
+				return m.team.Fits(j) && !x.dead && m.team.Place(j, i, Spot{x.name, "z", x.session})
 			})
 		})
 	case 1: // write before start: orders go out only for what the backup has
@@ -280,7 +280,7 @@
 	m := newModel(t, 1)
 	spec := m.specs["job-0"]
 	j := m.team.Job(spec.UID)
-	if !m.team.Place(j, 0, "m0", 1) {
+	if !m.team.Place(j, 0, Spot{"m0", "z", 1}) {
 		t.Fatal("not placed")
 	}
 	v := &View{Machine: "m0", Session: 1, Seq: 1, Token: 1, Tasks: []TaskView{{Key: Key{spec.UID, 0}, Attempt: AttemptID(1, 1), State: wire.Exited, Why: wire.WhyDone}}}
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -30,6 +30,7 @@
 	Attempt uint64  `json:"a"`
 	Machine string  `json:"m"`
 	Session uint64  `json:"s"`
+	Zone    string  `json:"z,omitempty"`
 	CPUs    float64 `json:"c"`
 	GPUs    float64 `json:"g,omitempty"`
 	Memory  float64 `json:"r,omitempty"`
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -95,6 +96,7 @@
 	saved    *bitset.BitSet // done tasks that the state service has
 	dirty    bool
 	retry    map[int]time.Time
+	broken   bool // a gang that must end before its next attempt
 }
 
 // Due is when the job should be complete; far away without a deadline.
@@ -265,6 +267,19 @@
 }
 
 func (t *Team) done(k Key) {
+	j := t.jobs[k.Job]
+	if j != nil && j.Spec.Kind == wire.Service {
+		return // a replica is never done
+	}
+	if j != nil && j.Spec.Kind == wire.Gang { // its tasks complete together
+		for i := range j.Spec.Tasks {
+			t.markDone(Key{k.Job, i})
+		}
+	}
+	t.markDone(k)
+}
+
+func (t *Team) markDone(k Key) {
 	if t.rep.markDone(k) {
 		t.emit(Delta{Done: []Key{k}})
 		if j := t.jobs[k.Job]; j != nil {
@@ -296,6 +311,10 @@
 	if t.held[a.Key] != a {
 		return
 	}
+	j := t.jobs[a.Job]
+	if j != nil {
+		j.lost(a, why)
+	}
 	t.setState(a, "")
 	delete(t.held, a.Key)
 	delete(t.on[a.Machine], a.Key)
@@ -309,7 +328,7 @@
 	}
 	delete(t.rep.Holds, a.Key)
 	t.emit(Delta{Off: []Key{a.Key}})
-	if j := t.jobs[a.Job]; j != nil {
+	if j != nil {
 		j.held--
 		j.next = min(j.next, a.Index)
 	}
@@ -397,20 +416,40 @@
 
 // Place makes an attempt on a machine and holds task and quota for it. Its
 // start may be sent once every backup in sync acknowledged the delta.
-func (t *Team) Place(j *Job, index int, machine string, session uint64) bool {
+func (t *Team) Place(j *Job, index int, at Spot) bool {
 	k := Key{j.Spec.UID, index}
 	if t.counter >= 1<<termShift-1 || t.held[k] != nil || t.isDone(k) || j.Over || !t.Fits(j) {
 		return false
 	}
 	t.counter++
-	a := &attempt{Hold: Hold{Key: k, Attempt: AttemptID(t.term, t.counter), Machine: machine, Session: session,
-		CPUs: j.Spec.CPUs, GPUs: j.Spec.GPUs, Memory: j.Spec.Memory}}
-	t.hold(a)
-	t.rep.Holds[k] = a.Hold
-	a.seq = t.emit(Delta{Place: []Hold{a.Hold}})
+	t.start(j, AttemptID(t.term, t.counter), map[int]Spot{index: at})
 	return true
 }
 
+// Spot is a place on a machine that an attempt is made for.
+type Spot struct {
+	Machine string
+	Zone    string
+	Session uint64
+}
+
+func (t *Team) start(j *Job, id uint64, spots map[int]Spot) {
+	var made []*attempt
+	var holds []Hold
+	for _, index := range slices.Sorted(maps.Keys(spots)) {
+		at := spots[index]
+		a := &attempt{Hold: Hold{Key: Key{j.Spec.UID, index}, Attempt: id, Machine: at.Machine, Zone: at.Zone, Session: at.Session,
+			CPUs: j.Spec.CPUs, GPUs: j.Spec.GPUs, Memory: j.Spec.Memory}}
+		t.hold(a)
+		t.rep.Holds[a.Key] = a.Hold
+		made, holds = append(made, a), append(holds, a.Hold)
+	}
+	seq := t.emit(Delta{Place: holds})
+	for _, a := range made {
+		a.seq = seq
+	}
+}
+
 // Stop marks an attempt to be stopped, with the grace to save.
 func (t *Team) Stop(ref Ref, grace float64) bool {
 	a := t.held[ref.Key]
@@ -539,7 +578,7 @@
 // adopt takes up an attempt found on a machine that the account did not hold,
 // as after a full barrier.
 func (t *Team) adopt(v *View, x *TaskView, spec *wire.Submission, now time.Time) {
-	a := &attempt{Hold: Hold{Key: x.Key, Attempt: x.Attempt, Machine: v.Machine, Session: v.Session,
+	a := &attempt{Hold: Hold{Key: x.Key, Attempt: x.Attempt, Machine: v.Machine, Zone: v.Zone, Session: v.Session,
 		CPUs: spec.CPUs, GPUs: spec.GPUs, Memory: spec.Memory}, listed: now}
 	t.hold(a)
 	t.rep.Holds[a.Key] = a.Hold
@@ -570,6 +609,8 @@
 		t.log("task failed", "task", a.Job, "index", a.Index, "machine", a.Machine, "errors", j.errors)
 	case wire.WhyFull:
 		j.avoid[a.Machine] = now.Add(1500 * time.Millisecond)
+	case wire.WhyIncomplete:
+		j.notUntil = now.Add(2 * time.Second)
 	case wire.WhyInUse, wire.WhyNoSuch:
 		j.retry[a.Index] = now.Add(3 * time.Second)
 	}
@@ -591,6 +632,7 @@
 // are started: older ones wait until they are listed or proven off.
 func (t *Team) Due(acked uint64, now time.Time, ready func(machine string, session uint64) bool) map[string][]Order {
 	due := map[string][]Order{}
+	t.breakGangs()
 	for m, list := range t.on {
 		for _, a := range list {
 			if now.Sub(a.ordered) < resend {
--- a/owner.go
+++ b/owner.go
@@ -373,6 +373,7 @@
 		}
 		n.finish(it)
 		n.moveSlow(it, now)
+		n.leaveNoticed(it)
 	}
 	n.tellViews()
 }
@@ -453,6 +454,27 @@
 	})
 }
 
+// leaveNoticed moves work off machines that the cloud announced to take away:
+// what can save, gangs as a whole, and replicas. Other tasks may yet complete.
+func (n *Node) leaveNoticed(it *item) {
+	for _, name := range it.team.Machines() {
+		m := n.machines[name]
+		if m == nil || m.view == nil || !m.view.Notice {
+			continue
+		}
+		it.team.On(name, func(h ledger.Hold) {
+			j := it.team.Job(h.Job)
+			switch {
+			case j == nil:
+			case j.Spec.Kind == wire.Gang:
+				it.team.StopJob(j, j.Spec.Save)
+			case j.Spec.Kind == wire.Service || j.Spec.Checkpoint > 0:
+				it.team.Stop(ledger.Ref{Key: h.Key, Attempt: h.Attempt}, j.Spec.Save)
+			}
+		})
+	}
+}
+
 // slow says whether a machine was found slow of late.
 func (n *Node) slow(m *machine, now time.Time) bool {
 	return !m.slow.IsZero() && now.Sub(m.slow) < time.Minute
--- a/place.go
+++ b/place.go
@@ -30,9 +30,8 @@
 			continue
 		}
 		for _, d := range it.team.Demands(now) {
-			if j := it.team.Job(d.Spec.UID); d.Spec.Kind != wire.Gang {
-				list = append(list, wish{it, j, j, d.Count, d.Borrowed})
-			}
+			j := it.team.Job(d.Spec.UID)
+			list = append(list, wish{it, j, j, d.Count, d.Borrowed})
 		}
 	}
 	if len(list) == 0 {
@@ -93,15 +92,23 @@
 			}
 			continue
 		}
+		if w.own.Spec.Kind == wire.Gang {
+			if !n.placeGang(w, ask, hosts, now) {
+				short = append(short, w)
+			}
+			continue
+		}
 		left := w.count
+		fits := n.zoneRule(w)
 		w.it.team.Pending(w.own, now, func(index int) bool {
 			if left == 0 || !w.it.team.Fits(w.own) {
 				return false
 			}
-			h := choose(func(h *placement.Host) bool { return w.own.Avoids(h.Name, now) })
-			if h == nil || !w.it.team.Place(w.own, index, h.Name, h.Session) {
+			h := choose(func(h *placement.Host) bool { return w.own.Avoids(h.Name, now) || !fits.allows(h) })
+			if h == nil || !w.it.team.Place(w.own, index, n.spot(h)) {
 				return false
 			}
+			fits.take(h)
 			left--
 			h.Take(ask)
 			h.Images[ask.Image] = true
@@ -122,6 +129,90 @@
 	}
 }
 
+func (n *Node) spot(h *placement.Host) ledger.Spot {
+	return ledger.Spot{Machine: h.Name, Zone: n.machines[h.Name].view.Zone, Session: h.Session}
+}
+
+// zoneRule holds a job's tasks, of which some may be on machines already, to one
+// zone or to at most half of them in one.
+type zoneRule struct {
+	zones map[int]int
+	most  int // in one zone; 0: no bound
+	one   bool
+}
+
+func (n *Node) zoneRule(w wish) *zoneRule {
+	s := w.own.Spec
+	r := &zoneRule{zones: map[int]int{}, one: s.OneZone}
+	if !s.OneZone && !s.Spread {
+		return r
+	}
+	if s.Spread {
+		r.most = (s.Tasks + 1) / 2
+	}
+	for zone, count := range w.it.team.Zones(w.own) {
+		r.zones[n.zoneIndex(zone)] += count
+	}
+	return r
+}
+
+func (r *zoneRule) allows(h *placement.Host) bool {
+	if r.one && len(r.zones) > 0 && r.zones[h.Zone] == 0 {
+		return false
+	}
+	return r.most == 0 || r.zones[h.Zone] < r.most
+}
+
+func (r *zoneRule) take(h *placement.Host) {
+	if r.one || r.most > 0 {
+		r.zones[h.Zone]++
+	}
+}
+
+// placeGang finds room for all missing tasks of a gang, or takes none.
+func (n *Node) placeGang(w wish, ask *placement.Ask, hosts []*placement.Host, now time.Time) bool {
+	missing, id := w.it.team.Gang(w.own)
+	if len(missing) == 0 {
+		return true // it runs or ends
+	}
+	tries := []int{-1}
+	if w.own.Spec.OneZone {
+		tries = tries[:0]
+		for z := range n.set.Deployment.Zones {
+			tries = append(tries, z)
+		}
+	}
+	for _, zone := range tries {
+		rule := n.zoneRule(w)
+		taken := map[int]*placement.Host{}
+		for _, index := range missing {
+			h := placement.Choose(n.rng, hosts, ask, n.opt.SampleSize, func(h *placement.Host) bool {
+				return (zone >= 0 && h.Zone != zone) || w.own.Avoids(h.Name, now) || !rule.allows(h)
+			})
+			if h == nil {
+				break
+			}
+			h.Take(ask)
+			rule.take(h)
+			taken[index] = h
+		}
+		if len(taken) == len(missing) {
+			spots := map[int]ledger.Spot{}
+			for index, h := range taken {
+				spots[index] = n.spot(h)
+				h.Images[ask.Image] = true
+			}
+			if w.it.team.PlaceGang(w.own, id, spots) {
+				return true
+			}
+		}
+		for _, h := range taken {
+			h.CPUs, h.GPUs, h.Memory = h.CPUs+ask.CPUs, h.GPUs+ask.GPUs, h.Memory+ask.Memory
+		}
+	}
+	return false
+}
+
 // eviction is a task asked to make room for a job.
 type eviction struct {
 	job   string
@@ -153,7 +244,7 @@
 	for _, w := range short {
 		uid := w.own.Spec.UID
 		need := w.count - coming[uid]
-		if need <= 0 || wire.Rank(w.own.Spec.Priority) <= 1 {
+		if need <= 0 || w.own.Spec.Kind == wire.Gang || wire.Rank(w.own.Spec.Priority) <= 1 {
 			continue
 		}
 		// What ends by itself within a few seconds goes to the most urgent anyway.
--- a/talk.go
+++ b/talk.go
@@ -309,9 +309,7 @@
 			continue
 		}
 		for _, d := range it.team.Demands(now) {
-			if d.Spec.Kind != wire.Gang {
-				out = append(out, demand{Job: d.Spec.UID, Count: d.Count, Borrowed: d.Borrowed})
-			}
+			out = append(out, demand{Job: d.Spec.UID, Count: d.Count, Borrowed: d.Borrowed})
 		}
 	}
 	return out
