--- a/control.go
+++ b/control.go
@@ -217,7 +217,7 @@
 	n.record, n.version = r, version
 	now := time.Now()
 	if old == nil || old.Term != r.Term {
-		if old == nil || !maps.Equal(old.Nodes, r.Nodes) {
+		if old == nil || !maps.Equal(old.Nodes, r.Nodes) || !slices.Equal(old.Deaf, r.Deaf) {
 			n.settled = now
 		}
 		n.bumped = now
@@ -337,6 +337,10 @@
 			n.adopt(next, revision)
 		} else if !errors.Is(err, state.ErrConflict) && !errors.Is(err, state.ErrRefused) {
 			n.unsure = max(1, version)
+		} else if errors.Is(err, state.ErrRefused) {
+			for _, it := range n.items {
+				it.frozen, it.adding = false, nil // it was not executed and will not be
+			}
 		}
 		n.mu.Unlock()
 		if err == nil {
@@ -374,6 +378,11 @@
 	if !n.entitled(now) {
 		return nil, nil, ""
 	}
+	if n.unsure != 0 && n.unsure >= n.version {
+		// A change without an answer may yet be applied; any other change of the
+		// same version rules that out.
+		return record.Clone(), nil, "settle an unanswered change"
+	}
 	syncs := n.syncs(now)
 	rebalance := now.Sub(n.settled) > 3*time.Second
 	if next, handed := tenure.Upkeep(record, n.name, syncs, rebalance); next != nil {
@@ -387,6 +396,19 @@
 		}
 		return next, nil, "upkeep"
 	}
+	if slices.Contains(record.Deaf, n.name) {
+		if n.hears {
+			n.hears = false
+			return tenure.Hearing(record, n.name, false), nil, "workers can be reached again"
+		}
+	} else {
+		n.hears = false
+	}
+	if home := n.unheard(now); home != "" && now.Sub(n.bumped) > 3*time.Second {
+		if next := tenure.Hearing(record, home, true); next != nil {
+			return next, nil, "workers cannot reach " + home
+		}
+	}
 	if n.needTerm(now) && now.Sub(n.bumped) > 5*time.Second {
 		next := record.Clone()
 		next.Term++
--- a/home.go
+++ b/home.go
@@ -9,6 +9,7 @@
 
 	"topazhollow/internal/httpx"
 	"topazhollow/internal/ledger"
+	"topazhollow/internal/settings"
 	"topazhollow/internal/state"
 	"topazhollow/internal/wire"
 )
@@ -71,6 +72,7 @@
 		return busy()
 	}
 	if home := n.record.Home(r.Machine); home != n.name {
+		n.misdirected(home, r.Machine, now)
 		return httpx.Answer{Status: 421, Body: wire.Encode(wire.Moved{ReportTo: home})}
 	}
 	if m := n.machine(r.Machine); m.gone {
@@ -86,6 +88,93 @@
 	return httpx.Answer{Status: 200, Body: wire.Encode(answer)}
 }
 
+// misdirected notes a report that should have gone to another home. A machine
+// that keeps coming here while its home does not hear it cannot reach it.
+func (n *Node) misdirected(home, name string, now time.Time) {
+	p, m := n.peers[home], n.machine(name)
+	if p == nil || now.Sub(p.heard) > 2*time.Second {
+		return
+	}
+	if n.deaf[home] == nil {
+		n.deaf[home] = map[string]vain{}
+	}
+	v := n.deaf[home][name]
+	if v.first.Before(later(m.heard, n.settled)) || now.Sub(v.last) > n.deafAfter() {
+		v.first = now
+	}
+	v.last = now
+	n.deaf[home][name] = v
+}
+
+// vain is a machine's reports that came here though its home should have them:
+// the first since the home last heard it, and the last.
+type vain struct {
+	first, last time.Time
+}
+
+// deafAfter is how long a home may hear nothing of a machine that reports to
+// others.
+func (n *Node) deafAfter() time.Duration {
+	return settings.Seconds(n.set.Deployment.Workers.Report) + 3*time.Second
+}
+
+// unheard names a member that a machine lately tried in vain to reach, or "".
+func (n *Node) unheard(now time.Time) string {
+	for _, home := range slices.Sorted(maps.Keys(n.deaf)) {
+		for name, v := range n.deaf[home] {
+			if now.Sub(v.last) > n.deafAfter() || n.record.Home(name) != home || v.first.Before(later(n.machine(name).heard, n.settled)) {
+				delete(n.deaf[home], name)
+			} else if v.last.Sub(v.first) > n.deafAfter()/2 {
+				return home
+			}
+		}
+	}
+	return ""
+}
+
+// probe asks a worker for its report while this controller is taken for
+// unreachable, to come back when it is not.
+func (n *Node) probe(ctx context.Context) error {
+	good := 0
+	for pause(ctx, time.Second) {
+		n.mu.Lock()
+		addr := ""
+		if n.record != nil && slices.Contains(n.record.Deaf, n.name) {
+			for _, m := range n.machines {
+				if m.view != nil && !m.gone && time.Since(m.heard) < 5*time.Second {
+					addr = m.view.Addr
+					break
+				}
+			}
+		}
+		n.mu.Unlock()
+		if addr == "" {
+			good = 0
+			continue
+		}
+		link := httpx.NewLink(addr, 1<<20)
+		resp, _, err := link.Do(ctx, "GET", wire.PathInspect, nil, time.Second)
+		link.Close()
+		if err != nil || resp.Status != 200 {
+			good = 0
+			continue
+		}
+		if good++; good >= 3 {
+			n.mu.Lock()
+			n.hears = true
+			n.mu.Unlock()
+		}
+	}
+	return nil
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func busy() httpx.Answer {
 	a := httpx.Refuse(503, "not entitled now")
 	a.Retry = 1
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -134,6 +134,8 @@
 			continue
 		case m.Going || t == nil:
 			continue
+		case m.Heard.IsZero() && m.Kept && quiet > f.opt.Silent/4:
+			continue // registered once, but perhaps gone since
 		case m.Heard.IsZero():
 			bins = append(bins, newBin(pool{m.Type, m.Zone, m.Spot}, t, max(1, t.Boot-now.Sub(m.Since).Seconds())))
 			continue
@@ -178,6 +180,9 @@
 	for _, d := range demands {
 		s := d.Spec
 		run := max(s.Estimate, 1)
+		if s.Kind == wire.Service {
+			run = 1e6
+		}
 		allowance := d.Late.Sub(now).Seconds() - f.opt.Haste*run
 		for range d.Count {
 			var best *bin
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -27,11 +27,12 @@
 	Term  uint64            `json:"term"`
 	Nodes map[string]uint64 `json:"nodes"` // members with their incarnations
 	Items map[string]Item   `json:"items"`
+	Deaf  []string          `json:"deaf,omitempty"` // members that workers cannot reach
 }
 
 // Clone is a deep copy.
 func (r *Record) Clone() *Record {
-	c := &Record{Term: r.Term, Nodes: maps.Clone(r.Nodes), Items: maps.Clone(r.Items)}
+	c := &Record{Term: r.Term, Nodes: maps.Clone(r.Nodes), Items: maps.Clone(r.Items), Deaf: slices.Clone(r.Deaf)}
 	for name, it := range c.Items {
 		it.InSync = slices.Clone(it.InSync)
 		c.Items[name] = it
@@ -94,10 +95,21 @@
 // Members is the record's nodes in order.
 func (r *Record) Members() []string { return slices.Sorted(maps.Keys(r.Nodes)) }
 
-// Home is the controller that a machine reports to.
+// Home is the controller that a machine reports to. Those that workers cannot
+// reach are homes only when nobody else is.
 func (r *Record) Home(machine string) string {
+	if best := r.home(machine, r.Deaf); best != "" {
+		return best
+	}
+	return r.home(machine, nil)
+}
+
+func (r *Record) home(machine string, deaf []string) string {
 	best, score := "", uint64(0)
 	for n := range r.Nodes {
+		if slices.Contains(deaf, n) {
+			continue
+		}
 		if s := xxhash.Sum64String(n + "\x00" + machine); best == "" || s > score || (s == score && n < best) {
 			best, score = n, s
 		}
@@ -132,6 +144,7 @@
 			continue
 		}
 		delete(next.Nodes, n)
+		next.Deaf = slices.DeleteFunc(next.Deaf, func(d string) bool { return d == n })
 		conds = append(conds, Condition{n, p.Version})
 		changed = true
 	}
@@ -227,6 +240,23 @@
 	return next, handed
 }
 
+// Hearing is the next record with a member taken out of the machines' homes, or
+// back among them; nil when that changes nothing. Homes move with the term only.
+func Hearing(r *Record, node string, deaf bool) *Record {
+	if _, member := r.Nodes[node]; !member || slices.Contains(r.Deaf, node) == deaf {
+		return nil
+	}
+	next := r.Clone()
+	next.Term++
+	if deaf {
+		next.Deaf = append(next.Deaf, node)
+		slices.Sort(next.Deaf)
+	} else {
+		next.Deaf = slices.DeleteFunc(next.Deaf, func(n string) bool { return n == node })
+	}
+	return next
+}
+
 // Lease is a controller's proof, by its own steady clock, that its lease lives.
 type Lease struct {
 	Life   time.Duration
--- a/node.go
+++ b/node.go
@@ -76,6 +76,8 @@
 	news     chan struct{} // wakes the duty that tells peers
 	lookups  map[string]bool
 	drain    map[string]bool
+	deaf     map[string]map[string]vain // homes that machines tried in vain
+	hears    bool                       // workers can be reached again
 	group    *errgroup.Group
 	ctx      context.Context
 	began    time.Time
@@ -141,7 +143,7 @@
 		live: map[string]tenure.Presence{}, items: map[string]*item{}, backups: map[string]*backup{},
 		peers: map[string]*peerState{}, jobs: map[string]*job{}, machines: map[string]*machine{},
 		doers: map[string]*doer{}, fresh: map[string]bool{}, settled: now, began: now, renewed: now, promised: now.Add(promiseLife),
-		lookups: map[string]bool{}, evicting: map[ledger.Ref]eviction{}, news: make(chan struct{}, 1), drain: map[string]bool{},
+		lookups: map[string]bool{}, evicting: map[ledger.Ref]eviction{}, news: make(chan struct{}, 1), drain: map[string]bool{}, deaf: map[string]map[string]vain{},
 	}
 	life := settings.Seconds(o.NodeLease)
 	n.lease = tenure.Lease{Life: life, Margin: life / 20}
@@ -181,6 +183,7 @@
 		"status":  n.tell,
 		"save":    n.save,
 		"catalog": n.readCatalog,
+		"probe":   n.probe,
 		"fleet":   n.runFleet,
 	}
 	for name, duty := range duties {
--- a/place.go
+++ b/place.go
@@ -252,9 +252,9 @@
 			soon -= w.own.Spec.CPUs
 			need--
 		}
-		ask := n.ask(w.own.Spec)
+		ask, rule := n.ask(w.own.Spec), n.zoneRule(w)
 		for ; need > 0; need-- {
-			host, victims := n.cheapestRoom(ask, w.own, hosts, now)
+			host, victims := n.cheapestRoom(ask, w.own, hosts, rule, now)
 			if host == nil {
 				break
 			}
@@ -268,6 +268,7 @@
 				n.evict(evictMsg{Ref: v.ref, For: uid})
 			}
 			host.Take(ask)
+			rule.take(host)
 		}
 	}
 }
@@ -291,10 +292,10 @@
 
 // cheapestRoom finds the machine where stopping tasks of lower priority loses
 // least.
-func (n *Node) cheapestRoom(ask *placement.Ask, job *ledger.Job, hosts []*placement.Host, now time.Time) (best *placement.Host, stop []victim) {
+func (n *Node) cheapestRoom(ask *placement.Ask, job *ledger.Job, hosts []*placement.Host, rule *zoneRule, now time.Time) (best *placement.Host, stop []victim) {
 	low := 0.0
 	for _, h := range hosts {
-		if !ask.Allows(h) || job.Avoids(h.Name, now) {
+		if !ask.Allows(h) || job.Avoids(h.Name, now) || !rule.allows(h) {
 			continue
 		}
 		m := n.machines[h.Name]
--- a/rent.go
+++ b/rent.go
@@ -132,7 +132,7 @@
 	if j.spec.Deadline != nil {
 		return j.at.Add(settings.Seconds(*j.spec.Deadline))
 	}
-	within := 2*j.spec.Estimate + 60
+	within := n.opt.Haste*j.spec.Estimate + 5
 	for i, o := range slices.DeleteFunc(slices.Clone(n.set.Deployment.Objectives), func(o settings.Objective) bool {
 		return o.Kind != "finished" || o.Class != j.spec.Class
 	}) {
