--- a/place.go
+++ b/place.go
@@ -230,7 +230,9 @@
 	lost float64 // CPU seconds of progress thrown away
 }
 
-// preempt frees room for wishes of higher priority, at the least loss.
+// preempt frees room for wishes of higher priority, at the least loss. What
+// borrows stops nobody: the room would go to those within their guarantee, and
+// the stopped task would come back only to be stopped again.
 func (n *Node) preempt(short []wish, hosts []*placement.Host, now time.Time) {
 	coming := map[string]int{}
 	for ref, e := range n.evicting {
@@ -244,7 +246,7 @@
 	for _, w := range short {
 		uid := w.own.Spec.UID
 		need := w.count - coming[uid]
-		if need <= 0 || w.own.Spec.Kind == wire.Gang || wire.Rank(w.own.Spec.Priority) <= 1 {
+		if need <= 0 || w.borrowed || w.own.Spec.Kind == wire.Gang || wire.Rank(w.own.Spec.Priority) <= 1 {
 			continue
 		}
 		// What ends by itself within a few seconds goes to the most urgent anyway.
