--- a/home.go
+++ b/home.go
@@ -276,6 +276,10 @@
 				running[ref] = since
 			} else {
 				running[ref] = now
+				if j := n.jobs[t.Job]; j != nil && !j.at.IsZero() {
+					// Past an hour the histogram only says "longer".
+					_ = n.waits.RecordValue(min(max(now.Sub(j.at).Milliseconds(), 1), time.Hour.Milliseconds()))
+				}
 			}
 		} else if since, ok := m.running[ref]; ok && t.Why == wire.WhyDone {
 			if j := n.jobs[t.Job]; j != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -183,7 +183,7 @@
 		if s.Kind == wire.Service {
 			run = 1e6
 		}
-		allowance := d.Late.Sub(now).Seconds() - f.opt.Haste*run
+		allowance := d.Late.Sub(now).Seconds() - f.opt.Haste*run - fetchTime(types, s)
 		for range d.Count {
 			var best *bin
 			start := math.Inf(1)
@@ -225,6 +225,18 @@
 	slices.SortFunc(plan.Rent, func(a, b wire.Rent) int { return cmp.Compare(a.Request, b.Request) })
 }
 
+// fetchTime is how long a machine takes to get the job's image, by the slowest
+// type: it may have to share the rate.
+func fetchTime(types []wire.MachineType, s *wire.Submission) float64 {
+	longest := 0.0
+	for i := range types {
+		if r := types[i].FetchRate; r > 0 {
+			longest = max(longest, s.ImageGB/r)
+		}
+	}
+	return longest
+}
+
 // cheapest is the open pool with the lowest price for a task; among equal ones
 // that with the least already wanted.
 func (f *Fleet) cheapest(types []wire.MachineType, s *wire.Submission, want map[pool]int, now time.Time) (pool, *wire.MachineType) {
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -661,6 +661,17 @@
 	return due
 }
 
+// Held counts the attempts that may be on machines, and those of them that no
+// report has listed yet.
+func (t *Team) Held() (held, unlisted int) {
+	for _, a := range t.held {
+		if a.state == "" {
+			unlisted++
+		}
+	}
+	return len(t.held), unlisted
+}
+
 // Unproven counts attempts of this term whose stop was ordered long ago and
 // that are still in no list: only a later term can prove them off.
 func (t *Team) Unproven(now time.Time, after time.Duration) int {
--- a/internal/settings/script.go
+++ b/internal/settings/script.go
@@ -23,7 +23,7 @@
 
 // DefaultOptions holds without a script.
 func DefaultOptions() *Options {
-	return &Options{SampleSize: 32, IdleReturn: 20, WarmMachines: 1, SpotShare: 1, Haste: 1.5, NodeLease: 5, BitmapEvery: 1}
+	return &Options{SampleSize: 32, IdleReturn: 10, WarmMachines: 1, SpotShare: 1, Haste: 2, NodeLease: 5, BitmapEvery: 1}
 }
 
 type option struct {
--- a/node.go
+++ b/node.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
 
 	"topazhollow/internal/cloud"
@@ -77,6 +78,7 @@
 	lookups  map[string]bool
 	drain    map[string]bool
 	deaf     map[string]map[string]vain // homes that machines tried in vain
+	waits    *hdrhistogram.Histogram    // ms from submission to a task seen running
 	hears    bool                       // workers can be reached again
 	group    *errgroup.Group
 	ctx      context.Context
@@ -144,6 +146,7 @@
 		peers: map[string]*peerState{}, jobs: map[string]*job{}, machines: map[string]*machine{},
 		doers: map[string]*doer{}, fresh: map[string]bool{}, settled: now, began: now, renewed: now, promised: now.Add(promiseLife),
 		lookups: map[string]bool{}, evicting: map[ledger.Ref]eviction{}, news: make(chan struct{}, 1), drain: map[string]bool{}, deaf: map[string]map[string]vain{},
+		waits: hdrhistogram.New(1, time.Hour.Milliseconds(), 2),
 	}
 	life := settings.Seconds(o.NodeLease)
 	n.lease = tenure.Lease{Life: life, Margin: life / 20}
@@ -280,6 +283,14 @@
 		c.Pin()
 		return n.report(r.Body)
 	}
+	if r.Path == "/overview" {
+		if r.Method != "GET" {
+			a := httpx.Refuse(405, "method not allowed")
+			a.Allow = "GET"
+			return a
+		}
+		return httpx.Answer{Status: 200, Body: wire.Encode(n.overview(time.Now()))}
+	}
 	if a, ok := n.front.Handle(ctx, r); ok {
 		return a
 	}
--- a/node_test.go
+++ b/node_test.go
@@ -214,6 +214,15 @@
 	if r.check.Started == 0 {
 		t.Fatal("nothing ran")
 	}
+	resp, err := r.httpc.Get("http://" + r.sets[0].Listen + "/overview")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var o overview
+	if err := json.NewDecoder(resp.Body).Decode(&o); err != nil || o.Term == 0 || len(o.Owners) != 3 || len(o.Members) != 3 {
+		t.Fatalf("overview %+v, %v", o, err)
+	}
 }
 
 // TestControllersCrash: each controller alone and then all at once are killed
--- /dev/null
+++ b/overview.go
@@ -0,0 +1,93 @@
+package topazhollow
+
+import (
+	"time"
+
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/tenure"
+)
+
+// overview is an operator's view of one controller.
+type overview struct {
+	Node     string                  `json:"node"`
+	Version  string                  `json:"version"`
+	Term     uint64                  `json:"term"`
+	Entitled bool                    `json:"entitled"`
+	Members  []string                `json:"members"`
+	Deaf     []string                `json:"deaf,omitempty"`
+	Owners   map[string]string       `json:"owners"`
+	Items    map[string]itemOverview `json:"items"`
+	Machines machinesOverview        `json:"machines"`
+	Jobs     int                     `json:"active_jobs"`
+	Waits    map[string]int64        `json:"start_wait_ms"`
+}
+
+type itemOverview struct {
+	Phase    string   `json:"phase"`
+	Since    uint64   `json:"since_term"`
+	InSync   []string `json:"in_sync"`
+	Awaited  int      `json:"barrier_waits_for"`
+	Jobs     int      `json:"jobs"`
+	Waiting  int      `json:"waiting_tasks"`
+	Held     int      `json:"held_tasks"`
+	Unproven int      `json:"unproven_starts"`
+	CPUs     float64  `json:"cpus_used"`
+	GPUs     float64  `json:"gpus_used"`
+}
+
+type machinesOverview struct {
+	Known  int `json:"known"`
+	Homed  int `json:"homed_here"`
+	Silent int `json:"silent"`
+	Idle   int `json:"idle"`
+}
+
+var phases = map[int]string{loading: "loading", barrier: "barrier", ready: "ready"}
+
+func (n *Node) overview(now time.Time) overview {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	o := overview{Node: n.name, Version: Version, Entitled: n.entitled(now), Owners: map[string]string{}, Items: map[string]itemOverview{}, Waits: map[string]int64{}}
+	if n.record != nil {
+		o.Term, o.Members, o.Deaf = n.record.Term, n.record.Members(), n.record.Deaf
+		for name, it := range n.record.Items {
+			o.Owners[name] = it.Owner
+		}
+	}
+	for name, it := range n.items {
+		x := itemOverview{Phase: phases[it.phase], Since: it.since, Awaited: len(it.await), InSync: n.record.Items[name].InSync}
+		if name != tenure.Fleet {
+			it.team.Jobs(func(j *ledger.Job) {
+				x.Jobs++
+				x.Waiting += it.team.Unstarted(j)
+			})
+			x.Held, x.Unproven = it.team.Held()
+			x.CPUs, x.GPUs = it.team.Used()
+		}
+		o.Items[name] = x
+	}
+	silent := n.deafAfter() * 2
+	for _, m := range n.machines {
+		if m.gone || m.view == nil {
+			continue
+		}
+		o.Machines.Known++
+		if now.Sub(m.heard) > silent {
+			o.Machines.Silent++
+		}
+		if !m.idle.IsZero() {
+			o.Machines.Idle++
+		}
+	}
+	o.Machines.Homed = len(n.home.All())
+	for _, j := range n.jobs {
+		if j.active {
+			o.Jobs++
+		}
+	}
+	for name, q := range map[string]float64{"p50": 50, "p90": 90, "p99": 99, "max": 100} {
+		o.Waits[name] = n.waits.ValueAtQuantile(q)
+	}
+	o.Waits["count"] = n.waits.TotalCount()
+	return o
+}
