--- a/internal/ledger/gang.go
+++ b/internal/ledger/gang.go
@@ -54,20 +54,16 @@
 
 func (t *Team) incomplete(j *Job) bool {
 	old := false
-	for i := range j.Spec.Tasks {
-		if a := t.held[Key{j.Spec.UID, i}]; a != nil && TermOf(a.Attempt) != t.term {
-			old = true
-		}
+	for _, a := range t.heldOf(j) {
+		old = old || TermOf(a.Attempt) != t.term
 	}
 	return old && j.held < j.Spec.Tasks
 }
 
 // StopJob stops every attempt of a job at once, with the grace to save.
 func (t *Team) StopJob(j *Job, grace float64) {
-	for i := range j.Spec.Tasks {
-		if a := t.held[Key{j.Spec.UID, i}]; a != nil {
-			t.Stop(a.ref(), grace)
-		}
+	for _, a := range t.heldOf(j) {
+		t.Stop(a.ref(), grace)
 	}
 	if j.Spec.Kind == wire.Gang {
 		j.broken = true
@@ -91,12 +87,8 @@
 // Zones counts a job's tasks that may be on machines, by zone.
 func (t *Team) Zones(j *Job) map[string]int {
 	zones := map[string]int{}
-	if j.held > 0 {
-		for i := range j.Spec.Tasks {
-			if a := t.held[Key{j.Spec.UID, i}]; a != nil {
-				zones[a.Zone]++
-			}
-		}
+	for _, a := range t.heldOf(j) {
+		zones[a.Zone]++
 	}
 	return zones
 }
--- /dev/null
+++ b/internal/ledger/gang_test.go
@@ -0,0 +1,96 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+
+	"topazhollow/internal/wire"
+)
+
+func gang(t *testing.T) (*model, *Job, map[int]Spot) {
+	m := newModel(t, 3)
+	s := &wire.Submission{UID: "job-9", Team: "team", Kind: wire.Gang, Priority: "standard", Tasks: 3, CPUs: 2, Save: 2, Checkpoint: 5}
+	m.specs[s.UID], m.active[s.UID] = s, true
+	m.team.AddJob(s, 1, m.now, nil)
+	spots := map[int]Spot{}
+	for i := range s.Tasks {
+		spots[i] = Spot{fmt.Sprintf("m%d", i), "z", 1}
+	}
+	return m, m.team.Job(s.UID), spots
+}
+
+func listed(m *model, j *Job, id uint64, index int, state, why string) {
+	v := &View{Machine: fmt.Sprintf("m%d", index), Zone: "z", Session: 1, Token: 1}
+	v.Tasks = []TaskView{{Key: Key{j.Spec.UID, index}, Attempt: id, State: state, Why: why}}
+	m.team.Observe(v, m.now, m.mine)
+}
+
+// TestGangAllOrNone: a gang that does not fit the quota takes nothing of it.
+func TestGangAllOrNone(t *testing.T) {
+	m, j, spots := gang(t)
+	m.team.MaxCPUs = 5
+	if m.team.PlaceGang(j, 0, spots) || len(m.team.Replica().Holds) != 0 {
+		t.Fatal("half a gang was placed")
+	}
+}
+
+// TestGangReplacesBeforeStart: a task refused while the others wait is replaced
+// under the same attempt.
+func TestGangReplacesBeforeStart(t *testing.T) {
+	m, j, spots := gang(t)
+	if !m.team.PlaceGang(j, 0, spots) {
+		t.Fatal("not placed")
+	}
+	id := AttemptID(1, 1)
+	listed(m, j, id, 0, wire.Waiting, "")
+	listed(m, j, id, 1, wire.Exited, wire.WhyFull)
+	if missing, same := m.team.Gang(j); len(missing) != 1 || missing[0] != 1 || same != id {
+		t.Fatalf("missing %v of attempt %d", missing, same)
+	}
+}
+
+// TestGangRestartsWhole: a gang that lost a running task stops as a whole, with
+// the grace to save, and begins a new attempt only when every task is off: an old
+// task may still be on its machine.
+func TestGangRestartsWhole(t *testing.T) {
+	m, j, spots := gang(t)
+	m.team.PlaceGang(j, 0, spots)
+	id := AttemptID(1, 1)
+	for i := range 3 {
+		listed(m, j, id, i, wire.Running, "")
+	}
+	listed(m, j, id, 1, wire.Exited, wire.WhyError)
+	if missing, _ := m.team.Gang(j); len(missing) != 0 {
+		t.Fatalf("would start %v beside a running gang", missing)
+	}
+	stops := 0
+	for _, orders := range m.team.Due(99, m.now, func(string, uint64) bool { return true }) {
+		for _, o := range orders {
+			if o.Op != wire.Stop || o.Grace != j.Spec.Save {
+				t.Fatalf("orders %+v", o)
+			}
+			stops++
+		}
+	}
+	if stops != 2 {
+		t.Fatalf("%d stops for two tasks left", stops)
+	}
+	listed(m, j, id, 0, wire.Exited, wire.WhyStopped)
+	if missing, _ := m.team.Gang(j); len(missing) != 0 {
+		t.Fatal("a new attempt while one old task is not off")
+	}
+	listed(m, j, id, 2, wire.Exited, wire.WhyPeers)
+	if missing, fresh := m.team.Gang(j); len(missing) != 3 || fresh != 0 {
+		t.Fatalf("missing %v of attempt %d", missing, fresh)
+	}
+}
+
+// TestGangDoneTogether: if one task of a gang is done, all are.
+func TestGangDoneTogether(t *testing.T) {
+	m, j, spots := gang(t)
+	m.team.PlaceGang(j, 0, spots)
+	listed(m, j, AttemptID(1, 1), 2, wire.Exited, wire.WhyDone)
+	if !m.team.Complete(j) {
+		t.Fatal("one task done, the gang not")
+	}
+}
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -465,13 +465,29 @@
 	if j.running == 0 {
 		return
 	}
-	for i := 0; i < j.Spec.Tasks; i++ {
-		if a := t.held[Key{j.Spec.UID, i}]; a != nil && a.state == wire.Running {
+	for _, a := range t.heldOf(j) {
+		if a.state == wire.Running {
 			f(a.Hold)
 		}
 	}
 }
 
+// heldOf lists the attempts of a job in order. What is held is bounded by the
+// quota, while a job may have very many tasks.
+func (t *Team) heldOf(j *Job) []*attempt {
+	if j.held == 0 {
+		return nil
+	}
+	list := make([]*attempt, 0, j.held)
+	for k, a := range t.held {
+		if k.Job == j.Spec.UID {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, func(a, b *attempt) int { return a.Index - b.Index })
+	return list
+}
+
 // Move stops an attempt to start its task on another machine.
 func (t *Team) Move(h Hold, grace float64, now time.Time) bool {
 	j := t.jobs[h.Job]
--- a/talk.go
+++ b/talk.go
@@ -296,10 +296,21 @@
 		for p := range n.peers {
 			n.links.Send(p, "status", s)
 		}
+		n.prune(now)
 		n.mu.Unlock()
 	}
 }
 
+// prune forgets jobs that ended long ago when there are many; a machine that
+// still lists one makes its home look it up again.
+func (n *Node) prune(now time.Time) {
+	const many, long = 2000, 5 * time.Minute
+	if len(n.jobs) < many {
+		return
+	}
+	maps.DeleteFunc(n.jobs, func(_ string, j *job) bool { return !j.active && now.Sub(j.ended) > long })
+}
+
 // demands lists the room that own teams ask for.
 func (n *Node) demands(now time.Time) []demand {
 	var out []demand
