--- a/node.go
+++ b/node.go
@@ -378,7 +378,7 @@
 		n.jobs[s.Spec.UID] = j
 	}
 	j.version = max(j.version, version)
-	if it := n.items[teamItem(s.Spec.Team)]; it != nil && it.phase == ready && it.team.Job(s.Spec.UID) == nil {
+	if it := n.items[teamItem(s.Spec.Team)]; it != nil && it.phase != loading && it.team.Job(s.Spec.UID) == nil {
 		it.team.AddJob(j.spec, j.version, j.at, nil)
 		n.wake()
 	}
--- a/node_test.go
+++ b/node_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"topazhollow/internal/frontend"
+	"topazhollow/internal/ledger"
 	"topazhollow/internal/rehearse"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/wire"
@@ -190,6 +192,25 @@
 	}
 }
 
+// TestJobDuringBarrier: a job that is accepted while its team's owner waits at
+// the barrier was once left out of the account, and waited until the next owner
+// read the state service.
+func TestJobDuringBarrier(t *testing.T) {
+	s := &settings.Settings{Name: "node-a", Deployment: settings.Deployment{Teams: []settings.Team{{Name: "red", CPUsMax: 8}},
+		State: settings.State{RPS: 9, WriteRPS: 9, TxnOps: 4, ValueKB: 4}, Cloud: settings.Cloud{RPS: 1}}}
+	n := New(s, settings.DefaultOptions(), slog.New(slog.DiscardHandler))
+	name := teamItem("red")
+	for phase, taken := range map[int]bool{loading: false, barrier: true, ready: true} {
+		it := &item{name: name, phase: phase, team: n.newTeam(name, ledger.NewReplica(), 1)}
+		n.items[name] = it
+		spec := array(phase, 1, "red")
+		n.learnJob(frontend.Stored{Spec: spec}, 1)
+		if (it.team.Job(spec.UID) != nil) != taken || n.jobs[spec.UID] == nil {
+			t.Fatalf("phase %s: job in the account: %v", phases[phase], !taken)
+		}
+	}
+}
+
 // TestQuietDay: arrays of two teams run to their end under their quotas, an
 // unknown job gets 404 and a repeated submission is known however late.
 func TestQuietDay(t *testing.T) {
