--- /dev/null
+++ b/promise_test.go
@@ -0,0 +1,102 @@
+package topazhollow
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"topazhollow/internal/settings"
+)
+
+// TestPromiseModel lets three controllers exchange statuses that arrive late, in
+// order, while renewals fail or work and processes restart without memory. It
+// guards what the exception from the lease rests on: while one holds the promises
+// of all others, none of them may raise the term.
+func TestPromiseModel(t *testing.T) {
+	type letter struct {
+		from, to int
+		inc      uint64
+		body     statusMsg
+		at       time.Time
+	}
+	held := 0
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 11))
+		names := []string{"node-a", "node-b", "node-c"}
+		nodes := make([]*Node, 3)
+		now := time.Now()
+		inc := uint64(100)
+		start := func(i int) {
+			s := &settings.Settings{Name: names[i], Deployment: settings.Deployment{Workers: settings.Workers{Report: 1},
+				State: settings.State{RPS: 9, WriteRPS: 9, TxnOps: 4, ValueKB: 4}, Cloud: settings.Cloud{RPS: 1}}}
+			for _, p := range names {
+				if p != names[i] {
+					s.Peers = append(s.Peers, settings.Peer{Name: p})
+				}
+			}
+			n := New(s, settings.DefaultOptions(), slog.New(slog.DiscardHandler))
+			inc++
+			n.inc, n.began, n.renewed, n.promised = inc, now, now, now.Add(promiseLife)
+			nodes[i] = n
+		}
+		for i := range names {
+			start(i)
+		}
+		var flying []letter
+		for range 1500 {
+			now = now.Add(time.Duration(rng.IntN(60)) * time.Millisecond)
+			i := rng.IntN(3)
+			switch rng.IntN(12) {
+			case 0:
+				if rng.IntN(10) == 0 {
+					nodes[i].renewed = now
+				}
+			case 1:
+				nodes[i].raising = rng.IntN(6) == 0
+			case 2:
+				if rng.IntN(20) == 0 {
+					start(i)
+				}
+			case 3, 4, 5, 6:
+				body := nodes[i].status(now)
+				for to := range nodes {
+					if to != i {
+						flying = append(flying, letter{i, to, nodes[i].inc, body, now.Add(time.Duration(rng.IntN(600)) * time.Millisecond)})
+					}
+				}
+			default:
+				for k, l := range flying {
+					if !now.Before(l.at) {
+						flying = append(flying[:k:k], flying[k+1:]...)
+						n := nodes[l.to]
+						p := n.peers[names[l.from]]
+						if l.inc < p.inc {
+							break // links drop lines of older processes
+						}
+						if p.inc != l.inc {
+							p.inc, p.at = l.inc, 0
+						}
+						p.heard = now
+						n.onStatus(p, &l.body, now)
+						break
+					}
+				}
+			}
+			for a, n := range nodes {
+				if !n.holdsPromises(now) {
+					continue
+				}
+				held++
+				for b, o := range nodes {
+					if a != b && !now.Before(o.promised) {
+						t.Fatalf("seed %d: %s holds a promise that %s no longer keeps", seed, names[a], names[b])
+					}
+				}
+			}
+		}
+	}
+	if held == 0 {
+		t.Fatal("nobody ever held all promises")
+	}
+}
--- a/talk.go
+++ b/talk.go
@@ -265,34 +265,7 @@
 		}
 		now := time.Now()
 		n.mu.Lock()
-		s := statusMsg{Entitled: n.entitled(now), Leased: n.lease.Valid(now), At: now.Sub(n.began).Milliseconds(),
-			Heard: map[string]echo{}, Alive: map[string]int64{}, Progress: map[string][2]int{}}
-		for name, p := range n.peers {
-			if now.Sub(p.heard) < promiseLife && p.at > 0 {
-				s.Heard[name] = echo{p.inc, p.at}
-			}
-		}
-		if s.Promise = n.promises(now); s.Promise {
-			n.promised = now.Add(promiseLife)
-		}
-		if n.record != nil {
-			s.Term = n.record.Term
-		}
-		for name, m := range n.home.All() {
-			s.Alive[name] = now.Sub(m.Heard).Milliseconds()
-		}
-		s.Demands = n.demands(now)
-		for _, it := range n.items {
-			it.team.Jobs(func(j *ledger.Job) {
-				done, running := it.team.Progress(j.Spec.UID)
-				if done+running > 0 {
-					s.Progress[j.Spec.UID] = [2]int{done, running}
-				}
-			})
-		}
-		if n.items[tenure.Fleet] != nil {
-			s.Drain = slices.Sorted(maps.Keys(n.drain))
-		}
+		s := n.status(now)
 		for p := range n.peers {
 			n.links.Send(p, "status", s)
 		}
@@ -301,6 +274,39 @@
 	}
 }
 
+// status sums up this controller for its peers, and makes the promise in it.
+func (n *Node) status(now time.Time) statusMsg {
+	s := statusMsg{Entitled: n.entitled(now), Leased: n.lease.Valid(now), At: now.Sub(n.began).Milliseconds(),
+		Heard: map[string]echo{}, Alive: map[string]int64{}, Progress: map[string][2]int{}}
+	for name, p := range n.peers {
+		if now.Sub(p.heard) < promiseLife && p.at > 0 {
+			s.Heard[name] = echo{p.inc, p.at}
+		}
+	}
+	if s.Promise = n.promises(now); s.Promise {
+		n.promised = now.Add(promiseLife)
+	}
+	if n.record != nil {
+		s.Term = n.record.Term
+	}
+	for name, m := range n.home.All() {
+		s.Alive[name] = now.Sub(m.Heard).Milliseconds()
+	}
+	s.Demands = n.demands(now)
+	for _, it := range n.items {
+		it.team.Jobs(func(j *ledger.Job) {
+			done, running := it.team.Progress(j.Spec.UID)
+			if done+running > 0 {
+				s.Progress[j.Spec.UID] = [2]int{done, running}
+			}
+		})
+	}
+	if n.items[tenure.Fleet] != nil {
+		s.Drain = slices.Sorted(maps.Keys(n.drain))
+	}
+	return s
+}
+
 // prune forgets jobs that ended long ago when there are many; a machine that
 // still lists one makes its home look it up again.
 func (n *Node) prune(now time.Time) {
