--- a/home.go
+++ b/home.go
@@ -270,7 +270,7 @@
 	busy := false
 	running := make(map[ledger.Ref]time.Time, len(v.Tasks))
 	for _, t := range v.Tasks {
-		ref := ledger.Ref{Key: t.Key, Attempt: t.Attempt}
+		ref := t.Ref()
 		if t.State == wire.Running {
 			if since, ok := m.running[ref]; ok {
 				running[ref] = since
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -54,7 +54,6 @@
 type Frontend struct {
 	state *state.Client
 	teams map[string]settings.Team
-	zones map[string]bool
 	back  Backend
 
 	mu     sync.Mutex
@@ -63,13 +62,10 @@
 
 // New is a frontend for a deployment.
 func New(s *settings.Settings, st *state.Client, back Backend) *Frontend {
-	f := &Frontend{state: st, teams: map[string]settings.Team{}, zones: map[string]bool{}, back: back, finals: map[string]Final{}}
+	f := &Frontend{state: st, teams: map[string]settings.Team{}, back: back, finals: map[string]Final{}}
 	for _, t := range s.Deployment.Teams {
 		f.teams[t.Name] = t
 	}
-	for _, z := range s.Deployment.Zones {
-		f.zones[z] = true
-	}
 	return f
 }
 
--- a/internal/ledger/gang.go
+++ b/internal/ledger/gang.go
@@ -26,8 +26,7 @@
 
 // PlaceGang makes the attempts of a gang's missing tasks, all or none.
 func (t *Team) PlaceGang(j *Job, id uint64, spots map[int]Spot) bool {
-	n := float64(len(spots))
-	if t.usedCPU+n*j.Spec.CPUs > t.MaxCPUs+slack || t.usedGPU+n*j.Spec.GPUs > t.MaxGPUs+slack || t.counter >= 1<<termShift-1 {
+	if !t.fits(j, len(spots)) || t.counter >= 1<<termShift-1 {
 		return false
 	}
 	if id == 0 {
@@ -63,7 +62,7 @@
 // StopJob stops every attempt of a job at once, with the grace to save.
 func (t *Team) StopJob(j *Job, grace float64) {
 	for _, a := range t.heldOf(j) {
-		t.Stop(a.ref(), grace)
+		t.Stop(a.Ref(), grace)
 	}
 	if j.Spec.Kind == wire.Gang {
 		j.broken = true
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -4,6 +4,7 @@
 package ledger
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -17,6 +18,10 @@
 	Index int    `json:"i"`
 }
 
+func (k Key) compare(o Key) int {
+	return cmp.Or(strings.Compare(k.Job, o.Job), k.Index-o.Index)
+}
+
 // Ref names an attempt: its number alone is unique only for its task.
 type Ref struct {
 	Key
@@ -86,10 +91,7 @@
 		c.Holds = append(c.Holds, h)
 	}
 	slices.SortFunc(c.Holds, func(a, b Hold) int {
-		if d := strings.Compare(a.Job, b.Job); d != 0 {
-			return d
-		}
-		return a.Index - b.Index
+		return a.compare(b.Key)
 	})
 	return c
 }
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/bits-and-blooms/bitset"
@@ -146,7 +145,11 @@
 	log     func(event string, args ...any)
 }
 
-func (h *Hold) ref() Ref { return Ref{h.Key, h.Attempt} }
+// Ref is the attempt that the hold is for.
+func (h Hold) Ref() Ref { return Ref{h.Key, h.Attempt} }
+
+// Ref is the attempt that the task is listed with.
+func (x TaskView) Ref() Ref { return Ref{x.Key, x.Attempt} }
 
 // Ref is the attempt that the order is for.
 func (o *Order) Ref() Ref { return Ref{o.Key, o.Attempt} }
@@ -401,7 +404,12 @@
 
 // Fits says whether the quota has room for one more task of a job.
 func (t *Team) Fits(j *Job) bool {
-	return t.usedCPU+j.Spec.CPUs <= t.MaxCPUs+slack && t.usedGPU+j.Spec.GPUs <= t.MaxGPUs+slack
+	return t.fits(j, 1)
+}
+
+func (t *Team) fits(j *Job, tasks int) bool {
+	n := float64(tasks)
+	return t.usedCPU+n*j.Spec.CPUs <= t.MaxCPUs+slack && t.usedGPU+n*j.Spec.GPUs <= t.MaxGPUs+slack
 }
 
 // Avoids says whether a job should not go to a machine now.
@@ -491,7 +499,7 @@
 // Move stops an attempt to start its task on another machine.
 func (t *Team) Move(h Hold, grace float64, now time.Time) bool {
 	j := t.jobs[h.Job]
-	if j == nil || !t.Stop(h.ref(), grace) {
+	if j == nil || !t.Stop(h.Ref(), grace) {
 		return false
 	}
 	j.avoid[h.Machine] = now.Add(2 * time.Minute)
@@ -566,7 +574,7 @@
 		case v.Session < a.Session || seen[a.Key]:
 		case v.Session > a.Session:
 			t.off(a, "newer session")
-		case slices.Contains(v.Barred, a.ref()):
+		case slices.Contains(v.Barred, a.Ref()):
 			t.off(a, "never sent")
 		case v.Token > TermOf(a.Attempt):
 			// The worker knows a later term and does not list the attempt: its start
@@ -583,10 +591,7 @@
 		list = append(list, a)
 	}
 	slices.SortFunc(list, func(a, b *attempt) int {
-		if d := strings.Compare(a.Job, b.Job); d != 0 {
-			return d
-		}
-		return a.Index - b.Index
+		return a.compare(b.Key)
 	})
 	return list
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -24,7 +24,6 @@
 	Zone               int   // -1: any
 	Spot               bool  // may use spot machines
 	Image              string
-	ImageGB            float64
 }
 
 const slack = 1e-6
--- a/internal/rehearse/state.go
+++ b/internal/rehearse/state.go
@@ -101,14 +101,6 @@
 	s.out = on
 }
 
-// Value reads a key for a test.
-func (s *State) Value(key string) (json.RawMessage, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e, ok := s.keys[key]
-	return e.value, ok
-}
-
 func (s *State) tickLeases() {
 	for range time.Tick(20 * time.Millisecond) {
 		s.mu.Lock()
--- a/node.go
+++ b/node.go
@@ -117,7 +117,6 @@
 	heard    time.Time
 	entitled bool
 	leased   bool
-	term     uint64
 	at       int64     // the peer's clock in its last status
 	until    time.Time // the peer promised to raise no term before
 	demands  []demand
--- a/owner.go
+++ b/owner.go
@@ -65,7 +65,7 @@
 
 func teamItem(team string) string { return "team/" + team }
 
-func (n *Node) teamOf(name string) (string, bool) { return strings.CutPrefix(name, "team/") }
+func teamOf(name string) (string, bool) { return strings.CutPrefix(name, "team/") }
 
 // takeUp begins to own an item.
 func (n *Node) takeUp(name string, r tenure.Item) {
@@ -80,7 +80,7 @@
 	}
 	delete(n.backups, name)
 	n.log.Info("item taken", "item", name, "term", r.Since, "barrier", it.blind, "held", len(rep.Holds))
-	if _, ok := n.teamOf(name); !ok {
+	if _, ok := teamOf(name); !ok {
 		rep = ledger.NewReplica()
 	}
 	it.team = n.newTeam(name, rep, n.record.Term)
@@ -92,7 +92,7 @@
 
 func (n *Node) newTeam(name string, rep *ledger.Replica, term uint64) *ledger.Team {
 	log := func(event string, args ...any) { n.log.Debug(event, append(args, "item", name)...) }
-	team, _ := n.teamOf(name)
+	team, _ := teamOf(name)
 	for _, t := range n.set.Deployment.Teams {
 		if t.Name == team {
 			return ledger.NewTeam(name, t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax, rep, term, log)
@@ -144,7 +144,7 @@
 		}
 		it.chunks[e.Key] = e.Version
 	}
-	team, _ := n.teamOf(it.name)
+	team, _ := teamOf(it.name)
 	machines := map[string]bool{}
 	for _, e := range entries {
 		n.changed(wire.Change{Set: e.Key, Value: e.Value, Version: e.Version})
@@ -196,7 +196,7 @@
 	if it.phase != ready || it.name == tenure.Fleet {
 		return
 	}
-	team, _ := n.teamOf(it.name)
+	team, _ := teamOf(it.name)
 	orders := it.team.Observe(v, time.Now(), func(uid string) (*wire.Submission, bool, bool) {
 		j := n.jobs[uid]
 		if j == nil || j.spec.Team != team {
@@ -379,7 +379,7 @@
 }
 
 func (n *Node) ask(s *wire.Submission) *placement.Ask {
-	a := &placement.Ask{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.Memory, Zone: -1, Spot: s.Spot, Image: s.Image, ImageGB: s.ImageGB}
+	a := &placement.Ask{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.Memory, Zone: -1, Spot: s.Spot, Image: s.Image}
 	if s.Zone != nil {
 		a.Zone = n.zoneIndex(*s.Zone)
 	}
@@ -445,7 +445,7 @@
 			if m == nil || tj.Avoids(h.Machine, now) {
 				return
 			}
-			since, ok := m.running[ledger.Ref{Key: h.Key, Attempt: h.Attempt}]
+			since, ok := m.running[h.Ref()]
 			if ok && now.Sub(since) > limit && it.team.Move(h, tj.Spec.Save, now) {
 				m.slow = now
 				n.log.Info("task slower than its kin", "task", uid, "index", h.Index, "machine", h.Machine, "ran", now.Sub(since), "kin", j.longest)
@@ -469,7 +469,7 @@
 			case j.Spec.Kind == wire.Gang:
 				it.team.StopJob(j, j.Spec.Save)
 			case j.Spec.Kind == wire.Service || j.Spec.Checkpoint > 0:
-				it.team.Stop(ledger.Ref{Key: h.Key, Attempt: h.Attempt}, j.Spec.Save)
+				it.team.Stop(h.Ref(), j.Spec.Save)
 			}
 		})
 	}
@@ -485,7 +485,7 @@
 	cpus, gpus, memory, _ = n.capacity(m.view.Type)
 	listed := map[ledger.Ref]bool{}
 	for _, t := range m.view.Tasks {
-		listed[ledger.Ref{Key: t.Key, Attempt: t.Attempt}] = true
+		listed[t.Ref()] = true
 		if t.State != wire.Exited {
 			c, g, r := n.size(t.Job)
 			cpus, gpus, memory = cpus-c, gpus-g, memory-r
@@ -493,7 +493,7 @@
 	}
 	for _, it := range n.items {
 		it.team.On(m.view.Machine, func(h ledger.Hold) {
-			if !listed[ledger.Ref{Key: h.Key, Attempt: h.Attempt}] {
+			if !listed[h.Ref()] {
 				cpus, gpus, memory = cpus-h.CPUs, gpus-h.GPUs, memory-h.Memory
 			}
 		})
@@ -518,7 +518,7 @@
 
 func (n *Node) commitDone(ctx context.Context, it *item, j *ledger.Job, version uint64) {
 	uid := j.Spec.UID
-	team, _ := n.teamOf(it.name)
+	team, _ := teamOf(it.name)
 	end := frontend.Final{State: wire.Done, Tasks: j.Spec.Tasks, Team: team}
 	ops := append([]wire.Op{{Delete: frontend.JobKey + uid}, {Set: frontend.FinalKey + uid, Value: wire.Encode(end)}},
 		(*userBackend)(n).Cleanup(uid, j.Spec.Tasks)...)
--- a/place.go
+++ b/place.go
@@ -303,7 +303,7 @@
 		m := n.machines[h.Name]
 		var list []victim
 		for _, t := range m.view.Tasks {
-			ref := ledger.Ref{Key: t.Key, Attempt: t.Attempt}
+			ref := t.Ref()
 			j := n.jobs[t.Job]
 			if j == nil || !j.active || t.State == wire.Exited || t.State == wire.Saving || j.spec.Kind == wire.Gang ||
 				wire.Rank(j.spec.Priority) >= wire.Rank(job.Spec.Priority) {
@@ -374,7 +374,7 @@
 	}
 	there := map[ledger.Ref]bool{}
 	for _, t := range v.Tasks {
-		there[ledger.Ref{Key: t.Key, Attempt: t.Attempt}] = t.State != wire.Exited
+		there[t.Ref()] = t.State != wire.Exited
 	}
 	maps.DeleteFunc(n.evicting, func(ref ledger.Ref, _ eviction) bool {
 		on, listed := there[ref]
--- a/rent.go
+++ b/rent.go
@@ -10,7 +10,6 @@
 
 	"topazhollow/internal/cloud"
 	"topazhollow/internal/fleet"
-	"topazhollow/internal/ledger"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/state"
 	"topazhollow/internal/tenure"
@@ -104,10 +103,7 @@
 			}
 			return a.Late.Compare(b.Late)
 		})
-		settled := n.settled
-		if r.started.After(settled) {
-			settled = r.started
-		}
+		settled := later(n.settled, r.started)
 		plan := r.f.Decide(n.types, machines, demands, now, settled)
 		lag := settings.Seconds(n.set.Deployment.Cloud.ListLag)
 		if now.Sub(r.started) < lag && r.since > 1 {
@@ -211,7 +207,7 @@
 					left := max(j.spec.Estimate, 1)
 					if j.spec.Kind == wire.Service {
 						left = 1e6
-					} else if since, ok := x.running[ledger.Ref{Key: t.Key, Attempt: t.Attempt}]; ok {
+					} else if since, ok := x.running[t.Ref()]; ok {
 						left = max(left-now.Sub(since).Seconds(), left/8)
 					}
 					m.Slots = append(m.Slots, fleet.Slot{CPUs: j.spec.CPUs, GPUs: j.spec.GPUs, Mem: j.spec.Memory, Left: left})
--- a/talk.go
+++ b/talk.go
@@ -165,7 +165,7 @@
 			p.until = until
 		}
 	}
-	p.term, p.entitled, p.demands, p.progress = s.Term, s.Entitled, s.Demands, s.Progress
+	p.entitled, p.demands, p.progress = s.Entitled, s.Demands, s.Progress
 	p.drain = map[string]bool{}
 	for _, m := range s.Drain {
 		p.drain[m] = true
