--- a/control.go
+++ b/control.go
@@ -20,7 +20,6 @@
 	controlKey = frontend.Watched + "c"
 	nodeKey    = frontend.Watched + "n/"
 	machineKey = frontend.Watched + "m/"
-	bitmapPath = "b/"
 )
 
 // present is a controller's key, held by its lease.
@@ -104,7 +103,7 @@
 			var entries []wire.Entry
 			if entries, revision, err = n.state.List(ctx, frontend.Watched); err == nil {
 				n.mu.Lock()
-				n.reset(entries)
+				n.reset(entries, revision)
 				n.mu.Unlock()
 				listed = true
 			}
@@ -131,7 +130,7 @@
 }
 
 // reset takes in a full list of the watched keys.
-func (n *Node) reset(entries []wire.Entry) {
+func (n *Node) reset(entries []wire.Entry, revision uint64) {
 	seen := map[string]bool{}
 	for _, e := range entries {
 		seen[e.Key] = true
@@ -147,12 +146,13 @@
 			n.endJob(uid)
 		}
 	}
-	for name, m := range n.machines {
-		if m.registered != 0 && !seen[machineKey+name] {
-			n.machineGone(name)
+	for _, key := range n.roster.Keys() {
+		if !seen[key] {
+			n.learnRoster(key, nil, revision)
 		}
 	}
 	n.listed = true
+	n.recount(maps.Keys(n.machines)) // jobs may be known now that machines listed before
 }
 
 // changed takes in one change of a watched key.
@@ -195,13 +195,7 @@
 		}
 		n.learnJob(s, e.Version)
 	case strings.HasPrefix(key, machineKey):
-		name := key[len(machineKey):]
-		if e.Delete != "" {
-			n.machineGone(name)
-			return
-		}
-		m := n.machine(name)
-		m.registered = max(m.registered, e.Version)
+		n.learnRoster(key, e.Value, e.Version)
 	}
 }
 
@@ -226,6 +220,12 @@
 		for name := range n.home.All() {
 			n.fresh[name] = true
 		}
+		for name, d := range n.doers {
+			if n.home.Get(name) == nil {
+				delete(n.doers, name)
+				close(d.signal)
+			}
+		}
 	}
 	mine := r.Nodes[n.name] == n.inc
 	for name, it := range r.Items {
@@ -237,6 +237,7 @@
 			}
 			n.log.Info("item given up", "item", name, "owner", it.Owner, "term", r.Term)
 			delete(n.items, name)
+			n.recount(slices.Values(have.team.Machines()))
 			have = nil
 		}
 		if own && have == nil {
--- /dev/null
+++ b/grown_test.go
@@ -0,0 +1,243 @@
+package topazhollow
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"topazhollow/internal/fleet"
+	"topazhollow/internal/frontend"
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/tenure"
+	"topazhollow/internal/wire"
+)
+
+// grown is one controller's own account of a deployment of many machines, with
+// plain workers in place of its network: it owns every team and hears every
+// machine as from a peer.
+type grown struct {
+	n       *Node
+	rng     *rand.Rand
+	now     time.Time
+	names   []string
+	views   map[string]*ledger.View
+	ends    map[ledger.Ref]time.Time
+	jobs    int
+	started int
+}
+
+func newGrown(machines, teams int) *grown {
+	s := &settings.Settings{Name: "node-a", Deployment: settings.Deployment{Size: 3, Zones: []string{"east", "west"},
+		Workers: settings.Workers{Report: 4, Lease: 26, Cancel: 56}, State: settings.State{RPS: 150, WriteRPS: 30, ValueKB: 8, TxnOps: 24},
+		Cloud: settings.Cloud{RPS: 6, ListLag: 3}, Limits: settings.Limits{MemoryMB: 200, MaxSockets: 2500}}}
+	record := (&tenure.Record{Term: 1}).Clone()
+	for _, name := range []string{"node-a", "node-b", "node-c"} {
+		record.Nodes[name] = 1
+	}
+	for i := range teams {
+		t := settings.Team{Name: fmt.Sprintf("team-%d", i), CPUs: 3500, CPUsMax: 10000}
+		s.Deployment.Teams = append(s.Deployment.Teams, t)
+	}
+	g := &grown{n: New(s, settings.DefaultOptions(), slog.New(slog.DiscardHandler)), rng: rand.New(rand.NewPCG(3, 4)), now: time.Now(),
+		views: map[string]*ledger.View{}, ends: map[ledger.Ref]time.Time{}}
+	n := g.n
+	n.types = []wire.MachineType{{Name: "m32", CPUs: 32, Memory: 256, Price: 2, SpotPrice: 0.5, Boot: 35, FetchRate: 0.25, Zones: s.Deployment.Zones}}
+	record.Nodes["node-a"] = n.inc
+	for _, t := range s.Deployment.Teams {
+		name := teamItem(t.Name)
+		record.Items[name] = tenure.Item{Owner: "node-a", Since: 1}
+		n.items[name] = &item{name: name, since: 1, phase: ready, acks: map[string]*ack{}, book: ledger.NewBook(8 << 10),
+			team: n.newTeam(name, ledger.NewReplica(), 1)}
+	}
+	n.record = record
+	ended, cancel := context.WithCancel(context.Background())
+	cancel() // nothing goes out
+	n.group, n.ctx = &errgroup.Group{}, ended
+	n.lease.Renewed(g.now)
+	for i := range machines {
+		g.names = append(g.names, fmt.Sprintf("n-%06d", i))
+	}
+	for i := 0; i < machines; i += 200 {
+		n.roster.Learn(fmt.Sprint(i), 1, g.names[i:min(i+200, machines)])
+	}
+	for i, name := range g.names {
+		g.views[name] = &ledger.View{Machine: name, Type: "m32", Zone: s.Deployment.Zones[i%2], Spot: i%4 > 0, Session: 1, Seq: 1, Token: 1, Term: 1}
+		n.see(g.views[name], g.now)
+	}
+	return g
+}
+
+// submit has a user hand in a job of so many tasks.
+func (g *grown) submit(tasks int, cpus float64) {
+	g.n.mu.Lock()
+	defer g.n.mu.Unlock()
+	g.jobs++
+	spec := &wire.Submission{UID: fmt.Sprintf("job-%06d", g.jobs), Team: fmt.Sprintf("team-%d", g.jobs%len(g.n.set.Deployment.Teams)), Kind: wire.Batch,
+		Priority: []string{"standard", "high"}[g.jobs%2], Tasks: tasks, CPUs: cpus, Memory: 20, Image: fmt.Sprint("img-", g.jobs%10), Estimate: 40, Spot: true}
+	g.n.learnJob(frontend.Stored{Spec: spec, At: g.now.UnixMilli()}, 1)
+}
+
+// tell has a machine report what changed on it.
+func (g *grown) tell(name string, change func(v *ledger.View)) {
+	old := g.views[name]
+	v := *old
+	v.Seq++
+	v.Tasks = append([]ledger.TaskView(nil), old.Tasks...)
+	change(&v)
+	g.views[name] = &v
+	g.n.see(&v, g.now)
+}
+
+// second plays one second: tasks placed are listed as running, those that ran
+// out exit and are forgotten.
+func (g *grown) second(steps int) {
+	g.n.mu.Lock()
+	defer g.n.mu.Unlock()
+	for range steps {
+		g.now = g.now.Add(time.Second / time.Duration(steps))
+		g.n.lease.Renewed(g.now)
+		g.n.step(g.now)
+		for _, name := range g.names {
+			g.n.machines[name].heard = g.now
+			var fresh []ledger.TaskView
+			for _, it := range g.n.items {
+				it.team.On(name, func(h ledger.Hold) {
+					if g.ends[h.Ref()].IsZero() {
+						g.ends[h.Ref()] = g.now.Add(20*time.Second + time.Duration(g.rng.IntN(40000))*time.Millisecond)
+						fresh = append(fresh, ledger.TaskView{Key: h.Key, Attempt: h.Attempt, State: wire.Running})
+					}
+				})
+			}
+			g.started += len(fresh)
+			over := false
+			for _, t := range g.views[name].Tasks {
+				over = over || t.State == wire.Exited || !g.now.Before(g.ends[t.Ref()])
+			}
+			if len(fresh) == 0 && !over {
+				continue
+			}
+			g.tell(name, func(v *ledger.View) {
+				var kept []ledger.TaskView
+				for _, t := range v.Tasks {
+					if t.State == wire.Exited {
+						continue
+					}
+					if !g.now.Before(g.ends[t.Ref()]) {
+						t.State, t.Why = wire.Exited, wire.WhyDone
+					}
+					kept = append(kept, t)
+				}
+				v.Tasks = append(kept, fresh...)
+			})
+		}
+	}
+	for _, j := range g.n.jobs { // ended jobs leave the account
+		if it := g.n.items[teamItem(j.spec.Team)]; j.active && it != nil {
+			if tj := it.team.Job(j.spec.UID); tj != nil && it.team.Complete(tj) {
+				g.n.endJob(j.spec.UID)
+			}
+		}
+	}
+}
+
+// TestFreeRoomModel: the free room that placement works with is kept up to date
+// where something changed; it must be what counting every machine anew gives,
+// also after jobs end, machines go and items change hands. Room counted twice
+// would be lost for good, room forgotten would earn refusals.
+func TestFreeRoomModel(t *testing.T) {
+	g := newGrown(60, 3)
+	n := g.n
+	for i := range 150 {
+		if i%2 == 0 && i < 100 {
+			g.submit(1+g.rng.IntN(40), float64(1+g.rng.IntN(16)))
+		}
+		g.second(2)
+		n.mu.Lock()
+		switch i {
+		case 40, 80:
+			n.machineGone(g.names[len(g.names)-1])
+			g.names = g.names[:len(g.names)-1]
+		case 60: // another controller takes a team over
+			next := n.record.Clone()
+			next.Term++
+			name := teamItem("team-1")
+			next.Items[name] = tenure.Item{Owner: "node-b", Since: next.Term}
+			n.adopt(next, n.version+1)
+			for uid, j := range n.jobs { // its jobs are no more this one's to run
+				if j.spec.Team == "team-1" {
+					n.endJob(uid)
+				}
+			}
+		}
+		n.recountMoved()
+		for _, name := range g.names {
+			m := n.machines[name]
+			if !n.count(m) {
+				t.Fatalf("%s has no type", name)
+			}
+			cpus, _, memory := n.free(m)
+			if m.host.CPUs != cpus || m.host.Memory != memory {
+				t.Fatalf("second %d: %s has %g CPUs and %g GB kept, %g and %g counted anew", i, name, m.host.CPUs, m.host.Memory, cpus, memory)
+			}
+			if cpus < -1e-6 || memory < -1e-6 {
+				t.Fatalf("second %d: %s is overfull: %g CPUs, %g GB", i, name, cpus, memory)
+			}
+		}
+		n.mu.Unlock()
+	}
+	if g.started == 0 {
+		t.Fatal("nothing was placed")
+	}
+}
+
+// BenchmarkGrown is one second of a deployment of 1,000 machines that start and
+// end some 50 tasks, as its only owner sees it.
+func BenchmarkGrown(b *testing.B) {
+	for _, load := range []struct {
+		name string
+		jobs int // waiting at first, which more or less fill the machines
+	}{{"room", 10}, {"full", 120}} {
+		b.Run(load.name, func(b *testing.B) {
+			g := newGrown(1000, 6)
+			for range load.jobs {
+				g.submit(100, 8)
+			}
+			for range 3 {
+				g.second(10)
+			}
+			for b.Loop() {
+				g.submit(60, 8)
+				g.second(20)
+			}
+			b.ReportMetric(float64(g.started)/float64(b.N), "starts/op")
+		})
+	}
+}
+
+// BenchmarkFleet is one look of the fleet's owner at 1,000 machines and 3,000
+// waiting tasks.
+func BenchmarkFleet(b *testing.B) {
+	g := newGrown(1000, 6)
+	for range 120 {
+		g.submit(100, 8)
+	}
+	g.second(10)
+	r := &rental{started: g.now, list: map[string]wire.Host{}, seen: map[string]time.Time{}, rented: map[string]wire.Rent{}, giving: map[string]bool{}}
+	f := fleet.New("b", fleet.Options{IdleReturn: 10 * time.Second, SpotShare: 1, Silent: 30 * time.Second, Haste: 2})
+	for b.Loop() {
+		machines := g.n.fleetView(r, g.now)
+		var demands []fleet.Demand
+		for _, d := range g.n.demands(g.now) {
+			j := g.n.jobs[d.Job]
+			demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count, Late: g.n.due(j)})
+		}
+		f.Forget()
+		f.Decide(g.n.types, machines, demands, g.now, g.now)
+	}
+}
--- a/home.go
+++ b/home.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"time"
 
 	"topazhollow/internal/httpx"
 	"topazhollow/internal/ledger"
+	"topazhollow/internal/peer"
 	"topazhollow/internal/settings"
-	"topazhollow/internal/state"
 	"topazhollow/internal/wire"
 )
 
@@ -37,7 +36,10 @@
 	if m.gone {
 		return
 	}
-	*m = machine{gone: true}
+	if m.view != nil {
+		n.board = slices.DeleteFunc(n.board, func(x *machine) bool { return x == m })
+	}
+	*m = machine{gone: true, heard: time.Now()}
 	n.home.Drop(name)
 	n.log.Info("machine gone", "machine", name)
 	for _, it := range n.items {
@@ -200,60 +202,20 @@
 	}
 	x := n.machine(r.Machine)
 	x.heard = now
-	if x.registered != 0 {
-		n.home.Get(r.Machine).SetKnown()
-	} else if !x.asked {
-		x.asked = true
-		n.group.Go(func() error {
-			n.register(n.ctx, *r)
-			return nil
-		})
+	if !n.roster.Has(r.Machine) {
+		n.enrolling[r.Machine] = true
 	}
 	if changed || x.view == nil {
 		n.noteView(r.Machine)
 	}
 }
 
-// registered is a machine in the state service. Every machine that may get a
-// start is there first, so that a blind owner knows whom to wait for.
-type registered struct {
-	Addr string `json:"addr"`
-	Type string `json:"type"`
-	Zone string `json:"zone"`
-	Spot bool   `json:"spot"`
-}
-
-func (n *Node) register(ctx context.Context, r wire.Report) {
-	key := machineKey + r.Machine
-	value := wire.Encode(registered{Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot})
-	revision, err := n.state.Commit(ctx, state.Update{Guards: []wire.Guard{{Key: key}}, Ops: []wire.Op{{Set: key, Value: value}}})
-	if errors.Is(err, state.ErrConflict) {
-		var e *wire.Entry
-		if e, err = n.state.Get(ctx, key); err == nil && e != nil {
-			revision = e.Version
-		}
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	m := n.machine(r.Machine)
-	m.asked = false
-	if err != nil || m.gone || revision == 0 {
-		return // the next report tries again
-	}
-	m.registered = max(m.registered, revision)
-	if h := n.home.Get(r.Machine); h != nil {
-		h.SetKnown()
-		n.noteView(r.Machine)
-	}
-	n.wake()
-}
-
 // noteView takes a homed machine's view into this controller's own knowledge and
 // marks it to be told to the peers.
 func (n *Node) noteView(name string) {
 	v := n.home.View(name)
-	if v == nil {
-		return
+	if v == nil || n.machine(name).view == v {
+		return // nothing changed
 	}
 	n.fresh[name] = true
 	n.see(v, time.Now())
@@ -265,7 +227,10 @@
 	if m.gone || (m.view != nil && !v.Newer(m.view)) {
 		return
 	}
-	m.view = v
+	if m.view == nil {
+		n.board = append(n.board, m)
+	}
+	m.view, m.counted = v, false
 	m.heard = now
 	busy := false
 	running := make(map[ledger.Ref]time.Time, len(v.Tasks))
@@ -291,7 +256,7 @@
 	m.running = running
 	n.freed(v)
 	if len(m.images) > 64 {
-		m.images = map[string]bool{}
+		clear(m.images)
 	}
 	for _, t := range v.Tasks {
 		j := n.jobs[t.Job]
@@ -385,8 +350,9 @@
 	if len(views) == 0 {
 		return
 	}
+	line := peer.Line("views", views)
 	for p := range n.peers {
-		n.links.Send(p, "views", views)
+		n.links.SendLine(p, line)
 	}
 }
 
--- a/internal/fleet/bin.go
+++ b/internal/fleet/bin.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"container/heap"
 	"math"
 	"slices"
 
@@ -61,3 +63,74 @@
 	b.add(room{start, -s.CPUs, -s.GPUs, -s.Memory})
 	b.add(room{start + run, s.CPUs, s.GPUs, s.Memory})
 }
+
+// line is the bins that may take a job's tasks, soonest first. The tasks are
+// alike, so only the bin that took one is looked at again.
+type line struct {
+	spec *wire.Submission
+	bins []candidate
+}
+
+type candidate struct {
+	start float64
+	order int
+	bin   *bin
+}
+
+func queueFor(s *wire.Submission, bins []*bin) *line {
+	l := &line{spec: s}
+	for i, b := range bins {
+		if !allowed(s, b.pool.Type, b.pool.Zone, b.pool.Spot) {
+			continue
+		}
+		if start := b.earliest(s, math.Inf(1)); !math.IsInf(start, 1) {
+			l.bins = append(l.bins, candidate{start, i, b})
+		}
+	}
+	heap.Init(l)
+	return l
+}
+
+// soonest is when the next task can start, or infinity.
+func (l *line) soonest() float64 {
+	if len(l.bins) == 0 {
+		return math.Inf(1)
+	}
+	return l.bins[0].start
+}
+
+// take books the next task in the bin that has room soonest.
+func (l *line) take(run float64) {
+	c := &l.bins[0]
+	c.bin.take(l.spec, c.start, run)
+	if c.start = c.bin.earliest(l.spec, math.Inf(1)); math.IsInf(c.start, 1) {
+		heap.Pop(l)
+	} else {
+		heap.Fix(l, 0)
+	}
+}
+
+// add takes in a further bin.
+func (l *line) add(b *bin) {
+	if start := b.earliest(l.spec, math.Inf(1)); !math.IsInf(start, 1) {
+		heap.Push(l, candidate{start, math.MaxInt, b})
+	}
+}
+
+func (l *line) Len() int { return len(l.bins) }
+
+func (l *line) Less(i, j int) bool {
+	a, b := l.bins[i], l.bins[j]
+	return cmp.Or(cmp.Compare(a.start, b.start), a.order-b.order) < 0
+}
+
+func (l *line) Swap(i, j int) { l.bins[i], l.bins[j] = l.bins[j], l.bins[i] }
+
+// Push and Pop are for package heap alone.
+func (l *line) Push(x any) { l.bins = append(l.bins, x.(candidate)) }
+
+func (l *line) Pop() any {
+	last := l.bins[len(l.bins)-1]
+	l.bins = l.bins[:len(l.bins)-1]
+	return last
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -53,6 +53,13 @@
 	Haste      float64       // run times kept in hand before a job is due
 }
 
+// maxPerRent is the protocol's bound of one request; maxRents how many of them
+// go out for one pool at a time.
+const (
+	maxPerRent = 50
+	maxRents   = 2
+)
+
 // Plan is what to do now.
 type Plan struct {
 	Rent   []wire.Rent
@@ -184,43 +191,37 @@
 			run = 1e6
 		}
 		allowance := d.Late.Sub(now).Seconds() - f.opt.Haste*run - fetchTime(types, s)
+		line := queueFor(s, bins)
 		for range d.Count {
-			var best *bin
-			start := math.Inf(1)
-			for _, b := range bins {
-				if !allowed(s, b.pool.Type, b.pool.Zone, b.pool.Spot) {
-					continue
-				}
-				if t := b.earliest(s, start); t < start {
-					best, start = b, t
-					if t <= 0 {
-						break
-					}
-				}
-			}
-			if best != nil && start <= max(allowance, 0) {
-				best.take(s, start, run)
+			start := line.soonest()
+			if start <= max(allowance, 0) {
+				line.take(run)
 				continue
 			}
 			p, t := f.cheapest(types, s, want, now)
 			if t == nil || t.Boot >= start {
-				if best != nil {
-					best.take(s, start, run)
-					continue
+				if math.IsInf(start, 1) {
+					break
 				}
-				break
+				line.take(run)
+				continue
 			}
 			want[p]++
 			b := newBin(p, t, t.Boot)
 			bins = append(bins, b)
 			b.take(s, t.Boot, run)
+			line.add(b)
 		}
 	}
 	for p, n := range want {
-		f.counter++
-		n = min(n, 50)
-		f.pending[p] += n
-		plan.Rent = append(plan.Rent, wire.Rent{Request: fmt.Sprintf("%s-%d", f.prefix, f.counter), Type: p.Type, Zone: p.Zone, Spot: p.Spot, Count: n})
+		// A wave of machines goes out at once; what is beyond that waits for answers.
+		for i := 0; i < maxRents && n > 0; i++ {
+			count := min(n, maxPerRent)
+			n -= count
+			f.counter++
+			f.pending[p] += count
+			plan.Rent = append(plan.Rent, wire.Rent{Request: fmt.Sprintf("%s-%d", f.prefix, f.counter), Type: p.Type, Zone: p.Zone, Spot: p.Spot, Count: count})
+		}
 	}
 	slices.SortFunc(plan.Rent, func(a, b wire.Rent) int { return cmp.Compare(a.Request, b.Request) })
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -113,3 +113,42 @@
 		t.Fatalf("returns %v though nobody could hear it yet", got)
 	}
 }
+
+// TestLineModel compares the order in which alike tasks find room with a plain
+// search through all bins for each of them.
+func TestLineModel(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 6))
+		var bins, plain []*bin
+		for range 1 + rng.IntN(6) {
+			b := &bin{free: []room{{0, float64(rng.IntN(9)), 0, 100}}}
+			for range rng.IntN(4) {
+				b.add(room{at: float64(1 + rng.IntN(10)), cpus: float64(rng.IntN(4))})
+			}
+			bins = append(bins, b)
+			plain = append(plain, &bin{free: slices.Clone(b.free)})
+		}
+		for range 3 {
+			s := &wire.Submission{CPUs: float64(1 + rng.IntN(6)), Spot: true}
+			run := float64(1 + rng.IntN(5))
+			l := queueFor(s, bins)
+			for range 5 {
+				var best *bin
+				want := math.Inf(1)
+				for _, b := range plain {
+					if at := b.earliest(s, math.Inf(1)); at < want {
+						best, want = b, at
+					}
+				}
+				if got := l.soonest(); got != want {
+					t.Fatalf("seed %d: %g, plainly %g", seed, got, want)
+				}
+				if best == nil {
+					break
+				}
+				best.take(s, want, run)
+				l.take(run)
+			}
+		}
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -39,11 +39,10 @@
 
 // Backend is what the frontend needs of its controller.
 type Backend interface {
-	Types() []wire.MachineType                     // nil while unknown
-	Progress(uid string) (done, running int)       // for display
-	Accepted(s Stored, version uint64)             // a job was accepted here
-	Ended(uid string, final Final)                 // a job ended, as this node just learned
-	Cleanup(uid string, tasks int) (ops []wire.Op) // what else goes with an active job
+	Types() []wire.MachineType               // nil while unknown
+	Progress(uid string) (done, running int) // for display
+	Accepted(s Stored, version uint64)       // a job was accepted here
+	Ended(uid string, final Final)           // a job ended, as this node just learned
 	Healthy() bool
 }
 
@@ -312,9 +311,9 @@
 			return busy(5)
 		}
 		end := Final{State: wire.Withdrawn, Tasks: stored.Spec.Tasks, Team: stored.Spec.Team}
-		ops := append([]wire.Op{{Delete: JobKey + uid}, {Set: FinalKey + uid, Value: wire.Encode(end)}},
-			f.back.Cleanup(uid, stored.Spec.Tasks)...)
-		_, err = f.state.Commit(ctx, state.Update{Guards: []wire.Guard{{Key: JobKey + uid, Version: e.Version}}, Ops: ops})
+		_, err = f.state.Commit(ctx, state.Update{
+			Guards: []wire.Guard{{Key: JobKey + uid, Version: e.Version}},
+			Ops:    []wire.Op{{Delete: JobKey + uid}, {Set: FinalKey + uid, Value: wire.Encode(end)}}})
 		if err == nil {
 			f.Learn(uid, end)
 			f.back.Ended(uid, end)
--- /dev/null
+++ b/internal/ledger/book_test.go
@@ -0,0 +1,92 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/bits-and-blooms/bitset"
+
+	"topazhollow/internal/wire"
+)
+
+// TestBookModel: jobs come, finish tasks and end; their pages go to a plain
+// store, now and then under a new owner that read it. What was booked as saved
+// must be found by the next reader, and no page outgrows its room.
+func TestBookModel(t *testing.T) {
+	const room = 400
+	type value struct {
+		version uint64
+		parts   map[string]string
+	}
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 11))
+		store, revision := map[int]value{}, uint64(0)
+		book := NewBook(room)
+		jobs, done, saved := map[string]*Job{}, map[string]*bitset.BitSet{}, map[string]*bitset.BitSet{}
+		find := func(uid string) (int, *bitset.BitSet) {
+			if j := jobs[uid]; j != nil {
+				return j.Spec.Tasks, done[uid]
+			}
+			return 0, nil
+		}
+		for step := range 80 {
+			switch rng.IntN(6) {
+			case 0:
+				uid := fmt.Sprintf("job-%06d", step)
+				jobs[uid] = &Job{Spec: &wire.Submission{UID: uid, Tasks: 1 + rng.IntN(4000)}}
+				done[uid], saved[uid] = bitset.New(0), bitset.New(0)
+			case 1:
+				for uid := range jobs {
+					if rng.IntN(4) == 0 {
+						delete(jobs, uid)
+					}
+				}
+			case 2: // a new owner reads what there is
+				book = NewBook(room)
+				found := map[string]*bitset.BitSet{}
+				for number, v := range store {
+					if err := book.Read(number, v.version, v.parts, func(uid string) int { n, _ := find(uid); return n }, found); err != nil {
+						t.Fatal(err)
+					}
+				}
+				for uid := range jobs {
+					if got := found[uid]; (got == nil && saved[uid].Any()) || (got != nil && !got.IsSuperSet(saved[uid])) {
+						t.Fatalf("seed %d: saved tasks of %s are not found", seed, uid)
+					}
+				}
+			default:
+				var unsaved []*Job
+				for uid, j := range jobs {
+					if rng.IntN(2) == 0 {
+						for range rng.IntN(20) {
+							done[uid].Set(uint(rng.IntN(j.Spec.Tasks)))
+						}
+						unsaved = append(unsaved, j)
+					}
+				}
+				for _, p := range book.Plan(unsaved, find) {
+					text, err := json.Marshal(p.Parts)
+					if err != nil || len(text) > room {
+						t.Fatalf("seed %d: page of %d bytes, %v", seed, len(text), err)
+					}
+					if store[p.Number].version != p.Version {
+						t.Fatalf("seed %d: page %d under version %d", seed, p.Number, p.Version)
+					}
+					revision++
+					store[p.Number] = value{revision, p.Parts}
+					book.Written(p.Number, revision)
+					for uid, b := range p.Done {
+						saved[uid].InPlaceUnion(b)
+					}
+				}
+				for _, j := range unsaved {
+					if uid := j.Spec.UID; !saved[uid].IsSuperSet(done[uid]) {
+						t.Fatalf("seed %d: finished tasks of %s were left out", seed, uid)
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/ledger/gang.go
+++ b/internal/ledger/gang.go
@@ -12,7 +12,7 @@
 		return nil, 0
 	}
 	for i := range j.Spec.Tasks {
-		if a := t.held[Key{j.Spec.UID, i}]; a == nil {
+		if a := j.holds[i]; a == nil {
 			missing = append(missing, i)
 		} else if id = a.Attempt; j.broken || TermOf(id) != t.term {
 			return nil, 0
@@ -42,7 +42,7 @@
 // The next attempt begins when all its tasks are proven off.
 func (t *Team) breakGangs() {
 	for _, j := range t.jobs {
-		if j.Spec.Kind != wire.Gang || j.held == 0 {
+		if j.Spec.Kind != wire.Gang || len(j.holds) == 0 {
 			continue
 		}
 		if old := t.incomplete(j); j.broken || old {
@@ -56,7 +56,7 @@
 	for _, a := range t.heldOf(j) {
 		old = old || TermOf(a.Attempt) != t.term
 	}
-	return old && j.held < j.Spec.Tasks
+	return old && len(j.holds) < j.Spec.Tasks
 }
 
 // StopJob stops every attempt of a job at once, with the grace to save.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -54,7 +54,7 @@
 
 func (m *model) view(w *plainWorker) *View {
 	w.seq++
-	v := &View{Machine: w.name, Session: w.session, Seq: w.seq, Token: w.token, Term: m.term, Known: true}
+	v := &View{Machine: w.name, Session: w.session, Seq: w.seq, Token: w.token, Term: m.term}
 	for _, x := range w.tasks {
 		v.Tasks = append(v.Tasks, x)
 	}
@@ -192,6 +192,43 @@
 	return ""
 }
 
+// account compares what the team keeps up to date as things change with a plain
+// count of all that it holds: an attempt that is forgotten there would never get
+// its order.
+func (m *model) account() (broken string) {
+	on, jobs := map[string]int{}, map[string]int{}
+	cpus := 0.0
+	for k, a := range m.team.held {
+		on[a.Machine]++
+		jobs[k.Job]++
+		cpus += a.CPUs
+		if j := m.team.jobs[k.Job]; (j == nil || a.stop || a.state == "") && !m.team.todo[a] {
+			return fmt.Sprintf("attempt %v needs an order and is not looked at", a.Ref())
+		} else if j != nil && j.holds[k.Index] != a {
+			return fmt.Sprintf("attempt %v is missing at its job", a.Ref())
+		}
+	}
+	for a := range m.team.todo {
+		if m.team.held[a.Key] != a {
+			return fmt.Sprintf("attempt %v is off and still looked at", a.Ref())
+		}
+	}
+	for uid, j := range m.team.jobs {
+		if len(j.holds) != jobs[uid] {
+			return fmt.Sprintf("%s holds %d, plainly %d", uid, len(j.holds), jobs[uid])
+		}
+	}
+	for machine, list := range m.team.on {
+		if len(list) != on[machine] {
+			return fmt.Sprintf("%s holds %d, plainly %d", machine, len(list), on[machine])
+		}
+	}
+	if len(m.team.order) != len(m.team.jobs) || !slices.IsSortedFunc(m.team.order, Urgency) || cpus != m.team.usedCPU {
+		return "jobs out of order, or quota miscounted"
+	}
+	return ""
+}
+
 func (m *model) takeOver() {
 	rep := FromCopy(m.backup.Copy())
 	m.team = NewTeam("team", 8, 12, 0, 0, rep, m.term, func(string, ...any) {})
@@ -225,7 +262,11 @@
 	for seed := range uint64(400) {
 		m := newModel(t, seed)
 		for range 400 {
-			if broken := m.step(); broken != "" {
+			broken := m.step()
+			if broken == "" {
+				broken = m.account()
+			}
+			if broken != "" {
 				t.Fatalf("seed %d: %s", seed, broken)
 			}
 		}
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -47,7 +47,6 @@
 	Token   uint64     `json:"t"` // highest term the worker has seen
 	Term    uint64     `json:"h"` // the home's term
 	Notice  bool       `json:"n,omitempty"`
-	Known   bool       `json:"r,omitempty"` // registered in the state service
 	Tasks   []TaskView `json:"x,omitempty"`
 	Barred  []Ref      `json:"b,omitempty"` // attempts that the home will never send
 }
@@ -90,9 +89,9 @@
 	errors   int
 	notUntil time.Time
 	running  int
-	held     int
-	next     int            // lowest task that may be pending
-	saved    *bitset.BitSet // done tasks that the state service has
+	holds    map[int]*attempt // by task, what may be on machines
+	next     int              // lowest task that may be pending
+	saved    *bitset.BitSet   // done tasks that the state service has
 	dirty    bool
 	retry    map[int]time.Time
 	broken   bool // a gang that must end before its next attempt
@@ -134,8 +133,11 @@
 
 	rep     *Replica
 	jobs    map[string]*Job
+	order   []*Job // the same, most urgent first
 	held    map[Key]*attempt
 	on      map[string]map[Key]*attempt // by machine
+	todo    map[*attempt]bool           // those that may need an order: not listed yet, or to be stopped
+	moved   map[string]bool             // machines whose attempts changed since they were last asked for
 	usedCPU float64
 	usedGPU float64
 	out     []Delta
@@ -161,7 +163,8 @@
 // stay held until they are seen or proven off.
 func NewTeam(name string, cpus, maxCPUs, gpus, maxGPUs float64, rep *Replica, term uint64, log func(string, ...any)) *Team {
 	t := &Team{Name: name, CPUs: cpus, MaxCPUs: maxCPUs, GPUs: gpus, MaxGPUs: maxGPUs, rep: rep, term: term,
-		jobs: map[string]*Job{}, held: map[Key]*attempt{}, on: map[string]map[Key]*attempt{}, log: log}
+		jobs: map[string]*Job{}, held: map[Key]*attempt{}, on: map[string]map[Key]*attempt{},
+		todo: map[*attempt]bool{}, moved: map[string]bool{}, log: log}
 	for _, h := range rep.Holds {
 		t.hold(&attempt{Hold: h})
 	}
@@ -197,20 +200,11 @@
 
 // Jobs calls f for each job in order of urgency.
 func (t *Team) Jobs(f func(*Job)) {
-	for _, j := range t.sorted() {
+	for _, j := range t.order {
 		f(j)
 	}
 }
 
-func (t *Team) sorted() []*Job {
-	jobs := make([]*Job, 0, len(t.jobs))
-	for _, j := range t.jobs {
-		jobs = append(jobs, j)
-	}
-	slices.SortFunc(jobs, Urgency)
-	return jobs
-}
-
 // Urgency orders jobs: priority, then due time, then age, then id.
 func Urgency(a, b *Job) int {
 	if d := wire.Rank(b.Spec.Priority) - wire.Rank(a.Spec.Priority); d != 0 {
@@ -234,11 +228,13 @@
 	j := t.jobs[spec.UID]
 	if j == nil {
 		j = &Job{Spec: spec, Version: version, Submitted: submitted, saved: bitset.New(0),
-			avoid: map[string]time.Time{}, retry: map[int]time.Time{}}
+			avoid: map[string]time.Time{}, retry: map[int]time.Time{}, holds: map[int]*attempt{}}
 		t.jobs[spec.UID] = j
+		at, _ := slices.BinarySearchFunc(t.order, j, Urgency)
+		t.order = slices.Insert(t.order, at, j)
 		for k, a := range t.held {
 			if k.Job == spec.UID {
-				j.held++
+				j.holds[k.Index] = a
 				if a.state == wire.Running {
 					j.running++
 				}
@@ -262,6 +258,10 @@
 	if j := t.jobs[uid]; j != nil {
 		j.Over = true
 		delete(t.jobs, uid)
+		t.order = slices.DeleteFunc(t.order, func(x *Job) bool { return x == j })
+		for _, a := range j.holds {
+			t.todo[a] = true
+		}
 	}
 	if t.rep.Done[uid] != nil {
 		delete(t.rep.Done, uid)
@@ -302,10 +302,11 @@
 		t.on[a.Machine] = map[Key]*attempt{}
 	}
 	t.on[a.Machine][a.Key] = a
+	t.todo[a], t.moved[a.Machine] = true, true
 	t.usedCPU += a.CPUs
 	t.usedGPU += a.GPUs
 	if j := t.jobs[a.Job]; j != nil {
-		j.held++
+		j.holds[a.Index] = a
 	}
 }
 
@@ -324,6 +325,8 @@
 	if len(t.on[a.Machine]) == 0 {
 		delete(t.on, a.Machine)
 	}
+	delete(t.todo, a)
+	t.moved[a.Machine] = true
 	t.usedCPU -= a.CPUs
 	t.usedGPU -= a.GPUs
 	if len(t.held) == 0 {
@@ -332,7 +335,7 @@
 	delete(t.rep.Holds, a.Key)
 	t.emit(Delta{Off: []Key{a.Key}})
 	if j != nil {
-		j.held--
+		delete(j.holds, a.Index)
 		j.next = min(j.next, a.Index)
 	}
 	t.log("attempt off", "task", a.Job, "index", a.Index, "attempt", a.Attempt, "machine", a.Machine, "why", why)
@@ -373,9 +376,9 @@
 		return
 	}
 	first := true
+	done := t.rep.Done[j.Spec.UID]
 	for i := j.next; i < j.Spec.Tasks; i++ {
-		k := Key{j.Spec.UID, i}
-		if t.held[k] != nil || t.isDone(k) {
+		if j.holds[i] != nil || (done != nil && done.Test(uint(i))) {
 			continue
 		}
 		if first {
@@ -399,7 +402,7 @@
 // Unstarted counts the tasks of a job that are neither held nor done.
 func (t *Team) Unstarted(j *Job) int {
 	done, _ := t.Progress(j.Spec.UID)
-	return max(0, j.Spec.Tasks-done-j.held)
+	return max(0, j.Spec.Tasks-done-len(j.holds))
 }
 
 // Fits says whether the quota has room for one more task of a job.
@@ -465,6 +468,7 @@
 		return false
 	}
 	a.stop, a.grace, a.ordered = true, grace, time.Time{}
+	t.todo[a] = true
 	return true
 }
 
@@ -483,15 +487,7 @@
 // heldOf lists the attempts of a job in order. What is held is bounded by the
 // quota, while a job may have very many tasks.
 func (t *Team) heldOf(j *Job) []*attempt {
-	if j.held == 0 {
-		return nil
-	}
-	list := make([]*attempt, 0, j.held)
-	for k, a := range t.held {
-		if k.Job == j.Spec.UID {
-			list = append(list, a)
-		}
-	}
+	list := slices.Collect(maps.Values(j.holds))
 	slices.SortFunc(list, func(a, b *attempt) int { return a.Index - b.Index })
 	return list
 }
@@ -513,6 +509,16 @@
 	}
 }
 
+// TakeMoved gives the machines whose attempts changed since the last call.
+func (t *Team) TakeMoved() map[string]bool {
+	if len(t.moved) == 0 {
+		return nil
+	}
+	m := t.moved
+	t.moved = map[string]bool{}
+	return m
+}
+
 // Machines lists the machines that hold attempts.
 func (t *Team) Machines() []string {
 	names := make([]string, 0, len(t.on))
@@ -654,27 +660,28 @@
 func (t *Team) Due(acked uint64, now time.Time, ready func(machine string, session uint64) bool) map[string][]Order {
 	due := map[string][]Order{}
 	t.breakGangs()
-	for m, list := range t.on {
-		for _, a := range list {
-			if now.Sub(a.ordered) < resend {
-				continue
-			}
-			order := Order{Key: a.Key, Attempt: a.Attempt, Session: a.Session, CPUs: a.CPUs, GPUs: a.GPUs, Memory: a.Memory}
-			j := t.jobs[a.Job]
-			switch {
-			case j == nil || a.stop:
-				order.Op, order.Grace = wire.Stop, a.grace
-				if a.asked.IsZero() {
-					a.asked = now
-				}
-			case a.state == "" && a.seq <= acked && TermOf(a.Attempt) == t.term && ready(m, a.Session):
-				order.Op = wire.Start
-			default:
-				continue
+	for a := range t.todo {
+		if now.Sub(a.ordered) < resend {
+			continue
+		}
+		order := Order{Key: a.Key, Attempt: a.Attempt, Session: a.Session, CPUs: a.CPUs, GPUs: a.GPUs, Memory: a.Memory}
+		j := t.jobs[a.Job]
+		switch {
+		case j == nil || a.stop:
+			order.Op, order.Grace = wire.Stop, a.grace
+			if a.asked.IsZero() {
+				a.asked = now
 			}
-			a.ordered = now
-			due[m] = append(due[m], order)
+		case a.state != "":
+			delete(t.todo, a)
+			continue
+		case a.seq <= acked && TermOf(a.Attempt) == t.term && ready(a.Machine, a.Session):
+			order.Op = wire.Start
+		default:
+			continue
 		}
+		a.ordered = now
+		due[a.Machine] = append(due[a.Machine], order)
 	}
 	for _, orders := range due {
 		slices.SortFunc(orders, func(a, b Order) int { return cmp.Compare(a.Attempt, b.Attempt) })
@@ -697,7 +704,7 @@
 // that are still in no list: only a later term can prove them off.
 func (t *Team) Unproven(now time.Time, after time.Duration) int {
 	n := 0
-	for _, a := range t.held {
+	for a := range t.todo {
 		if a.state == "" && !a.asked.IsZero() && now.Sub(a.asked) > after && TermOf(a.Attempt) == t.term {
 			n++
 		}
@@ -705,18 +712,27 @@
 	return n
 }
 
-// Unsaved gives the jobs whose done tasks the state service does not know yet,
-// with these tasks.
-func (t *Team) Unsaved() map[*Job]*bitset.BitSet {
-	out := map[*Job]*bitset.BitSet{}
-	for uid, j := range t.jobs {
-		if b := t.rep.Done[uid]; j.dirty && b != nil {
-			out[j] = b.Clone()
+// Unsaved gives the jobs with done tasks that the state service does not know
+// yet.
+func (t *Team) Unsaved() []*Job {
+	var out []*Job
+	for _, j := range t.order {
+		if j.dirty && !j.Finishing && t.rep.Done[j.Spec.UID] != nil {
+			out = append(out, j)
 		}
 	}
 	return out
 }
 
+// Finished gives the size of an active job and its done tasks; 0 for others.
+func (t *Team) Finished(uid string) (tasks int, done *bitset.BitSet) {
+	j := t.jobs[uid]
+	if j == nil {
+		return 0, nil
+	}
+	return j.Spec.Tasks, t.rep.Done[uid]
+}
+
 // Saved books that the state service has these done tasks of a job.
 func (t *Team) Saved(uid string, done *bitset.BitSet) {
 	j := t.jobs[uid]
@@ -741,7 +757,7 @@
 func (t *Team) Demands(now time.Time) []Demand {
 	cpus, gpus := t.usedCPU, t.usedGPU
 	var out []Demand
-	for _, j := range t.sorted() {
+	for _, j := range t.order {
 		if j.Over || j.Finishing || now.Before(j.notUntil) || j.errors > 3 {
 			continue
 		}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -82,11 +82,20 @@
 // Send queues a line. It reports false when the peer has no connection now, or
 // when too much waits, which drops the connection.
 func (l *Links) Send(node, kind string, body any) bool {
+	return l.SendLine(node, Line(kind, body))
+}
+
+// Line is a message as SendLine takes it, to be encoded once for several peers.
+func Line(kind string, body any) []byte {
+	return append(wire.Encode(Envelope{Kind: kind, Body: wire.Encode(body)}), '\n')
+}
+
+// SendLine is Send for a line made before.
+func (l *Links) SendLine(node string, line []byte) bool {
 	s := l.out[node]
 	if s == nil {
 		return false
 	}
-	line := append(wire.Encode(Envelope{Kind: kind, Body: wire.Encode(body)}), '\n')
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.up {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,7 +1,10 @@
 // Package placement picks machines by best fit among a sample.
 package placement
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"slices"
+)
 
 // Host is a machine that may take tasks.
 type Host struct {
@@ -49,6 +52,12 @@
 	return h.CPUs+slack >= a.CPUs && h.GPUs+slack >= a.GPUs && h.Memory+slack >= a.Memory
 }
 
+// Exceeds says that whatever takes this task would take the other as well.
+func (a *Ask) Exceeds(o *Ask) bool {
+	return a.CPUs >= o.CPUs && a.GPUs >= o.GPUs && a.Memory >= o.Memory && (o.Spot || !a.Spot) &&
+		(o.Zone < 0 || o.Zone == a.Zone) && (o.Types == nil || slices.Equal(o.Types, a.Types))
+}
+
 // better says whether x suits the task better than y: it has the image, then it
 // is cheaper, so that dear ones fall idle, then it is left with less.
 func better(a *Ask, x, y *Host) bool {
--- a/internal/state/batch.go
+++ b/internal/state/batch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"topazhollow/internal/settings"
 	"topazhollow/internal/wire"
@@ -36,7 +37,9 @@
 }
 
 func newBatcher(c *Client, limits settings.State) *batcher {
-	return &batcher{c: c, ops: limits.TxnOps, bytes: 48 << 10,
+	// All controllers together may burst one second's worth: a transaction takes
+	// no more than this one's share of it.
+	return &batcher{c: c, ops: min(limits.TxnOps, c.writes.Burst()), bytes: 48 << 10,
 		queue: make(chan *pending, maxQueue), back: make(chan []*pending, 16)}
 }
 
@@ -66,15 +69,20 @@
 
 // run keeps up to four transactions on their way.
 func (b *batcher) run(ctx context.Context) error {
-	var waiting []*pending
+	var urgent, later []*pending
 	slots := make(chan struct{}, 4)
 	for {
-		if len(waiting) == 0 {
+		if len(urgent) == 0 {
+			var idle <-chan time.Time
+			if len(later) > 0 {
+				idle = time.After(laterEvery)
+			}
 			select {
 			case p := <-b.queue:
-				waiting = append(waiting, p)
+				urgent, later = sort(urgent, later, p)
 			case ps := <-b.back:
-				waiting = append(waiting, ps...)
+				urgent, later = sort(urgent, later, ps...)
+			case <-idle:
 			case <-ctx.Done():
 				return nil
 			}
@@ -84,9 +92,17 @@
 		case <-ctx.Done():
 			return nil
 		}
-		waiting = b.drain(waiting)
-		batch, rest := b.pick(waiting)
-		waiting = rest
+		urgent, later = b.drain(urgent, later)
+		var batch []*pending
+		if len(urgent) > 0 {
+			batch, urgent = b.pick(urgent)
+		} else if b.c.writes.Tokens() >= float64(b.c.writes.Burst())/2 {
+			batch, later = b.pick(later)
+		}
+		if len(batch) == 0 {
+			<-slots
+			continue
+		}
 		writes := 0
 		for _, p := range batch {
 			writes += len(p.Ops)
@@ -101,18 +117,33 @@
 	}
 }
 
-func (b *batcher) drain(waiting []*pending) []*pending {
-	for len(waiting) < maxQueue {
+// laterEvery is how often updates that may wait look for changes to spare.
+const laterEvery = 50 * time.Millisecond
+
+// sort puts updates behind those of their kind.
+func sort(urgent, later []*pending, ps ...*pending) (u, l []*pending) {
+	for _, p := range ps {
+		if p.Later {
+			later = append(later, p)
+		} else {
+			urgent = append(urgent, p)
+		}
+	}
+	return urgent, later
+}
+
+func (b *batcher) drain(urgent, later []*pending) (u, l []*pending) {
+	for len(urgent)+len(later) < maxQueue {
 		select {
 		case p := <-b.queue:
-			waiting = append(waiting, p)
+			urgent, later = sort(urgent, later, p)
 		case ps := <-b.back:
-			waiting = append(ps, waiting...)
+			urgent, later = sort(urgent, later, ps...)
 		default:
-			return waiting
+			return urgent, later
 		}
 	}
-	return waiting
+	return urgent, later
 }
 
 // pick takes the updates, oldest first, that fit one transaction. No two of
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -54,7 +54,7 @@
 		control:  httpx.NewPool(addr, 1<<20, 8),
 		watch:    httpx.NewPool(addr, 64<<20, 2),
 		requests: rate.NewLimiter(rate.Limit(limits.RPS*share), max(2, int(limits.RPS*share))),
-		writes:   rate.NewLimiter(rate.Limit(limits.WriteRPS*share), max(limits.TxnOps, int(limits.WriteRPS*share))),
+		writes:   rate.NewLimiter(rate.Limit(limits.WriteRPS*share), max(2, int(limits.WriteRPS*share))),
 	}
 	c.batch = newBatcher(c, limits)
 	return c
@@ -224,6 +224,7 @@
 type Update struct {
 	Guards []wire.Guard
 	Ops    []wire.Op
+	Later  bool // may wait for others: it takes only changes that nobody else needs
 }
 
 // Commit queues an update and waits for its outcome.
--- a/internal/workers/home.go
+++ b/internal/workers/home.go
@@ -33,7 +33,6 @@
 	Heard  time.Time   // when a report last came
 	Busy   bool        // a /do is under way
 	Deaf   bool        // the last /do failed: only report answers until it is heard again
-	Known  bool        // registered in the state service
 
 	starts map[ledger.Ref]*start
 	queue  []wire.Command
@@ -292,7 +291,7 @@
 	}
 	r := &m.Report
 	v := &ledger.View{Machine: name, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Session: r.Session, Seq: r.Seq,
-		Rev: m.rev, Token: r.Token, Term: h.term, Notice: r.Notice != nil, Known: m.Known}
+		Rev: m.rev, Token: r.Token, Term: h.term, Notice: r.Notice != nil}
 	for _, t := range r.Tasks {
 		job, index, ok := wire.SplitTask(t.Task)
 		if ok {
@@ -310,11 +309,3 @@
 	m.view = v
 	return v
 }
-
-// SetKnown books that the machine is registered in the state service.
-func (m *Machine) SetKnown() {
-	if !m.Known {
-		m.Known = true
-		m.changed()
-	}
-}
--- /dev/null
+++ b/internal/workers/roster_test.go
@@ -0,0 +1,109 @@
+package workers
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// TestRosterModel: controllers add and strike machines through keys of a plain
+// store, some of their writes late or lost. Who has learnt every key must know
+// just the machines that stand in the store, each comes and goes once, and no
+// value outgrows its room.
+func TestRosterModel(t *testing.T) {
+	const room = 120
+	type value struct {
+		version uint64
+		names   []string
+	}
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		store, revision := map[string]value{}, uint64(0)
+		rosters := []*Roster{NewRoster(room), NewRoster(room), NewRoster(room)}
+		known := []map[string]bool{{}, {}, {}}
+		learn := func(who int, key string) {
+			added, removed := rosters[who].Learn(key, store[key].version, store[key].names)
+			for _, name := range added {
+				if known[who][name] {
+					t.Fatalf("seed %d: %s came twice", seed, name)
+				}
+				known[who][name] = true
+			}
+			for _, name := range removed {
+				if !known[who][name] {
+					t.Fatalf("seed %d: %s left without having come", seed, name)
+				}
+				delete(known[who], name)
+			}
+		}
+		var late []RosterWrite
+		apply := func(w RosterWrite) {
+			if store[w.Key].version != w.Version {
+				return // another write was first
+			}
+			size := 2
+			for _, name := range w.Names {
+				size += len(name) + 3
+			}
+			if size > room {
+				t.Fatalf("seed %d: value of %d bytes", seed, size)
+			}
+			revision++
+			store[w.Key] = value{revision, w.Names}
+		}
+		machines := 0
+		for range 60 {
+			who := rng.IntN(3)
+			var writes []RosterWrite
+			if rng.IntN(2) == 0 {
+				var fresh []string
+				for range 1 + rng.IntN(12) {
+					machines++
+					fresh = append(fresh, fmt.Sprintf("n-%06d", machines))
+				}
+				writes = []RosterWrite{rosters[who].Enter(fmt.Sprintf("m/%d/", who), fresh)}
+			} else {
+				gone := map[string]bool{}
+				for name := range known[who] {
+					if rng.IntN(3) == 0 {
+						gone[name] = true
+					}
+				}
+				writes = rosters[who].Strike(gone)
+			}
+			for _, w := range writes {
+				if rng.IntN(5) == 0 {
+					late = append(late, w)
+					continue
+				}
+				apply(w)
+				learn(who, w.Key)
+			}
+			if len(late) > 0 && rng.IntN(3) == 0 {
+				apply(late[0])
+				late = late[1:]
+			}
+			for key := range store {
+				if rng.IntN(2) == 0 {
+					learn(rng.IntN(3), key)
+				}
+			}
+		}
+		plain := map[string]bool{}
+		for _, v := range store {
+			for _, name := range v.names {
+				plain[name] = true
+			}
+		}
+		for who, r := range rosters {
+			for key := range store {
+				learn(who, key)
+			}
+			all := r.All()
+			if len(all) != len(plain) || slices.ContainsFunc(all, func(name string) bool { return !plain[name] || !known[who][name] }) {
+				t.Fatalf("seed %d: controller %d knows %d machines, the store holds %d", seed, who, len(all), len(plain))
+			}
+		}
+	}
+}
--- a/node.go
+++ b/node.go
@@ -20,6 +20,7 @@
 	"topazhollow/internal/httpx"
 	"topazhollow/internal/ledger"
 	"topazhollow/internal/peer"
+	"topazhollow/internal/placement"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/state"
 	"topazhollow/internal/tenure"
@@ -48,41 +49,47 @@
 	kick  chan struct{}
 	renew chan struct{} // wakes the watch's reader after a hint of a newer record
 
-	mu       sync.Mutex
-	rng      *rand.Rand
-	lease    tenure.Lease
-	grant    uint64
-	record   *tenure.Record
-	version  uint64 // of the record's key
-	settled  time.Time
-	live     map[string]tenure.Presence
-	listed   bool // the watched keys were read
-	missing  time.Time
-	items    map[string]*item
-	backups  map[string]*backup
-	peers    map[string]*peerState
-	jobs     map[string]*job
-	machines map[string]*machine
-	home     *workers.Home
-	doers    map[string]*doer
-	types    []wire.MachineType
-	fresh    map[string]bool // machines whose view is to be told to peers
-	bumped   time.Time
-	renewed  time.Time // last renewal of the lease that worked
-	promised time.Time // this controller raises no term before
-	raising  bool      // a change of the record is on its way
-	unsure   uint64    // version under which a change had no answer
-	evicting map[ledger.Ref]eviction
-	told     bool          // peers know of tasks that wait
-	news     chan struct{} // wakes the duty that tells peers
-	lookups  map[string]bool
-	drain    map[string]bool
-	deaf     map[string]map[string]vain // homes that machines tried in vain
-	waits    *hdrhistogram.Histogram    // ms from submission to a task seen running
-	hears    bool                       // workers can be reached again
-	group    *errgroup.Group
-	ctx      context.Context
-	began    time.Time
+	mu        sync.Mutex
+	rng       *rand.Rand
+	board     []*machine       // those with a view, for placement
+	scratch   []placement.Host // the present step's copy
+	looked    time.Time        // when running tasks were last looked over
+	lease     tenure.Lease
+	grant     uint64
+	record    *tenure.Record
+	version   uint64 // of the record's key
+	settled   time.Time
+	live      map[string]tenure.Presence
+	listed    bool // the watched keys were read
+	missing   time.Time
+	items     map[string]*item
+	backups   map[string]*backup
+	peers     map[string]*peerState
+	jobs      map[string]*job
+	machines  map[string]*machine
+	roster    *workers.Roster
+	enrolling map[string]bool // machines to be registered
+	striking  bool            // gone machines are being taken off the roster
+	home      *workers.Home
+	doers     map[string]*doer
+	types     []wire.MachineType
+	fresh     map[string]bool // machines whose view is to be told to peers
+	bumped    time.Time
+	renewed   time.Time // last renewal of the lease that worked
+	promised  time.Time // this controller raises no term before
+	raising   bool      // a change of the record is on its way
+	unsure    uint64    // version under which a change had no answer
+	evicting  map[ledger.Ref]eviction
+	told      bool          // peers know of tasks that wait
+	news      chan struct{} // wakes the duty that tells peers
+	lookups   map[string]bool
+	drain     map[string]bool
+	deaf      map[string]map[string]vain // homes that machines tried in vain
+	waits     *hdrhistogram.Histogram    // ms from submission to a task seen running
+	hears     bool                       // workers can be reached again
+	group     *errgroup.Group
+	ctx       context.Context
+	began     time.Time
 }
 
 // job is what every controller knows of a job that is or was active.
@@ -98,16 +105,16 @@
 
 // machine is what every controller knows of a machine.
 type machine struct {
-	view       *ledger.View
-	heard      time.Time
-	images     map[string]bool
-	registered uint64 // version of its key, 0 if it has none
-	asked      bool   // its registration is under way
-	gone       bool
-	idle       time.Time
-	slow       time.Time                // when a task here was last found far slower than its kin
-	errors     map[string]bool          // jobs that failed here
-	running    map[ledger.Ref]time.Time // since when a listed task was seen running
+	view    *ledger.View
+	host    placement.Host // its entry for placement, if counted
+	counted bool
+	heard   time.Time
+	images  map[string]bool
+	gone    bool
+	idle    time.Time
+	slow    time.Time                // when a task here was last found far slower than its kin
+	errors  map[string]bool          // jobs that failed here
+	running map[ledger.Ref]time.Time // since when a listed task was seen running
 }
 
 // peerState is what a controller knows of another one.
@@ -142,7 +149,7 @@
 		kick:  make(chan struct{}, 1), renew: make(chan struct{}, 1),
 		rng:  rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
 		live: map[string]tenure.Presence{}, items: map[string]*item{}, backups: map[string]*backup{},
-		peers: map[string]*peerState{}, jobs: map[string]*job{}, machines: map[string]*machine{},
+		peers: map[string]*peerState{}, jobs: map[string]*job{}, machines: map[string]*machine{}, enrolling: map[string]bool{}, roster: workers.NewRoster(valueRoom(s.Deployment.State)),
 		doers: map[string]*doer{}, fresh: map[string]bool{}, settled: now, began: now, renewed: now, promised: now.Add(promiseLife),
 		lookups: map[string]bool{}, evicting: map[ledger.Ref]eviction{}, news: make(chan struct{}, 1), drain: map[string]bool{}, deaf: map[string]map[string]vain{},
 		waits: hdrhistogram.New(1, time.Hour.Milliseconds(), 2),
@@ -184,6 +191,7 @@
 		"tick":    n.work,
 		"status":  n.tell,
 		"save":    n.save,
+		"enrol":   n.enrol,
 		"catalog": n.readCatalog,
 		"probe":   n.probe,
 		"fleet":   n.runFleet,
@@ -336,15 +344,6 @@
 	(*Node)(b).endJob(uid)
 }
 
-func (b *userBackend) Cleanup(uid string, tasks int) []wire.Op {
-	n := (*Node)(b)
-	var ops []wire.Op
-	for c := 0; c*n.chunkBits() < tasks && len(ops) < n.set.Deployment.State.TxnOps-2; c++ {
-		ops = append(ops, wire.Op{Delete: bitmapKey(uid, c)})
-	}
-	return ops
-}
-
 func (b *userBackend) Healthy() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/owner.go
+++ b/owner.go
@@ -2,20 +2,15 @@
 
 import (
 	"context"
-	"encoding/base64"
-	"encoding/json"
-	"errors"
-	"fmt"
+	"iter"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/bits-and-blooms/bitset"
-
 	"topazhollow/internal/frontend"
 	"topazhollow/internal/ledger"
+	"topazhollow/internal/peer"
 	"topazhollow/internal/placement"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/state"
@@ -42,8 +37,8 @@
 	taken  time.Time
 	acks   map[string]*ack
 	await  map[string]bool // machines that the barrier waits for
-	chunks map[string]uint64
-	saving map[string]bool
+	book   *ledger.Book
+	saving bool
 }
 
 // ack is what a backup acknowledged.
@@ -70,7 +65,7 @@
 // takeUp begins to own an item.
 func (n *Node) takeUp(name string, r tenure.Item) {
 	it := &item{name: name, since: r.Since, blind: r.Blind, taken: time.Now(),
-		acks: map[string]*ack{}, chunks: map[string]uint64{}, saving: map[string]bool{}}
+		acks: map[string]*ack{}, book: ledger.NewBook(valueRoom(n.set.Deployment.State))}
 	n.items[name] = it
 	rep := ledger.NewReplica()
 	if b := n.backups[name]; b != nil && !it.blind {
@@ -119,10 +114,10 @@
 		}
 		entries, _, err := n.state.List(ctx, frontend.Watched)
 		if err == nil {
-			var bitmaps []wire.Entry
-			if bitmaps, _, err = n.state.List(ctx, bitmapPath); err == nil {
+			var pages []wire.Entry
+			if pages, _, err = n.state.List(ctx, pagesPath(it.name)); err == nil {
 				n.mu.Lock()
-				n.loaded(it, entries, bitmaps)
+				n.loaded(it, entries, pages)
 				n.mu.Unlock()
 				return
 			}
@@ -132,29 +127,18 @@
 	}
 }
 
-func (n *Node) loaded(it *item, entries, bitmaps []wire.Entry) {
+func (n *Node) loaded(it *item, entries, pages []wire.Entry) {
 	if n.items[it.name] != it {
 		return
 	}
-	done := map[string]*bitset.BitSet{}
-	for _, e := range bitmaps {
-		if err := n.readChunk(e, done); err != nil {
-			n.log.Error("unreadable bitmap", "key", e.Key, "err", err)
-			continue
-		}
-		it.chunks[e.Key] = e.Version
-	}
 	team, _ := teamOf(it.name)
-	machines := map[string]bool{}
 	for _, e := range entries {
 		n.changed(wire.Change{Set: e.Key, Value: e.Value, Version: e.Version})
-		if name, ok := strings.CutPrefix(e.Key, machineKey); ok {
-			machines[name] = true
-		}
 	}
 	if n.items[it.name] != it {
 		return // the list held a newer record
 	}
+	done := n.readPages(it, pages)
 	for uid, j := range n.jobs {
 		if j.active && j.spec.Team == team {
 			it.team.AddJob(j.spec, j.version, j.at, done[uid])
@@ -163,7 +147,9 @@
 	it.phase = barrier
 	it.await = map[string]bool{}
 	if it.blind {
-		it.await = machines
+		for _, name := range n.roster.All() {
+			it.await[name] = true
+		}
 	}
 	n.passBarrier(it)
 	n.wake()
@@ -184,6 +170,13 @@
 	}
 	it.phase, it.taken = ready, time.Now()
 	n.log.Info("item ready", "item", it.name, "term", it.since)
+	for _, name := range it.team.Machines() {
+		// No start goes to a machine that is not registered, and none is struck off
+		// before the cloud confirmed its end.
+		if !n.roster.Has(name) {
+			it.team.Gone(name)
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(n.machines)) {
 		if m := n.machines[name]; m.view != nil {
 			n.observe(it, m.view)
@@ -300,6 +293,7 @@
 func (n *Node) replicate(it *item, now time.Time) {
 	deltas := it.team.TakeDeltas()
 	seq := it.team.Replica().Seq
+	var line []byte
 	for p, ps := range n.peers {
 		if _, member := n.record.Nodes[p]; !member || !ps.up {
 			continue
@@ -309,26 +303,31 @@
 			a = &ack{}
 			it.acks[p] = a
 		}
-		if !a.copied {
+		switch {
+		case !a.copied:
 			a.copied = n.links.Send(p, "copy", copyMsg{Item: it.name, Since: it.since, Copy: it.team.Replica().Copy()})
-			a.sent = seq
-			if a.since.IsZero() {
-				a.since = now
-			}
+		case len(deltas) == 0:
 			continue
-		}
-		for _, d := range deltas {
-			if d.Seq > a.sent {
-				n.links.Send(p, "delta", deltaMsg{Item: it.name, Since: it.since, Delta: d})
-				a.sent = d.Seq
-				if a.since.IsZero() {
-					a.since = now
-				}
+		default: // whole already, so the deltas are the next ones; older ones are ignored
+			if line == nil {
+				line = peer.Line("deltas", deltasMsg{Item: it.name, Since: it.since, Deltas: deltas})
 			}
+			n.links.SendLine(p, line)
+		}
+		a.sent = seq
+		if a.since.IsZero() {
+			a.since = now
 		}
 	}
 }
 
+// minPause and maxShare bound how often and for how much of the time a step is
+// taken: what happens meanwhile is looked at together.
+const (
+	minPause = 20 * time.Millisecond
+	maxShare = 4
+)
+
 // work is the main duty: it replicates, orders and places whenever something
 // happened, and at every tick.
 func (n *Node) work(ctx context.Context) error {
@@ -342,8 +341,13 @@
 		case <-ticker.C:
 		}
 		n.mu.Lock()
-		n.step(time.Now())
+		began := time.Now()
+		n.step(began)
+		took := time.Since(began)
 		n.mu.Unlock()
+		if !pause(ctx, max(minPause, maxShare*took)) {
+			return nil
+		}
 	}
 }
 
@@ -352,6 +356,10 @@
 		return
 	}
 	n.place(now)
+	seldom := now.Sub(n.looked) > lookEvery
+	if seldom {
+		n.looked = now
+	}
 	for _, name := range slices.Sorted(maps.Keys(n.items)) {
 		it := n.items[name]
 		if it.phase == barrier {
@@ -366,18 +374,23 @@
 		}
 		due := it.team.Due(n.acked(it), now, func(m string, session uint64) bool {
 			x := n.machines[m]
-			return x != nil && !x.gone && x.registered != 0 && x.view != nil && x.view.Session == session
+			return x != nil && !x.gone && n.roster.Has(m) && x.view != nil && x.view.Session == session
 		})
 		for m, orders := range due {
 			n.order(m, orders)
 		}
 		n.finish(it)
-		n.moveSlow(it, now)
-		n.leaveNoticed(it)
+		if seldom {
+			n.moveSlow(it, now)
+			n.leaveNoticed(it)
+		}
 	}
 	n.tellViews()
 }
 
+// lookEvery is how often running tasks are looked over for those to be moved.
+const lookEvery = 500 * time.Millisecond
+
 func (n *Node) ask(s *wire.Submission) *placement.Ask {
 	a := &placement.Ask{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.Memory, Zone: -1, Spot: s.Spot, Image: s.Image}
 	if s.Zone != nil {
@@ -404,32 +417,63 @@
 
 // hosts lists the machines that may take tasks, with their free room as far as
 // this controller knows. A stale guess costs a refusal at the machine's home.
+// Only machines where something changed are counted anew.
 func (n *Node) hosts(now time.Time) []*placement.Host {
+	n.recountMoved()
 	fresh := 2*time.Duration(n.set.Deployment.Workers.Report*float64(time.Second)) + 3*time.Second
 	drain := n.draining()
-	var hosts []*placement.Host
-	for _, name := range slices.Sorted(maps.Keys(n.machines)) {
-		m := n.machines[name]
+	n.scratch = n.scratch[:0]
+	for _, m := range n.board {
 		v := m.view
-		if v == nil || m.gone || m.registered == 0 || v.Notice || now.Sub(m.heard) > fresh || drain[name] || len(m.errors) > 2 || n.slow(m, now) {
+		if m.gone || v.Notice || now.Sub(m.heard) > fresh || len(m.errors) > 2 || n.slow(m, now) || !n.count(m) {
 			continue
 		}
-		t := slices.IndexFunc(n.types, func(t wire.MachineType) bool { return t.Name == v.Type })
-		if t < 0 {
-			continue
-		}
-		h := &placement.Host{Name: name, Type: t, Zone: n.zoneIndex(v.Zone), Spot: v.Spot, Session: v.Session, Images: m.images}
-		if h.Price = n.types[t].Price; v.Spot {
-			h.Price = n.types[t].SpotPrice
-		}
-		h.CPUs, h.GPUs, h.Memory = n.free(m)
-		if h.CPUs > 0 || h.GPUs > 0 {
-			hosts = append(hosts, h)
+		if (m.host.CPUs > 0 || m.host.GPUs > 0) && !drain[v.Machine] && n.roster.Has(v.Machine) {
+			n.scratch = append(n.scratch, m.host)
 		}
 	}
+	hosts := make([]*placement.Host, len(n.scratch))
+	for i := range n.scratch {
+		hosts[i] = &n.scratch[i]
+	}
 	return hosts
 }
 
+// recountMoved marks the machines where own teams' attempts came or went.
+func (n *Node) recountMoved() {
+	for _, it := range n.items {
+		n.recount(maps.Keys(it.team.TakeMoved()))
+	}
+}
+
+func (n *Node) recount(names iter.Seq[string]) {
+	for name := range names {
+		if m := n.machines[name]; m != nil {
+			m.counted = false
+		}
+	}
+}
+
+// count brings a machine's entry for placement up to date; false if its type is
+// unknown.
+func (n *Node) count(m *machine) bool {
+	if m.counted {
+		return true
+	}
+	v := m.view
+	t := slices.IndexFunc(n.types, func(t wire.MachineType) bool { return t.Name == v.Type })
+	if t < 0 {
+		return false
+	}
+	h := placement.Host{Name: v.Machine, Type: t, Zone: n.zoneIndex(v.Zone), Spot: v.Spot, Session: v.Session, Images: m.images}
+	if h.Price = n.types[t].Price; v.Spot {
+		h.Price = n.types[t].SpotPrice
+	}
+	h.CPUs, h.GPUs, h.Memory = n.free(m)
+	m.host, m.counted = h, true
+	return true
+}
+
 // moveSlow stops tasks that take far longer than their kin took, to start them
 // anew elsewhere once they are proven off: as when a machine is faulty.
 func (n *Node) moveSlow(it *item, now time.Time) {
@@ -520,10 +564,9 @@
 	uid := j.Spec.UID
 	team, _ := teamOf(it.name)
 	end := frontend.Final{State: wire.Done, Tasks: j.Spec.Tasks, Team: team}
-	ops := append([]wire.Op{{Delete: frontend.JobKey + uid}, {Set: frontend.FinalKey + uid, Value: wire.Encode(end)}},
-		(*userBackend)(n).Cleanup(uid, j.Spec.Tasks)...)
 	_, err := n.state.Commit(ctx, state.Update{
-		Guards: []wire.Guard{{Key: frontend.JobKey + uid, Version: j.Version}, {Key: controlKey, Version: version}}, Ops: ops})
+		Guards: []wire.Guard{{Key: frontend.JobKey + uid, Version: j.Version}, {Key: controlKey, Version: version}},
+		Ops:    []wire.Op{{Delete: frontend.JobKey + uid}, {Set: frontend.FinalKey + uid, Value: wire.Encode(end)}}})
 	if err == nil {
 		n.front.Learn(uid, end)
 	} else {
@@ -539,122 +582,3 @@
 	j.Finishing = false
 	n.wake()
 }
-
-// chunkBits is how many tasks one bitmap key covers.
-func (n *Node) chunkBits() int { return int(n.set.Deployment.State.ValueKB*1024) * 8 / 2 / 64 * 64 }
-
-func bitmapKey(uid string, chunk int) string { return bitmapPath + uid + "/" + strconv.Itoa(chunk) }
-
-func (n *Node) readChunk(e wire.Entry, into map[string]*bitset.BitSet) error {
-	uid, chunk, ok := wire.SplitTask(strings.TrimPrefix(e.Key, bitmapPath))
-	if !ok {
-		return errors.New("malformed key")
-	}
-	var text string
-	if err := json.Unmarshal(e.Value, &text); err != nil {
-		return err
-	}
-	data, err := base64.StdEncoding.DecodeString(text)
-	if err != nil {
-		return err
-	}
-	part := bitset.New(0)
-	if err := part.UnmarshalBinary(data); err != nil {
-		return err
-	}
-	all := into[uid]
-	if all == nil {
-		all = bitset.New(0)
-		into[uid] = all
-	}
-	for i, ok := part.NextSet(0); ok; i, ok = part.NextSet(i + 1) {
-		if at := chunk*n.chunkBits() + int(i); at < wire.MaxTasks {
-			all.Set(uint(at))
-		}
-	}
-	return nil
-}
-
-// save writes bitmaps of finished tasks, paced.
-func (n *Node) save(ctx context.Context) error {
-	every := time.Duration(n.opt.BitmapEvery * float64(time.Second))
-	for pause(ctx, every) {
-		n.mu.Lock()
-		if n.entitled(time.Now()) {
-			for _, it := range n.items {
-				if it.phase == ready {
-					n.saveItem(it)
-				}
-			}
-		}
-		n.mu.Unlock()
-	}
-	return nil
-}
-
-func (n *Node) saveItem(it *item) {
-	for j, done := range it.team.Unsaved() {
-		uid := j.Spec.UID
-		if j.Finishing || it.saving[uid] {
-			continue
-		}
-		it.saving[uid] = true
-		guards := []wire.Guard{{Key: frontend.JobKey + uid, Version: j.Version}, {Key: controlKey, Version: n.version}}
-		var ops []wire.Op
-		var keys []string
-		bits := n.chunkBits()
-		for c := 0; c*bits < j.Spec.Tasks; c++ {
-			part := bitset.New(0)
-			for i, ok := done.NextSet(uint(c * bits)); ok && int(i) < (c+1)*bits; i, ok = done.NextSet(i + 1) {
-				part.Set(i - uint(c*bits))
-			}
-			if part.None() {
-				continue
-			}
-			data, err := part.MarshalBinary()
-			if err != nil {
-				panic(fmt.Sprintf("bitmap without binary form: %v", err))
-			}
-			key := bitmapKey(uid, c)
-			keys = append(keys, key)
-			guards = append(guards, wire.Guard{Key: key, Version: it.chunks[key]})
-			ops = append(ops, wire.Op{Set: key, Value: wire.Encode(base64.StdEncoding.EncodeToString(data))})
-		}
-		n.group.Go(func() error {
-			revision, err := n.state.Commit(n.ctx, state.Update{Guards: guards, Ops: ops})
-			var fresh map[string]uint64
-			if err != nil {
-				fresh = n.chunkVersions(n.ctx, keys)
-			}
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			delete(it.saving, uid)
-			if err != nil {
-				n.log.Debug("bitmap not written yet", "job", uid, "err", err)
-				maps.Copy(it.chunks, fresh)
-				return nil
-			}
-			for _, key := range keys {
-				it.chunks[key] = revision
-			}
-			it.team.Saved(uid, done)
-			n.reobserve(it, uid)
-			return nil
-		})
-	}
-}
-
-// chunkVersions reads the versions of bitmap keys after a write whose outcome is
-// open or that met another version.
-func (n *Node) chunkVersions(ctx context.Context, keys []string) map[string]uint64 {
-	out := map[string]uint64{}
-	for _, key := range keys {
-		if e, err := n.state.Get(ctx, key); err == nil {
-			out[key] = 0
-			if e != nil {
-				out[key] = e.Version
-			}
-		}
-	}
-	return out
-}
--- a/place.go
+++ b/place.go
@@ -77,10 +77,23 @@
 	}
 	hosts := n.hosts(now)
 	var short []wish
+	var full []*placement.Ask // what fits no host any more
 	for _, w := range list {
 		ask := n.ask(w.job.Spec)
 		choose := func(skip func(*placement.Host) bool) *placement.Host {
-			return placement.Choose(n.rng, hosts, ask, n.opt.SampleSize, skip)
+			if slices.ContainsFunc(full, ask.Exceeds) {
+				return nil
+			}
+			skipped := false
+			h := placement.Choose(n.rng, hosts, ask, n.opt.SampleSize, func(h *placement.Host) bool {
+				skip := skip(h)
+				skipped = skipped || skip
+				return skip
+			})
+			if h == nil && !skipped {
+				full = append(full, ask)
+			}
+			return h
 		}
 		if w.own == nil {
 			for range w.count {
@@ -242,21 +255,26 @@
 			coming[e.job] += e.tasks
 		}
 	}
-	soon := n.freeing() * patience.Seconds()
+	soon := -1.0
+	look := n.newLook(hosts, now)
 	for _, w := range short {
 		uid := w.own.Spec.UID
 		need := w.count - coming[uid]
 		if need <= 0 || w.borrowed || w.own.Spec.Kind == wire.Gang || wire.Rank(w.own.Spec.Priority) <= 1 {
 			continue
 		}
+		if soon < 0 {
+			soon = n.freeing() * patience.Seconds()
+		}
 		// What ends by itself within a few seconds goes to the most urgent anyway.
 		for need > 0 && soon >= w.own.Spec.CPUs {
 			soon -= w.own.Spec.CPUs
 			need--
 		}
 		ask, rule := n.ask(w.own.Spec), n.zoneRule(w)
-		for ; need > 0; need-- {
-			host, victims := n.cheapestRoom(ask, w.own, hosts, rule, now)
+		for ; need > 0 && look.left > 0; need-- {
+			look.left--
+			host, victims := look.cheapestRoom(ask, w.own, rule)
 			if host == nil {
 				break
 			}
@@ -271,6 +289,7 @@
 			}
 			host.Take(ask)
 			rule.take(host)
+			look.evicted(host, victims)
 		}
 	}
 }
@@ -292,50 +311,93 @@
 	return rate
 }
 
+// maxEvictions bounds the tasks for which one step seeks room by stopping
+// others; the next step goes on.
+const maxEvictions = 32
+
+// look is one step's search for room held by tasks of lower priority.
+type look struct {
+	n       *Node
+	now     time.Time
+	hosts   []*placement.Host
+	victims map[*placement.Host][]victim // those of any rank, least loss first
+	left    int
+}
+
+func (n *Node) newLook(hosts []*placement.Host, now time.Time) *look {
+	return &look{n: n, now: now, hosts: hosts, victims: map[*placement.Host][]victim{}, left: maxEvictions}
+}
+
+// on lists the tasks of a host that may be stopped, least loss first.
+func (l *look) on(h *placement.Host) []victim {
+	if list, ok := l.victims[h]; ok {
+		return list
+	}
+	n := l.n
+	m := n.machines[h.Name]
+	var list []victim
+	for _, t := range m.view.Tasks {
+		ref := t.Ref()
+		j := n.jobs[t.Job]
+		if j == nil || !j.active || t.State == wire.Exited || t.State == wire.Saving || j.spec.Kind == wire.Gang {
+			continue
+		}
+		if _, going := n.evicting[ref]; going {
+			continue
+		}
+		v := victim{ref: ref, spec: j.spec}
+		if since, ok := m.running[ref]; ok {
+			ran := l.now.Sub(since).Seconds()
+			if ran > j.spec.Estimate/2 {
+				continue // it ends soon, and much would be lost
+			}
+			v.lost = ran * j.spec.CPUs
+		}
+		list = append(list, v)
+	}
+	slices.SortFunc(list, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.lost, b.lost), cmp.Compare(a.ref.Attempt, b.ref.Attempt))
+	})
+	l.victims[h] = list
+	return list
+}
+
+// evicted takes the chosen ones out of the search.
+func (l *look) evicted(h *placement.Host, chosen []victim) {
+	l.victims[h] = slices.DeleteFunc(l.victims[h], func(v victim) bool {
+		return slices.ContainsFunc(chosen, func(c victim) bool { return c.ref == v.ref })
+	})
+}
+
 // cheapestRoom finds the machine where stopping tasks of lower priority loses
 // least.
-func (n *Node) cheapestRoom(ask *placement.Ask, job *ledger.Job, hosts []*placement.Host, rule *zoneRule, now time.Time) (best *placement.Host, stop []victim) {
+func (l *look) cheapestRoom(ask *placement.Ask, job *ledger.Job, rule *zoneRule) (best *placement.Host, stop []victim) {
 	low := 0.0
-	for _, h := range hosts {
-		if !ask.Allows(h) || job.Avoids(h.Name, now) || !rule.allows(h) {
+	rank := wire.Rank(job.Spec.Priority)
+	for _, h := range l.hosts {
+		if !ask.Allows(h) || job.Avoids(h.Name, l.now) || !rule.allows(h) {
 			continue
 		}
-		m := n.machines[h.Name]
+		room, lost := *h, 0.0
 		var list []victim
-		for _, t := range m.view.Tasks {
-			ref := t.Ref()
-			j := n.jobs[t.Job]
-			if j == nil || !j.active || t.State == wire.Exited || t.State == wire.Saving || j.spec.Kind == wire.Gang ||
-				wire.Rank(j.spec.Priority) >= wire.Rank(job.Spec.Priority) {
-				continue
-			}
-			if _, going := n.evicting[ref]; going {
+		for _, v := range l.on(h) {
+			if wire.Rank(v.spec.Priority) >= rank {
 				continue
 			}
-			if since, ok := m.running[ref]; ok && now.Sub(since).Seconds() > j.spec.Estimate/2 {
-				continue // it ends soon, and much would be lost
-			}
-			v := victim{ref: ref, spec: j.spec}
-			if since, ok := m.running[ref]; ok {
-				v.lost = now.Sub(since).Seconds() * j.spec.CPUs
-			}
-			list = append(list, v)
-		}
-		slices.SortFunc(list, func(a, b victim) int {
-			return cmp.Or(cmp.Compare(a.lost, b.lost), cmp.Compare(a.ref.Attempt, b.ref.Attempt))
-		})
-		room, lost := *h, 0.0
-		for i, v := range list {
 			room.CPUs, room.GPUs, room.Memory = room.CPUs+v.spec.CPUs, room.GPUs+v.spec.GPUs, room.Memory+v.spec.Memory
 			lost += v.lost
 			if best != nil && lost >= low {
 				break
 			}
+			list = append(list, v)
 			if ask.Fits(&room) {
-				best, stop, low = h, list[:i+1], lost
+				best, stop, low = h, list, lost
 				break
 			}
 		}
+		if best != nil && low == 0 {
+			break
+		}
 	}
 	return best, stop
 }
--- a/rent.go
+++ b/rent.go
@@ -11,7 +11,6 @@
 	"topazhollow/internal/cloud"
 	"topazhollow/internal/fleet"
 	"topazhollow/internal/settings"
-	"topazhollow/internal/state"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
 )
@@ -25,6 +24,7 @@
 		n.mu.Lock()
 		if err == nil && len(types) > 0 {
 			n.types = types
+			n.recount(maps.Keys(n.machines))
 			n.wake()
 		} else {
 			n.log.Info("catalog not read", "err", err)
@@ -111,6 +111,13 @@
 			r.f.Forget()
 		}
 		n.give(r, plan.Return)
+		if writes := n.unstruck(); len(writes) > 0 && !n.striking {
+			n.striking = true
+			n.group.Go(func() error {
+				n.strike(n.ctx, writes)
+				return nil
+			})
+		}
 		n.mu.Unlock()
 		for _, rent := range plan.Rent {
 			n.group.Go(func() error {
@@ -169,6 +176,7 @@
 // fleetView sums up every machine that is listed, registered, reporting or
 // rented lately.
 func (n *Node) fleetView(r *rental, now time.Time) []fleet.Machine {
+	n.recountMoved()
 	names := map[string]bool{}
 	for name := range r.list {
 		names[name] = true
@@ -177,7 +185,7 @@
 		names[name] = true
 	}
 	for name, m := range n.machines {
-		if !m.gone && (m.view != nil || m.registered != 0) {
+		if !m.gone && (m.view != nil || n.roster.Has(name)) {
 			names[name] = true
 		}
 	}
@@ -193,7 +201,7 @@
 				r.seen[name] = now.Add(-settings.Seconds(h.Age))
 			}
 		}
-		m := fleet.Machine{Name: name, Since: r.seen[name], Heard: x.heard, Idle: x.idle, Kept: x.registered != 0, Bad: len(x.errors) > 2}
+		m := fleet.Machine{Name: name, Since: r.seen[name], Heard: x.heard, Idle: x.idle, Kept: n.roster.Has(name), Bad: len(x.errors) > 2}
 		if h, ok := r.list[name]; ok {
 			m.Type, m.Zone, m.Spot, m.State = h.Type, h.Zone, h.Spot, h.State
 		} else if rent, ok := r.rented[name]; ok {
@@ -201,7 +209,9 @@
 		}
 		if x.view != nil {
 			m.Type, m.Zone, m.Spot, m.Going = x.view.Type, x.view.Zone, x.view.Spot, x.view.Notice
-			m.CPUs, m.GPUs, m.Mem = n.free(x)
+			if n.count(x) {
+				m.CPUs, m.GPUs, m.Mem = x.host.CPUs, x.host.GPUs, x.host.Memory
+			}
 			for _, t := range x.view.Tasks {
 				if j := n.jobs[t.Job]; j != nil && t.State != wire.Exited {
 					left := max(j.spec.Estimate, 1)
@@ -257,9 +267,6 @@
 	n.group.Go(func() error {
 		err := n.cloud.Return(n.ctx, now)
 		n.log.Info("return", "machines", now, "err", err)
-		if err == nil {
-			n.unregister(n.ctx, now)
-		}
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		for _, name := range now {
@@ -267,35 +274,9 @@
 			if err == nil {
 				delete(r.rented, name)
 				delete(r.list, name)
+				n.machineGone(name)
 			}
 		}
 		return nil
 	})
 }
-
-// unregister deletes the keys of machines that the cloud confirmed to be gone,
-// which tells every controller.
-func (n *Node) unregister(ctx context.Context, names []string) {
-	for _, name := range names {
-		for ctx.Err() == nil {
-			n.mu.Lock()
-			m := n.machine(name)
-			version, asked := m.registered, m.asked
-			n.mu.Unlock()
-			if version == 0 && !asked {
-				n.mu.Lock()
-				n.machineGone(name)
-				n.mu.Unlock()
-				break
-			}
-			_, err := n.state.Commit(ctx, state.Update{Ops: []wire.Op{{Delete: machineKey + name}}})
-			if err == nil {
-				n.mu.Lock()
-				n.machineGone(name)
-				n.mu.Unlock()
-				break
-			}
-			pause(ctx, 300*time.Millisecond)
-		}
-	}
-}
--- /dev/null
+++ b/roster.go
@@ -0,0 +1,112 @@
+package topazhollow
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"topazhollow/internal/state"
+	"topazhollow/internal/wire"
+	"topazhollow/internal/workers"
+)
+
+// enrolEvery is the least time between two writes of new machines: those that
+// report meanwhile share one.
+const enrolEvery = 250 * time.Millisecond
+
+// learnRoster takes in a key that lists registered machines.
+func (n *Node) learnRoster(key string, value json.RawMessage, version uint64) {
+	var names []string
+	if value != nil {
+		if err := json.Unmarshal(value, &names); err != nil {
+			n.log.Error("unreadable key in the state service", "key", key, "err", err)
+			return
+		}
+	}
+	added, removed := n.roster.Learn(key, version, names)
+	for _, name := range added {
+		n.machine(name)
+		delete(n.enrolling, name)
+	}
+	for _, name := range removed {
+		n.machineGone(name)
+	}
+	if len(added) > 0 {
+		n.wake()
+	}
+}
+
+// enrol registers the machines that report here. Every machine that may get a
+// start is in the state service first, so that an owner without memory knows
+// whom to wait for.
+func (n *Node) enrol(ctx context.Context) error {
+	for pause(ctx, enrolEvery) {
+		n.mu.Lock()
+		var names []string
+		for name := range n.enrolling {
+			if n.roster.Has(name) || n.machine(name).gone {
+				delete(n.enrolling, name)
+			} else {
+				names = append(names, name)
+			}
+		}
+		var w workers.RosterWrite
+		if len(names) > 0 {
+			slices.Sort(names)
+			w = n.roster.Enter(machineKey+n.name+"/", names)
+		}
+		n.mu.Unlock()
+		if len(names) > 0 {
+			n.writeRoster(ctx, w)
+		}
+	}
+	return nil
+}
+
+// strike takes machines that are gone off the roster, which tells every
+// controller. The fleet's owner does it.
+func (n *Node) strike(ctx context.Context, writes []workers.RosterWrite) {
+	for _, w := range writes {
+		n.writeRoster(ctx, w)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.striking = false
+}
+
+// unstruck plans the writes that take gone machines off the roster.
+func (n *Node) unstruck() []workers.RosterWrite {
+	gone := map[string]bool{}
+	for _, name := range n.roster.All() {
+		if m := n.machines[name]; m != nil && m.gone {
+			gone[name] = true
+		}
+	}
+	if len(gone) == 0 {
+		return nil
+	}
+	return n.roster.Strike(gone)
+}
+
+func (n *Node) writeRoster(ctx context.Context, w workers.RosterWrite) {
+	value := wire.Encode(w.Names)
+	revision, err := n.state.Commit(ctx, state.Update{
+		Guards: []wire.Guard{{Key: w.Key, Version: w.Version}}, Ops: []wire.Op{{Set: w.Key, Value: value}}})
+	if err != nil {
+		n.log.Debug("roster not written yet", "key", w.Key, "err", err)
+		if errors.Is(err, state.ErrRefused) {
+			return
+		}
+		// Another controller wrote it, or the outcome is open: read it.
+		e, err := n.state.Get(ctx, w.Key)
+		if err != nil || e == nil {
+			return
+		}
+		value, revision = e.Value, e.Version
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.learnRoster(w.Key, value, revision)
+}
--- /dev/null
+++ b/save.go
@@ -0,0 +1,120 @@
+package topazhollow
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/bits-and-blooms/bitset"
+	"github.com/cespare/xxhash/v2"
+
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/state"
+	"topazhollow/internal/wire"
+)
+
+// valueRoom is what one value of the state service may take.
+func valueRoom(s settings.State) int { return int(s.ValueKB * 1024) }
+
+// pagesPath is the prefix of an item's pages of finished tasks. Items go by a
+// hash, since a key takes no spaces and 200 bytes at most.
+func pagesPath(item string) string { return fmt.Sprintf("b/%016x/", xxhash.Sum64String(item)) }
+
+// readPages takes a team's pages into its book and gives the finished tasks of
+// its active jobs.
+func (n *Node) readPages(it *item, entries []wire.Entry) map[string]*bitset.BitSet {
+	team, _ := teamOf(it.name)
+	done := map[string]*bitset.BitSet{}
+	tasks := func(uid string) int {
+		if j := n.jobs[uid]; j != nil && j.active && j.spec.Team == team {
+			return j.spec.Tasks
+		}
+		return 0
+	}
+	for _, e := range entries {
+		number, err := strconv.Atoi(strings.TrimPrefix(e.Key, pagesPath(it.name)))
+		var parts map[string]string
+		if err == nil {
+			err = json.Unmarshal(e.Value, &parts)
+		}
+		if err == nil {
+			err = it.book.Read(number, e.Version, parts, tasks, done)
+		}
+		if err != nil {
+			n.log.Error("unreadable page of finished tasks", "key", e.Key, "err", err)
+		}
+	}
+	return done
+}
+
+// save writes pages of finished tasks, paced.
+func (n *Node) save(ctx context.Context) error {
+	for pause(ctx, settings.Seconds(n.opt.BitmapEvery)) {
+		n.mu.Lock()
+		if n.entitled(time.Now()) {
+			for _, it := range n.items {
+				if it.phase == ready && !it.saving {
+					n.saveItem(it)
+				}
+			}
+		}
+		n.mu.Unlock()
+	}
+	return nil
+}
+
+func (n *Node) saveItem(it *item) {
+	unsaved := it.team.Unsaved()
+	if len(unsaved) == 0 {
+		return
+	}
+	pages := it.book.Plan(unsaved, it.team.Finished)
+	control := wire.Guard{Key: controlKey, Version: n.version}
+	it.saving = true
+	n.group.Go(func() error {
+		for _, p := range pages {
+			n.savePage(it, p, control)
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		it.saving = false
+		return nil
+	})
+}
+
+func (n *Node) savePage(it *item, p ledger.Page, control wire.Guard) {
+	key := pagesPath(it.name) + strconv.Itoa(p.Number)
+	revision, err := n.state.Commit(n.ctx, state.Update{Later: true,
+		Guards: []wire.Guard{control, {Key: key, Version: p.Version}},
+		Ops:    []wire.Op{{Set: key, Value: wire.Encode(p.Parts)}}})
+	if err != nil {
+		n.log.Debug("finished tasks not written yet", "key", key, "err", err)
+		if errors.Is(err, state.ErrRefused) {
+			return
+		}
+		// A write whose outcome is open, or that met another version.
+		e, err := n.state.Get(n.ctx, key)
+		if err != nil {
+			return
+		}
+		revision = 0
+		if e != nil {
+			revision = e.Version
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	it.book.Written(p.Number, revision)
+	if err != nil {
+		return
+	}
+	for uid, done := range p.Done {
+		it.team.Saved(uid, done)
+		n.reobserve(it, uid)
+	}
+}
--- a/talk.go
+++ b/talk.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"topazhollow/internal/ledger"
+	"topazhollow/internal/peer"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
 )
@@ -23,10 +24,10 @@
 		Since uint64      `json:"since"`
 		Copy  ledger.Copy `json:"copy"`
 	}
-	deltaMsg struct {
-		Item  string       `json:"item"`
-		Since uint64       `json:"since"`
-		Delta ledger.Delta `json:"delta"`
+	deltasMsg struct {
+		Item   string         `json:"item"`
+		Since  uint64         `json:"since"`
+		Deltas []ledger.Delta `json:"deltas"`
 	}
 	// ackMsg acknowledges an item up to Seq, or asks for a copy.
 	ackMsg struct {
@@ -138,10 +139,10 @@
 		if err = wire.Decode(body, &c); err == nil {
 			n.onCopy(node, incarnation, &c)
 		}
-	case "delta":
-		var d deltaMsg
+	case "deltas":
+		var d deltasMsg
 		if err = wire.Decode(body, &d); err == nil {
-			n.onDelta(node, incarnation, &d)
+			n.onDeltas(node, incarnation, &d)
 		}
 	case "ack":
 		var a ackMsg
@@ -216,15 +217,24 @@
 	n.links.Send(node, "ack", ackMsg{Item: c.Item, Since: c.Since, Seq: c.Copy.Seq})
 }
 
-func (n *Node) onDelta(node string, incarnation uint64, d *deltaMsg) {
+func (n *Node) onDeltas(node string, incarnation uint64, d *deltasMsg) {
 	b := n.backups[d.Item]
-	if !n.owns(node, incarnation, d.Item, d.Since) || b == nil || b.since != d.Since || b.rep.Apply(d.Delta) != nil {
+	if !n.owns(node, incarnation, d.Item, d.Since) || b == nil || b.since != d.Since || !b.apply(d.Deltas) {
 		n.links.Send(node, "ack", ackMsg{Item: d.Item, Since: d.Since, Again: true})
 		return
 	}
 	n.links.Send(node, "ack", ackMsg{Item: d.Item, Since: d.Since, Seq: b.rep.Seq})
 }
 
+func (b *backup) apply(deltas []ledger.Delta) bool {
+	for _, d := range deltas {
+		if b.rep.Apply(d) != nil {
+			return false
+		}
+	}
+	return true
+}
+
 func (n *Node) onAck(node string, incarnation uint64, m *ackMsg) {
 	it := n.items[m.Item]
 	if it == nil || it.since != m.Since {
@@ -252,6 +262,9 @@
 	n.wake()
 }
 
+// newsEvery is the least time between two statuses.
+const newsEvery = 150 * time.Millisecond
+
 // tell sends this controller's status to its peers.
 func (n *Node) tell(ctx context.Context) error {
 	ticker := time.NewTicker(500 * time.Millisecond)
@@ -266,11 +279,15 @@
 		now := time.Now()
 		n.mu.Lock()
 		s := n.status(now)
+		line := peer.Line("status", s)
 		for p := range n.peers {
-			n.links.Send(p, "status", s)
+			n.links.SendLine(p, line)
 		}
 		n.prune(now)
 		n.mu.Unlock()
+		if !pause(ctx, newsEvery) {
+			return nil
+		}
 	}
 }
 
@@ -307,10 +324,15 @@
 	return s
 }
 
-// prune forgets jobs that ended long ago when there are many; a machine that
-// still lists one makes its home look it up again.
+// prune forgets jobs that ended and machines that were gone long ago when there
+// are many; a machine that still lists such a job makes its home look it up again.
 func (n *Node) prune(now time.Time) {
 	const many, long = 2000, 5 * time.Minute
+	if len(n.machines) > many {
+		maps.DeleteFunc(n.machines, func(name string, m *machine) bool {
+			return m.gone && now.Sub(m.heard) > long && !n.roster.Has(name)
+		})
+	}
 	if len(n.jobs) < many {
 		return
 	}
