--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,6 +17,7 @@
 	GPUs    float64
 	Memory  float64
 	Price   float64
+	Fetch   float64 // GB per second
 	Images  map[string]bool
 }
 
@@ -27,6 +28,8 @@
 	Zone               int   // -1: any
 	Spot               bool  // may use spot machines
 	Image              string
+	ImageGB            float64
+	Run                float64 // seconds that the task probably takes
 }
 
 const slack = 1e-6
@@ -58,14 +61,21 @@
 		(o.Zone < 0 || o.Zone == a.Zone) && (o.Types == nil || slices.Equal(o.Types, a.Types))
 }
 
-// better says whether x suits the task better than y: it has the image, then it
-// is cheaper, so that dear ones fall idle, then it is left with less.
-func better(a *Ask, x, y *Host) bool {
-	if xi, yi := x.Images[a.Image], y.Images[a.Image]; xi != yi {
-		return xi
+// cost is what the machine costs while it fetches the image and runs the task:
+// an image that is there already counts as much as the time that it saves.
+func (a *Ask) cost(h *Host) float64 {
+	seconds := max(a.Run, 1)
+	if !h.Images[a.Image] && h.Fetch > 0 {
+		seconds += a.ImageGB / h.Fetch
 	}
-	if x.Price != y.Price {
-		return x.Price < y.Price
+	return h.Price * seconds
+}
+
+// better says whether x, at its cost, suits a task better than y: it is cheaper,
+// so that dear ones fall idle, or it is left with less.
+func better(x, y *Host, xCost, yCost float64) bool {
+	if xCost != yCost {
+		return xCost < yCost
 	}
 	if x.GPUs != y.GPUs {
 		return x.GPUs < y.GPUs
@@ -83,6 +93,7 @@
 		return nil
 	}
 	var best *Host
+	low := 0.0
 	at, seen := rng.IntN(len(hosts)), 0
 	for i := 0; i < len(hosts) && seen < sample; i++ {
 		h := hosts[(at+i)%len(hosts)]
@@ -90,8 +101,8 @@
 			continue
 		}
 		seen++
-		if best == nil || better(a, h, best) {
-			best = h
+		if cost := a.cost(h); best == nil || better(h, best, cost, low) {
+			best, low = h, cost
 		}
 	}
 	return best
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 )
 
@@ -14,9 +15,9 @@
 		var hosts []*Host
 		for i := range 1 + rng.IntN(20) {
 			hosts = append(hosts, &Host{Name: fmt.Sprintf("m%02d", i), Type: rng.IntN(3), Zone: rng.IntN(2), Spot: rng.IntN(2) == 0,
-				CPUs: float64(rng.IntN(9)), Memory: float64(rng.IntN(9)), Price: float64(rng.IntN(2)), Images: map[string]bool{"a": rng.IntN(2) == 0}})
+				CPUs: float64(rng.IntN(9)), Memory: float64(rng.IntN(9)), Price: float64(rng.IntN(3)), Fetch: float64(rng.IntN(2)), Images: map[string]bool{"a": rng.IntN(2) == 0}})
 		}
-		ask := &Ask{CPUs: float64(1 + rng.IntN(4)), Memory: float64(rng.IntN(4)), Zone: rng.IntN(3) - 1, Spot: rng.IntN(2) == 0, Image: "a"}
+		ask := &Ask{CPUs: float64(1 + rng.IntN(4)), Memory: float64(rng.IntN(4)), Zone: rng.IntN(3) - 1, Spot: rng.IntN(2) == 0, Image: "a", ImageGB: float64(rng.IntN(9)), Run: float64(rng.IntN(9))}
 		if rng.IntN(2) == 0 {
 			ask.Types = []int{rng.IntN(3)}
 		}
@@ -24,9 +25,17 @@
 			return h.CPUs >= ask.CPUs && h.Memory >= ask.Memory && (ask.Zone < 0 || ask.Zone == h.Zone) &&
 				(!h.Spot || ask.Spot) && (ask.Types == nil || ask.Types[0] == h.Type) && h.Name != "m03"
 		}
+		// What it costs there, then what is left, then the name.
+		value := func(h *Host) []float64 {
+			seconds := max(1, ask.Run)
+			if h.Fetch == 1 && !h.Images["a"] {
+				seconds += ask.ImageGB
+			}
+			return []float64{h.Price * seconds, h.CPUs}
+		}
 		var best *Host
-		for _, h := range hosts {
-			if possible(h) && (best == nil || better(ask, h, best)) {
+		for _, h := range hosts { // in order of their names
+			if possible(h) && (best == nil || slices.Compare(value(h), value(best)) < 0) {
 				best = h
 			}
 		}
--- a/owner.go
+++ b/owner.go
@@ -392,7 +392,10 @@
 const lookEvery = 500 * time.Millisecond
 
 func (n *Node) ask(s *wire.Submission) *placement.Ask {
-	a := &placement.Ask{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.Memory, Zone: -1, Spot: s.Spot, Image: s.Image}
+	a := &placement.Ask{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.Memory, Zone: -1, Spot: s.Spot, Image: s.Image, ImageGB: s.ImageGB, Run: s.Estimate}
+	if s.Kind == wire.Service {
+		a.Run = 1e6
+	}
 	if s.Zone != nil {
 		a.Zone = n.zoneIndex(*s.Zone)
 	}
@@ -465,7 +468,7 @@
 	if t < 0 {
 		return false
 	}
-	h := placement.Host{Name: v.Machine, Type: t, Zone: n.zoneIndex(v.Zone), Spot: v.Spot, Session: v.Session, Images: m.images}
+	h := placement.Host{Name: v.Machine, Type: t, Zone: n.zoneIndex(v.Zone), Spot: v.Spot, Session: v.Session, Fetch: n.types[t].FetchRate, Images: m.images}
 	if h.Price = n.types[t].Price; v.Spot {
 		h.Price = n.types[t].SpotPrice
 	}
