--- a/grown_test.go
+++ b/grown_test.go
@@ -235,7 +235,7 @@
 		var demands []fleet.Demand
 		for _, d := range g.n.demands(g.now) {
 			j := g.n.jobs[d.Job]
-			demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count, Late: g.n.due(j)})
+			demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count, Late: g.n.due(j, g.now)})
 		}
 		f.Forget()
 		f.Decide(g.n.types, machines, demands, g.now, g.now)
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -105,12 +105,6 @@
 	return j.Submitted.Add(time.Duration(*j.Spec.Deadline * float64(time.Second)))
 }
 
-// Hopeless says whether the job can hardly be complete when it is due, even if
-// all that is left started now. Estimates are often wrong by half.
-func (j *Job) Hopeless(now time.Time) bool {
-	return j.Spec.Deadline != nil && now.Add(time.Duration(j.Spec.Estimate*float64(time.Second)/2)).After(j.Due())
-}
-
 // attempt is a hold with what the owner knows of it beyond the replica.
 type attempt struct {
 	Hold
--- a/node.go
+++ b/node.go
@@ -99,6 +99,7 @@
 	version uint64
 	active  bool
 	ended   time.Time
+	goals   []time.Time   // cached
 	longest time.Duration // of its tasks that ran to completion as far as seen here
 	runs    int
 }
--- /dev/null
+++ b/order.go
@@ -0,0 +1,137 @@
+package topazhollow
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"topazhollow/internal/settings"
+	"topazhollow/internal/wire"
+)
+
+// goals lists when a job should be complete, by its deadline and the objectives
+// for its class, in order of time; none if nobody said.
+func (n *Node) goals(j *job) []time.Time {
+	if j.goals != nil {
+		return j.goals
+	}
+	j.goals = []time.Time{}
+	add := func(seconds float64) { j.goals = append(j.goals, j.at.Add(settings.Seconds(seconds))) }
+	if j.spec.Deadline != nil {
+		add(*j.spec.Deadline)
+	}
+	for _, o := range n.set.Deployment.Objectives {
+		switch {
+		case o.Class != j.spec.Class:
+		case o.Kind == "finished" && o.Within > 0:
+			add(o.Within)
+		case o.Kind == "deadline" && o.Times > 0 && j.spec.Deadline != nil:
+			add(o.Times * *j.spec.Deadline)
+		}
+	}
+	slices.SortFunc(j.goals, time.Time.Compare)
+	return j.goals
+}
+
+// far is the goal of a job of which nobody said when it should be complete.
+const far = 24 * time.Hour
+
+// goal is the next of a job's goals that it can still reach if all that is left
+// of it started now; late if there is none. Estimates are often wrong by half.
+func (n *Node) goal(j *job, now time.Time) (goal time.Time, late bool) {
+	goals := n.goals(j)
+	if len(goals) == 0 {
+		return j.at.Add(far), false
+	}
+	for _, g := range goals {
+		if !now.Add(settings.Seconds(j.spec.Estimate / 2)).After(g) {
+			return g, false
+		}
+	}
+	return goals[len(goals)-1], true
+}
+
+// wish is a job's waiting tasks as all owners order them.
+type wish struct {
+	claim
+	spec      *wire.Submission
+	count     int
+	borrowed  bool // beyond the team's guarantee
+	late      bool // can reach no goal any more
+	latest    time.Time
+	submitted time.Time
+}
+
+// work is the CPU seconds that the waiting tasks probably take.
+func (w *wish) work() float64 { return float64(w.count) * w.spec.CPUs * max(w.spec.Estimate, 1) }
+
+// class compares what must not be mixed: work within its team's guarantee comes
+// first, then priority decides.
+func (w *wish) class(o *wish) int {
+	if w.borrowed != o.borrowed {
+		if w.borrowed {
+			return 1
+		}
+		return -1
+	}
+	return wire.Rank(o.spec.Priority) - wire.Rank(w.spec.Priority)
+}
+
+// arrange puts waiting work in the order in which it gets room, most urgent
+// first. Within a class those go first that must start soonest to reach their
+// goal; but when the CPUs there are cannot serve all of them in time, the largest
+// waits, so that as many jobs as possible are in time, and those that are late
+// anyway come last.
+func arrange(list []wish, cpus float64, now time.Time) []wish {
+	slices.SortFunc(list, func(a, b wish) int {
+		if d := a.class(&b); d != 0 {
+			return d
+		}
+		if a.late != b.late {
+			if a.late {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(a.latest.Compare(b.latest), a.submitted.Compare(b.submitted), strings.Compare(a.spec.UID, b.spec.UID))
+	})
+	if cpus <= 0 {
+		return list
+	}
+	out := make([]wish, 0, len(list))
+	ahead := 0.0 // CPU seconds that go before
+	for len(list) > 0 {
+		end := 1
+		for end < len(list) && list[end].class(&list[0]) == 0 {
+			end++
+		}
+		first := len(out)
+		var behind []wish
+		for _, w := range list[:end] {
+			if w.late {
+				behind = append(behind, w)
+				continue
+			}
+			out = append(out, w)
+			ahead += w.work()
+			if ahead/cpus <= w.latest.Sub(now).Seconds() {
+				continue
+			}
+			at := first
+			for i := first; i < len(out); i++ {
+				if out[i].work() >= out[at].work() {
+					at = i
+				}
+			}
+			ahead -= out[at].work()
+			behind = append(behind, out[at])
+			out = slices.Delete(out, at, at+1)
+		}
+		for _, w := range behind {
+			ahead += w.work()
+		}
+		out, list = append(out, behind...), list[end:]
+	}
+	return out
+}
--- a/owner.go
+++ b/owner.go
@@ -431,7 +431,7 @@
 		if m.gone || v.Notice || now.Sub(m.heard) > fresh || len(m.errors) > 2 || n.slow(m, now) || !n.count(m) {
 			continue
 		}
-		if (m.host.CPUs > 0 || m.host.GPUs > 0) && !drain[v.Machine] && n.roster.Has(v.Machine) {
+		if !drain[v.Machine] && n.roster.Has(v.Machine) {
 			n.scratch = append(n.scratch, m.host)
 		}
 	}
--- a/place.go
+++ b/place.go
@@ -8,30 +8,36 @@
 
 	"topazhollow/internal/ledger"
 	"topazhollow/internal/placement"
+	"topazhollow/internal/settings"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
 )
 
-// wish is a job's waiting tasks, of an own team or told by a peer.
-type wish struct {
-	it       *item       // nil: a peer's, which only keeps the room
-	own      *ledger.Job // nil: a peer's
-	job      *ledger.Job
-	count    int
-	borrowed bool
+// claim says whose waiting tasks a wish is for: an own team's, or a peer's, for
+// which room is only kept.
+type claim struct {
+	it  *item
+	own *ledger.Job
 }
 
-// wishes lists what waits anywhere, most urgent first: work within its team's
-// guarantee comes before what borrows, then priority, due time and age decide.
+// wishes lists what waits anywhere, most urgent first.
 func (n *Node) wishes(now time.Time) []wish {
 	var list []wish
+	add := func(c claim, uid string, count int, borrowed bool) {
+		j := n.jobs[uid]
+		if j == nil || !j.active {
+			return
+		}
+		goal, late := n.goal(j, now)
+		list = append(list, wish{claim: c, spec: j.spec, count: count, borrowed: borrowed, late: late,
+			latest: goal.Add(-settings.Seconds(j.spec.Estimate)), submitted: j.at})
+	}
 	for _, it := range n.items {
 		if it.phase != ready || it.frozen || it.name == tenure.Fleet {
 			continue
 		}
 		for _, d := range it.team.Demands(now) {
-			j := it.team.Job(d.Spec.UID)
-			list = append(list, wish{it, j, j, d.Count, d.Borrowed})
+			add(claim{it, it.team.Job(d.Spec.UID)}, d.Spec.UID, d.Count, d.Borrowed)
 		}
 	}
 	if len(list) == 0 {
@@ -42,29 +48,9 @@
 			continue
 		}
 		for _, d := range p.demands {
-			if j := n.jobs[d.Job]; j != nil && j.active {
-				list = append(list, wish{job: &ledger.Job{Spec: j.spec, Submitted: j.at}, count: d.Count, borrowed: d.Borrowed})
-			}
+			add(claim{}, d.Job, d.Count, d.Borrowed)
 		}
 	}
-	slices.SortStableFunc(list, func(a, b wish) int {
-		if a.borrowed != b.borrowed {
-			if a.borrowed {
-				return 1
-			}
-			return -1
-		}
-		if d := wire.Rank(b.job.Spec.Priority) - wire.Rank(a.job.Spec.Priority); d != 0 {
-			return d
-		}
-		if al, bl := a.job.Hopeless(now), b.job.Hopeless(now); al != bl {
-			if al {
-				return 1
-			}
-			return -1
-		}
-		return ledger.Urgency(a.job, b.job)
-	})
 	return list
 }
 
@@ -76,10 +62,15 @@
 		return
 	}
 	hosts := n.hosts(now)
+	cpus := 0.0
+	for _, h := range hosts {
+		cpus += n.types[h.Type].CPUs
+	}
+	list = arrange(list, cpus, now)
 	var short []wish
 	var full []*placement.Ask // what fits no host any more
 	for _, w := range list {
-		ask := n.ask(w.job.Spec)
+		ask := n.ask(w.spec)
 		choose := func(skip func(*placement.Host) bool) *placement.Host {
 			if slices.ContainsFunc(full, ask.Exceeds) {
 				return nil
--- a/rent.go
+++ b/rent.go
@@ -87,7 +87,7 @@
 		add := func(list []demand) {
 			for _, d := range list {
 				if j := n.jobs[d.Job]; j != nil && j.active {
-					demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count, Late: n.due(j)})
+					demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count, Late: n.due(j, now)})
 				}
 			}
 		}
@@ -129,21 +129,18 @@
 	return nil
 }
 
-// due is when a job should be complete: by its deadline, or as the objectives
-// for its class say.
-func (n *Node) due(j *job) time.Time {
-	if j.spec.Deadline != nil {
-		return j.at.Add(settings.Seconds(*j.spec.Deadline))
+// due is when a job should be complete for what the fleet rents. What is late
+// anyway is not worth more machines at once than a new one takes to come up.
+func (n *Node) due(j *job, now time.Time) time.Time {
+	goal, late := n.goal(j, now)
+	haste := settings.Seconds(n.opt.Haste * j.spec.Estimate)
+	switch {
+	case late:
+		return now.Add(haste + time.Minute)
+	case len(n.goals(j)) == 0:
+		return j.at.Add(haste + 5*time.Second)
 	}
-	within := n.opt.Haste*j.spec.Estimate + 5
-	for i, o := range slices.DeleteFunc(slices.Clone(n.set.Deployment.Objectives), func(o settings.Objective) bool {
-		return o.Kind != "finished" || o.Class != j.spec.Class
-	}) {
-		if i == 0 || o.Within < within {
-			within = o.Within
-		}
-	}
-	return j.at.Add(settings.Seconds(within))
+	return goal
 }
 
 // poll reads the cloud's list, at most about once in half its lag.
