--- a/control.go
+++ b/control.go
@@ -95,12 +95,12 @@
 
 // follow keeps what this controller knows of the watched keys up to date.
 func (n *Node) follow(ctx context.Context) error {
-	var revision uint64
 	listed := false
 	for ctx.Err() == nil {
 		var err error
 		if !listed {
 			var entries []wire.Entry
+			var revision uint64
 			if entries, revision, err = n.state.List(ctx, frontend.Watched); err == nil {
 				n.mu.Lock()
 				n.reset(entries, revision)
@@ -108,13 +108,13 @@
 				listed = true
 			}
 		} else {
+			n.mu.Lock()
+			after := n.revision
+			n.mu.Unlock()
 			var ch *wire.Changes
-			if ch, err = n.state.Watch(ctx, frontend.Watched, revision); err == nil {
-				revision = max(revision, ch.Revision)
+			if ch, err = n.state.Watch(ctx, frontend.Watched, after); err == nil {
 				n.mu.Lock()
-				for _, e := range ch.Events {
-					n.changed(e)
-				}
+				n.caughtUp(ch)
 				n.mu.Unlock()
 				n.wake()
 			}
@@ -151,7 +151,7 @@
 			n.learnRoster(key, nil, revision)
 		}
 	}
-	n.listed = true
+	n.listed, n.revision = true, revision
 	n.recount(maps.Keys(n.machines)) // jobs may be known now that machines listed before
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,21 +14,22 @@
 
 // Machine is what is known of a machine.
 type Machine struct {
-	Name  string
-	Type  string
-	Zone  string
-	Spot  bool
-	Heard time.Time // last report anywhere; zero before the first
-	Since time.Time // rented, or first seen
-	Idle  time.Time // idle since; zero while it has tasks
-	State string    // in the cloud's list, "" if not listed
-	CPUs  float64   // free
-	GPUs  float64
-	Mem   float64
-	Going bool // spot notice
-	Bad   bool // fails different jobs
-	Kept  bool // registered in the state service
-	Slots []Slot
+	Name    string
+	Type    string
+	Zone    string
+	Spot    bool
+	Heard   time.Time // last report anywhere; zero before the first
+	Since   time.Time // rented, or first seen
+	Idle    time.Time // idle since; zero while it has tasks
+	State   string    // in the cloud's list, "" if not listed
+	CPUs    float64   // free
+	GPUs    float64
+	Mem     float64
+	Going   bool // spot notice
+	Bad     bool // fails different jobs
+	Kept    bool // registered in the state service
+	Awaited bool // an owner can start nothing before the machine is heard or gone
+	Slots   []Slot
 }
 
 // Slot is a task on a machine.
@@ -50,6 +51,7 @@
 	Warm       int
 	SpotShare  float64
 	Silent     time.Duration // a machine silent for so long is returned
+	Hurry      time.Duration // the same where it is surely gone, or holds up others
 	Haste      float64       // run times kept in hand before a job is due
 }
 
@@ -119,6 +121,12 @@
 	for i := range types {
 		byType[types[i].Name] = &types[i]
 	}
+	waitedFor := 0 // silent machines that hold up others
+	for i := range machines {
+		if m := &machines[i]; m.Awaited && now.Sub(later(m.Heard, settled)) > f.opt.Hurry {
+			waitedFor++
+		}
+	}
 	var bins []*bin
 	var idleMachines []*Machine
 	for i := range machines {
@@ -136,7 +144,7 @@
 		case m.Heard.IsZero() && !m.Kept && now.Sub(m.Since) > 4*boot+20*time.Second:
 			plan.Return = append(plan.Return, m.Name)
 			continue
-		case (!m.Heard.IsZero() || m.Kept) && quiet > f.opt.Silent:
+		case (!m.Heard.IsZero() || m.Kept) && quiet > f.patience(m, waitedFor <= (len(machines)+9)/10):
 			plan.Return = append(plan.Return, m.Name)
 			continue
 		case m.Going || t == nil:
@@ -172,6 +180,17 @@
 	return plan
 }
 
+// patience is how long a machine may be silent before it is returned. One that
+// the cloud no longer lists is gone already, and the cloud's word ends the wait
+// for it; one that an owner's barrier waits for costs all of a team more than a
+// new machine, unless so many are silent that something else must be wrong.
+func (f *Fleet) patience(m *Machine, few bool) time.Duration {
+	if m.State == "" || (m.Awaited && few) {
+		return min(f.opt.Hurry, f.opt.Silent)
+	}
+	return f.opt.Silent
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -52,7 +52,7 @@
 }
 
 func setup() (*Fleet, []wire.MachineType, time.Time) {
-	f := New("x", Options{IdleReturn: 20 * time.Second, SpotShare: 1, Silent: 10 * time.Second, Haste: 1.5})
+	f := New("x", Options{IdleReturn: 20 * time.Second, SpotShare: 1, Silent: 10 * time.Second, Hurry: 4 * time.Second, Haste: 1.5})
 	return f, []wire.MachineType{{Name: "m8", CPUs: 8, Memory: 64, Price: 2, SpotPrice: 1, Boot: 10, Zones: []string{"a", "b"}}}, time.Unix(10000, 0)
 }
 
@@ -104,11 +104,21 @@
 		{Name: "idle", Type: "m8", Zone: "a", Heard: now, Idle: now.Add(-time.Minute), Since: old, CPUs: 8, Mem: 64},
 		{Name: "busy", Type: "m8", Zone: "a", Heard: now, Since: old},
 		{Name: "new", Type: "m8", Zone: "a", State: wire.HostBooting, Since: now},
+		{Name: "quiet", Type: "m8", Zone: "a", State: wire.HostRunning, Heard: now.Add(-5 * time.Second), Since: old, Kept: true},
+		{Name: "taken", Type: "m8", Zone: "a", Heard: now.Add(-5 * time.Second), Since: old, Kept: true},
+		{Name: "awaited", Type: "m8", Zone: "a", State: wire.HostRunning, Heard: now.Add(-5 * time.Second), Since: old, Kept: true, Awaited: true},
 	}
 	got := f.Decide(types, ms, nil, now, now.Add(-2*time.Minute)).Return
-	if want := []string{"failed", "silent", "stuck", "idle"}; !slices.Equal(got, want) {
+	if want := []string{"failed", "silent", "stuck", "taken", "awaited", "idle"}; !slices.Equal(got, want) {
 		t.Fatalf("returns %v, want %v", got, want)
 	}
+	for i := range ms { // a cut of many machines must not cost all of them
+		ms[i].Awaited, ms[i].Heard, ms[i].State, ms[i].Idle = true, now.Add(-5*time.Second), wire.HostRunning, time.Time{}
+	}
+	if got := f.Decide(types, ms, nil, now, now.Add(-2*time.Minute)).Return; len(got) != 0 {
+		t.Fatalf("returns %v though most are silent", got)
+	}
+	ms[1].Heard = now.Add(-time.Minute)
 	if got := f.Decide(types, ms[1:2], nil, now, now).Return; len(got) != 0 {
 		t.Fatalf("returns %v though nobody could hear it yet", got)
 	}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -39,10 +39,11 @@
 
 // Backend is what the frontend needs of its controller.
 type Backend interface {
-	Types() []wire.MachineType               // nil while unknown
-	Progress(uid string) (done, running int) // for display
-	Accepted(s Stored, version uint64)       // a job was accepted here
-	Ended(uid string, final Final)           // a job ended, as this node just learned
+	Types() []wire.MachineType                   // nil while unknown
+	Active(ctx context.Context, uid string) bool // by a read begun after the call; false if unsure
+	Progress(uid string) (done, running int)     // for display
+	Accepted(s Stored, version uint64)           // a job was accepted here
+	Ended(uid string, final Final)               // a job ended, as this node just learned
 	Healthy() bool
 }
 
@@ -170,17 +171,16 @@
 	return *final, true
 }
 
-func (f *Frontend) describe(status int, uid string, e *wire.Entry, final *Final) httpx.Answer {
+// describe answers about a job that has ended, or is active if final is nil.
+func (f *Frontend) describe(status int, uid string, final *Final) httpx.Answer {
 	s := wire.Status{UID: uid, State: wire.Pending}
 	if final != nil {
 		s.State = final.State
 		if final.State == wire.Done {
 			s.Done = final.Tasks
 		}
-	} else if e != nil {
-		if s.Done, s.Running = f.back.Progress(uid); s.Running > 0 || s.Done > 0 {
-			s.State = wire.Running
-		}
+	} else if s.Done, s.Running = f.back.Progress(uid); s.Running > 0 || s.Done > 0 {
+		s.State = wire.Running
 	}
 	return httpx.Answer{Status: status, Body: wire.Encode(s)}
 }
@@ -191,6 +191,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 1800*time.Millisecond)
 	defer cancel()
+	if final, ok := f.final(uid); ok {
+		return f.describe(200, uid, &final)
+	}
+	if f.back.Active(ctx, uid) {
+		return f.describe(200, uid, nil)
+	}
 	e, final, err := f.find(ctx, uid)
 	switch {
 	case err != nil:
@@ -198,7 +204,7 @@
 	case e == nil && final == nil:
 		return httpx.Refuse(404, "no such job")
 	}
-	return f.describe(200, uid, e, final)
+	return f.describe(200, uid, final)
 }
 
 func (f *Frontend) submit(ctx context.Context, body []byte) httpx.Answer {
@@ -227,14 +233,14 @@
 		case err != nil:
 			return busy(1)
 		case e != nil || final != nil:
-			return f.describe(200, uid, e, final)
+			return f.describe(200, uid, final)
 		case refusal.Status == 422 && f.back.Types() == nil:
 			return busy(1)
 		}
 		return refusal
 	}
 	if final, ok := f.final(uid); ok {
-		return f.describe(200, uid, nil, &final)
+		return f.describe(200, uid, &final)
 	}
 	stored := Stored{Spec: spec, At: time.Now().UnixMilli()}
 	version, err := f.state.Commit(ctx, state.Update{
@@ -248,7 +254,7 @@
 	if errors.Is(err, state.ErrConflict) {
 		e, final, err := f.find(ctx, uid)
 		if err == nil && (e != nil || final != nil) {
-			return f.describe(200, uid, e, final)
+			return f.describe(200, uid, final)
 		}
 	}
 	return busy(1)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -145,12 +145,21 @@
 
 // Watch waits for changes below a prefix after a revision.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64) (*wire.Changes, error) {
+	return c.changes(ctx, c.watch, prefix, after, LongPoll)
+}
+
+// Changes reads the changes below a prefix from a revision until now.
+func (c *Client) Changes(ctx context.Context, prefix string, after uint64) (*wire.Changes, error) {
+	return c.changes(ctx, c.calls, prefix, after, 0)
+}
+
+func (c *Client) changes(ctx context.Context, pool *httpx.Pool, prefix string, after uint64, wait time.Duration) (*wire.Changes, error) {
 	if err := c.requests.Wait(ctx); err != nil {
 		return nil, ErrRefused
 	}
 	q := url.Values{"under": {prefix}, "after": {strconv.FormatUint(after, 10)},
-		"block_ms": {strconv.FormatInt(LongPoll.Milliseconds(), 10)}}
-	resp, err := c.do(ctx, c.watch, "GET", "/changes?"+q.Encode(), nil, LongPoll+timeout)
+		"block_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	resp, err := c.do(ctx, pool, "GET", "/changes?"+q.Encode(), nil, wait+timeout)
 	if err != nil {
 		return nil, err
 	}
--- a/node.go
+++ b/node.go
@@ -60,7 +60,10 @@
 	version   uint64 // of the record's key
 	settled   time.Time
 	live      map[string]tenure.Presence
-	listed    bool // the watched keys were read
+	listed    bool         // the watched keys were read
+	revision  uint64       // of the state service, up to which the watched keys are known
+	unsynced  []chan error // those who wait for a read of the changes
+	syncNow   chan struct{}
 	missing   time.Time
 	items     map[string]*item
 	backups   map[string]*backup
@@ -130,6 +133,7 @@
 	demands  []demand
 	progress map[string][2]int
 	drain    map[string]bool
+	awaits   []string
 }
 
 // Run serves until the context ends.
@@ -147,7 +151,7 @@
 		inc:   uint64(now.UnixMicro()),
 		state: state.New(s.Outside.State, s.Deployment.State, count),
 		cloud: cloud.New(s.Outside.Cloud, s.Deployment.Cloud, count),
-		kick:  make(chan struct{}, 1), renew: make(chan struct{}, 1),
+		kick:  make(chan struct{}, 1), renew: make(chan struct{}, 1), syncNow: make(chan struct{}, 1),
 		rng:  rand.New(rand.NewPCG(uint64(now.UnixNano()), rand.Uint64())),
 		live: map[string]tenure.Presence{}, items: map[string]*item{}, backups: map[string]*backup{},
 		peers: map[string]*peerState{}, jobs: map[string]*job{}, machines: map[string]*machine{}, enrolling: map[string]bool{}, roster: workers.NewRoster(valueRoom(s.Deployment.State)),
@@ -193,6 +197,7 @@
 		"status":  n.tell,
 		"save":    n.save,
 		"enrol":   n.enrol,
+		"sync":    n.keepSynced,
 		"catalog": n.readCatalog,
 		"probe":   n.probe,
 		"fleet":   n.runFleet,
@@ -333,6 +338,20 @@
 	return 0, 0
 }
 
+func (b *userBackend) Active(ctx context.Context, uid string) bool {
+	n := (*Node)(b)
+	n.mu.Lock()
+	j := n.jobs[uid]
+	likely := j != nil && j.active
+	n.mu.Unlock()
+	if !likely || n.synced(ctx) != nil {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return j.active
+}
+
 func (b *userBackend) Accepted(s frontend.Stored, version uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/owner.go
+++ b/owner.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/bits-and-blooms/bitset"
+
 	"topazhollow/internal/frontend"
 	"topazhollow/internal/ledger"
 	"topazhollow/internal/peer"
@@ -27,18 +29,19 @@
 
 // item is a team or the fleet while this controller owns it.
 type item struct {
-	name   string
-	since  uint64
-	phase  int
-	blind  bool
-	team   *ledger.Team
-	frozen bool     // being handed over
-	adding []string // backups that a pending change of the record puts in sync
-	taken  time.Time
-	acks   map[string]*ack
-	await  map[string]bool // machines that the barrier waits for
-	book   *ledger.Book
-	saving bool
+	name     string
+	since    uint64
+	phase    int
+	blind    bool
+	team     *ledger.Team
+	frozen   bool     // being handed over
+	adding   []string // backups that a pending change of the record puts in sync
+	taken    time.Time
+	acks     map[string]*ack
+	await    map[string]bool // machines that the barrier waits for
+	book     *ledger.Book
+	readable bool // the book holds what the state service has
+	saving   bool
 }
 
 // ack is what a backup acknowledged.
@@ -96,28 +99,27 @@
 	return ledger.NewTeam(name, 0, 0, 0, 0, rep, term, log)
 }
 
-// load reads from the state service what a new owner needs: jobs, bitmaps and
-// machines as they are now.
+// load learns from the state service what a new owner needs. One in sync knows
+// the team's progress already and begins with the jobs that it followed, even if
+// the state service does not answer; one that is not must know every job and
+// machine that was there before it took over.
 func (n *Node) load(ctx context.Context, it *item) {
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		current := n.items[it.name] == it
-		n.mu.Unlock()
-		if !current {
-			return
+		if current && it.phase == loading && (!it.blind || it.name == tenure.Fleet) {
+			n.loaded(it, nil)
 		}
-		if it.name == tenure.Fleet {
-			n.mu.Lock()
-			it.phase = ready
-			n.mu.Unlock()
+		n.mu.Unlock()
+		if !current || it.name == tenure.Fleet {
 			return
 		}
-		entries, _, err := n.state.List(ctx, frontend.Watched)
+		err := n.synced(ctx)
 		if err == nil {
 			var pages []wire.Entry
 			if pages, _, err = n.state.List(ctx, pagesPath(it.name)); err == nil {
 				n.mu.Lock()
-				n.loaded(it, entries, pages)
+				n.booked(it, pages)
 				n.mu.Unlock()
 				return
 			}
@@ -127,21 +129,17 @@
 	}
 }
 
-func (n *Node) loaded(it *item, entries, pages []wire.Entry) {
-	if n.items[it.name] != it {
+// loaded begins an item with the jobs and machines known by now, and the finished
+// tasks that the state service has.
+func (n *Node) loaded(it *item, done map[string]*bitset.BitSet) {
+	if it.name == tenure.Fleet {
+		it.phase = ready
 		return
 	}
 	team, _ := teamOf(it.name)
-	for _, e := range entries {
-		n.changed(wire.Change{Set: e.Key, Value: e.Value, Version: e.Version})
-	}
-	if n.items[it.name] != it {
-		return // the list held a newer record
-	}
-	done := n.readPages(it, pages)
-	for uid, j := range n.jobs {
+	for _, j := range n.jobs {
 		if j.active && j.spec.Team == team {
-			it.team.AddJob(j.spec, j.version, j.at, done[uid])
+			it.team.AddJob(j.spec, j.version, j.at, done[j.spec.UID])
 		}
 	}
 	it.phase = barrier
@@ -155,6 +153,26 @@
 	n.wake()
 }
 
+// booked takes in the pages of finished tasks, after which they can be written.
+func (n *Node) booked(it *item, pages []wire.Entry) {
+	if n.items[it.name] != it {
+		return
+	}
+	done := n.readPages(it, pages)
+	it.readable = true
+	if it.phase == loading {
+		n.loaded(it, done)
+		return
+	}
+	n.dropUnregistered(it)
+	for uid, done := range done {
+		if tj := it.team.Job(uid); tj != nil {
+			it.team.AddJob(tj.Spec, tj.Version, tj.Submitted, done)
+		}
+	}
+	n.wake()
+}
+
 // passBarrier ends the barrier once every machine it waits for was heard under
 // the item's term, which rules out that an earlier start still arrives, or is
 // gone.
@@ -169,14 +187,10 @@
 		return
 	}
 	it.phase, it.taken = ready, time.Now()
-	n.log.Info("item ready", "item", it.name, "term", it.since)
-	for _, name := range it.team.Machines() {
-		// No start goes to a machine that is not registered, and none is struck off
-		// before the cloud confirmed its end.
-		if !n.roster.Has(name) {
-			it.team.Gone(name)
-		}
+	if it.readable {
+		n.dropUnregistered(it)
 	}
+	n.log.Info("item ready", "item", it.name, "term", it.since)
 	for _, name := range slices.Sorted(maps.Keys(n.machines)) {
 		if m := n.machines[name]; m.view != nil {
 			n.observe(it, m.view)
@@ -184,6 +198,18 @@
 	}
 }
 
+// dropUnregistered ends holds on machines that were struck off the roster before
+// this controller followed it. No start goes to a machine that is not registered,
+// and none is struck off before the cloud confirmed its end. The roster must be
+// known up to the item's taking.
+func (n *Node) dropUnregistered(it *item) {
+	for _, name := range it.team.Machines() {
+		if !n.roster.Has(name) {
+			it.team.Gone(name)
+		}
+	}
+}
+
 // observe lets an item's account see a machine and sends the orders that follow.
 func (n *Node) observe(it *item, v *ledger.View) {
 	if it.phase != ready || it.name == tenure.Fleet {
--- a/rent.go
+++ b/rent.go
@@ -15,6 +15,10 @@
 	"topazhollow/internal/wire"
 )
 
+// answerTime is how long a worker waits for the answer to a report, and until it
+// tries the next controller.
+const answerTime = 6 * time.Second
+
 // readCatalog keeps the machine types known. The fleet's owner reads prices
 // often, the others only until they know the types.
 func (n *Node) readCatalog(ctx context.Context) error {
@@ -75,6 +79,7 @@
 				rented: map[string]wire.Rent{}, giving: map[string]bool{},
 				f: fleet.New(fmt.Sprintf("%s-%d-%d", n.name, n.inc, it.since), fleet.Options{
 					IdleReturn: settings.Seconds(n.opt.IdleReturn), Warm: n.opt.WarmMachines, Haste: n.opt.Haste, SpotShare: n.opt.SpotShare,
+					Hurry:  settings.Seconds(2*n.set.Deployment.Workers.Report) + answerTime,
 					Silent: min(lease+4*time.Second, settings.Seconds(n.set.Deployment.Workers.Cancel)/2)})}
 		}
 		n.poll(r, now)
@@ -186,6 +191,17 @@
 			names[name] = true
 		}
 	}
+	awaited := map[string]bool{}
+	for _, name := range n.awaits() {
+		awaited[name] = true
+	}
+	for _, p := range n.peers {
+		if now.Sub(p.heard) < 3*time.Second {
+			for _, name := range p.awaits {
+				awaited[name] = true
+			}
+		}
+	}
 	var out []fleet.Machine
 	for _, name := range slices.Sorted(maps.Keys(names)) {
 		x := n.machine(name)
@@ -198,7 +214,7 @@
 				r.seen[name] = now.Add(-settings.Seconds(h.Age))
 			}
 		}
-		m := fleet.Machine{Name: name, Since: r.seen[name], Heard: x.heard, Idle: x.idle, Kept: n.roster.Has(name), Bad: len(x.errors) > 2}
+		m := fleet.Machine{Name: name, Since: r.seen[name], Heard: x.heard, Idle: x.idle, Kept: n.roster.Has(name), Bad: len(x.errors) > 2, Awaited: awaited[name]}
 		if h, ok := r.list[name]; ok {
 			m.Type, m.Zone, m.Spot, m.State = h.Type, h.Zone, h.Spot, h.State
 		} else if rent, ok := r.rented[name]; ok {
--- a/save.go
+++ b/save.go
@@ -58,7 +58,7 @@
 		n.mu.Lock()
 		if n.entitled(time.Now()) {
 			for _, it := range n.items {
-				if it.phase == ready && !it.saving {
+				if it.phase == ready && it.readable && !it.saving {
 					n.saveItem(it)
 				}
 			}
--- /dev/null
+++ b/sync.go
@@ -0,0 +1,91 @@
+package topazhollow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"topazhollow/internal/frontend"
+	"topazhollow/internal/wire"
+)
+
+// What users ask about active jobs is answered from what this controller
+// followed, once a read of the changes that began after their request has come
+// back: one such read serves all that asked before it, however many they are.
+
+// syncEvery is the least time between the beginnings of two such reads, and
+// syncsOpen how many may be under way.
+const (
+	syncEvery = 30 * time.Millisecond
+	syncsOpen = 4
+)
+
+var errUnsynced = errors.New("the state service did not answer")
+
+// synced returns once this controller knows every change of the watched keys
+// that was made before the call.
+func (n *Node) synced(ctx context.Context) error {
+	done := make(chan error, 1)
+	n.mu.Lock()
+	n.unsynced = append(n.unsynced, done)
+	n.mu.Unlock()
+	select {
+	case n.syncNow <- struct{}{}:
+	default:
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// keepSynced reads the changes for those who wait for them.
+func (n *Node) keepSynced(ctx context.Context) error {
+	open := make(chan struct{}, syncsOpen)
+	for {
+		select {
+		case <-n.syncNow:
+		case <-ctx.Done():
+			return nil
+		}
+		select {
+		case open <- struct{}{}:
+		case <-ctx.Done():
+			return nil
+		}
+		n.mu.Lock()
+		waiting := n.unsynced
+		n.unsynced = nil
+		after, listed := n.revision, n.listed
+		n.mu.Unlock()
+		n.group.Go(func() error {
+			err := errUnsynced
+			if listed && len(waiting) > 0 {
+				var ch *wire.Changes
+				if ch, err = n.state.Changes(ctx, frontend.Watched, after); err == nil {
+					n.mu.Lock()
+					n.caughtUp(ch)
+					n.mu.Unlock()
+				}
+			}
+			for _, done := range waiting {
+				done <- err
+			}
+			<-open
+			return nil
+		})
+		if !pause(ctx, syncEvery) {
+			return nil
+		}
+	}
+}
+
+// caughtUp takes in all changes since a revision that was known before.
+func (n *Node) caughtUp(ch *wire.Changes) {
+	for _, e := range ch.Events {
+		n.changed(e)
+	}
+	n.revision = max(n.revision, ch.Revision)
+}
--- a/talk.go
+++ b/talk.go
@@ -48,6 +48,7 @@
 		Demands  []demand          `json:"demands,omitempty"`
 		Progress map[string][2]int `json:"progress,omitempty"`
 		Drain    []string          `json:"drain,omitempty"`
+		Awaits   []string          `json:"awaits,omitempty"` // machines that a barrier waits for
 	}
 )
 
@@ -171,6 +172,7 @@
 	for _, m := range s.Drain {
 		p.drain[m] = true
 	}
+	p.awaits = s.Awaits
 	for name, age := range s.Alive {
 		if m := n.machines[name]; m != nil && !m.gone {
 			if t := now.Add(-time.Duration(age) * time.Millisecond); t.After(m.heard) {
@@ -318,6 +320,7 @@
 			}
 		})
 	}
+	s.Awaits = n.awaits()
 	if n.items[tenure.Fleet] != nil {
 		s.Drain = slices.Sorted(maps.Keys(n.drain))
 	}
@@ -366,3 +369,14 @@
 	}
 	return nil
 }
+
+// awaits lists machines that the barriers of own items wait for.
+func (n *Node) awaits() []string {
+	names := map[string]bool{}
+	for _, it := range n.items {
+		if it.phase == barrier {
+			maps.Copy(names, it.await)
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
