--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -209,8 +209,7 @@
 		if s.Kind == wire.Service {
 			run = 1e6
 		}
-		last := d.Late.Sub(now).Seconds() - run - fetchTime(types, s) // to start, if the estimate holds
-		allowance := last - (f.opt.Haste-1)*run
+		allowance := d.Late.Sub(now).Seconds() - f.opt.Haste*run - fetchTime(types, s)
 		line := queueFor(s, bins)
 		for range d.Count {
 			start := line.soonest()
@@ -219,10 +218,7 @@
 				continue
 			}
 			p, t := f.cheapest(types, s, want, now)
-			// An ordinary machine in place of a spot one only where the job would
-			// surely be late without.
-			dear := t != nil && s.Spot && !p.Spot && f.opt.SpotShare > 0 && start <= last
-			if t == nil || t.Boot >= start || dear {
+			if t == nil || t.Boot >= start {
 				if math.IsInf(start, 1) {
 					break
 				}
