--- a/order.go
+++ b/order.go
@@ -78,12 +78,28 @@
 	return wire.Rank(o.spec.Priority) - wire.Rank(w.spec.Priority)
 }
 
+// load is CPUs: all there are, and those that running tasks of each priority take.
+type load struct {
+	all  float64
+	busy [wire.Ranks]float64
+}
+
+// below is what is left to a priority by those above it.
+func (l *load) below(rank int) float64 {
+	left := l.all
+	for r := rank + 1; r < len(l.busy); r++ {
+		left -= l.busy[r]
+	}
+	return left
+}
+
 // arrange puts waiting work in the order in which it gets room, most urgent
 // first. Within a class those go first that must start soonest to reach their
 // goal; but when the CPUs there are cannot serve all of them in time, the largest
 // waits, so that as many jobs as possible are in time, and those that are late
-// anyway come last.
-func arrange(list []wish, cpus float64, now time.Time) []wish {
+// anyway come last. What work of higher priority takes at present it is taken to
+// go on taking.
+func arrange(list []wish, cpus load, now time.Time) []wish {
 	slices.SortFunc(list, func(a, b wish) int {
 		if d := a.class(&b); d != 0 {
 			return d
@@ -96,9 +112,6 @@
 		}
 		return cmp.Or(a.latest.Compare(b.latest), a.submitted.Compare(b.submitted), strings.Compare(a.spec.UID, b.spec.UID))
 	})
-	if cpus <= 0 {
-		return list
-	}
 	out := make([]wish, 0, len(list))
 	ahead := 0.0 // CPU seconds that go before
 	for len(list) > 0 {
@@ -106,7 +119,7 @@
 		for end < len(list) && list[end].class(&list[0]) == 0 {
 			end++
 		}
-		first := len(out)
+		first, left := len(out), cpus.below(wire.Rank(list[0].spec.Priority))
 		var behind []wish
 		for _, w := range list[:end] {
 			if w.late {
@@ -115,7 +128,7 @@
 			}
 			out = append(out, w)
 			ahead += w.work()
-			if ahead/cpus <= w.latest.Sub(now).Seconds() {
+			if left <= 0 || ahead/left <= w.latest.Sub(now).Seconds() {
 				continue
 			}
 			at := first
--- a/order_test.go
+++ b/order_test.go
@@ -18,6 +18,7 @@
 	for seed := range uint64(300) {
 		rng := rand.New(rand.NewPCG(seed, 8))
 		cpus := float64(1 + rng.IntN(4))
+		there := load{all: cpus + 3, busy: [wire.Ranks]float64{3: 3}} // the highest priority takes some
 		classes := 1 + rng.IntN(2)
 		var list []wish
 		for i := range 1 + rng.IntN(6) {
@@ -38,7 +39,7 @@
 			}
 			return count, ahead
 		}
-		got := arrange(slices.Clone(list), cpus, now)
+		got := arrange(slices.Clone(list), there, now)
 		seen := map[string]int{}
 		for i, w := range got {
 			seen[w.spec.UID]++
--- a/place.go
+++ b/place.go
@@ -62,9 +62,12 @@
 		return
 	}
 	hosts := n.hosts(now)
-	cpus := 0.0
+	var cpus load
 	for _, h := range hosts {
-		cpus += n.types[h.Type].CPUs
+		cpus.all += n.types[h.Type].CPUs
+		for rank, busy := range n.machines[h.Name].busy {
+			cpus.busy[rank] += busy
+		}
 	}
 	list = arrange(list, cpus, now)
 	var short []wish
