--- /dev/null
+++ b/sync_test.go
@@ -0,0 +1,160 @@
+package topazhollow
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+
+	"topazhollow/internal/frontend"
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/rehearse"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/state"
+	"topazhollow/internal/tenure"
+	"topazhollow/internal/wire"
+)
+
+// bare is a controller of team red that runs none of its duties.
+func bare(addr string) *Node {
+	s := &settings.Settings{Name: "node-a", Outside: settings.Outside{State: addr},
+		Deployment: settings.Deployment{Teams: []settings.Team{{Name: "red", CPUsMax: 8}},
+			State: settings.State{RPS: 2000, WriteRPS: 2000, TxnOps: 8, ValueKB: 8}, Cloud: settings.Cloud{RPS: 1}}}
+	n := New(s, settings.DefaultOptions(), slog.New(slog.DiscardHandler))
+	n.record = (&tenure.Record{Term: 5}).Clone()
+	return n
+}
+
+// TestSyncedSeesEarlierChanges: what a user was told by one controller, another
+// must know when it answers a request that came later, even if its watch lags.
+// Many ask at once; each must see at least what was written before it asked.
+func TestSyncedSeesEarlierChanges(t *testing.T) {
+	srv, err := rehearse.NewState(8, 16)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer srv.Close()
+	n := bare(srv.Addr())
+	ctx, cancel := context.WithCancel(context.Background())
+	group := &errgroup.Group{}
+	defer func() {
+		cancel()
+		_ = group.Wait()
+	}()
+	n.group, n.ctx = group, ctx
+	n.listed = true // of an empty store; nothing follows the watch
+	other := state.New(srv.Addr(), settings.State{RPS: 2000, WriteRPS: 2000, TxnOps: 8, ValueKB: 8}, 1)
+	group.Go(func() error { return other.Run(ctx) })
+	group.Go(func() error { return n.keepSynced(ctx) })
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			spec := array(i, 1, "red")
+			key := frontend.JobKey + spec.UID
+			know := func(want bool) {
+				if err := n.synced(ctx); err != nil {
+					t.Error(err)
+				}
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				if j := n.jobs[spec.UID]; (j != nil && j.active) != want {
+					t.Errorf("%s active: %v, want %v", spec.UID, !want, want)
+				}
+			}
+			know(false)
+			if _, err := other.Commit(ctx, state.Update{Ops: []wire.Op{{Set: key, Value: wire.Encode(frontend.Stored{Spec: spec})}}}); err != nil {
+				t.Error(err)
+			}
+			know(true)
+			if _, err := other.Commit(ctx, state.Update{Ops: []wire.Op{{Delete: key}}}); err != nil {
+				t.Error(err)
+			}
+			know(false)
+		}()
+	}
+	wg.Wait()
+}
+
+// TestInSyncOwnerBegins: a successor in sync once read the state service before it
+// placed anything, behind users' polls; it lost the service meanwhile, nobody was
+// in sync any more, and the next owner stood at the full barrier. It must begin
+// with what it has, while one that is not in sync must not. A hold on a machine
+// that is not on the roster ends only once the roster is surely up to date.
+func TestInSyncOwnerBegins(t *testing.T) {
+	for _, blind := range []bool{false, true} {
+		n := bare("127.0.0.1:1") // nobody answers
+		ctx, cancel := context.WithCancel(context.Background())
+		name := teamItem("red")
+		rep := ledger.NewReplica()
+		hold := ledger.Hold{Key: ledger.Key{Job: "job-1", Index: 0}, Attempt: ledger.AttemptID(4, 1), Machine: "n-1", Session: 1, CPUs: 2}
+		rep.Holds[hold.Key] = hold
+		it := &item{name: name, since: 5, blind: blind, acks: map[string]*ack{}, book: ledger.NewBook(8 << 10), team: n.newTeam(name, rep, 5)}
+		n.items[name] = it
+		n.learnJob(frontend.Stored{Spec: array(1, 3, "red")}, 1)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			n.load(ctx, it)
+		}()
+		<-n.syncNow // it asks the state service, in vain
+		n.mu.Lock()
+		if (it.phase == ready) == blind {
+			t.Errorf("in sync: %v, phase %s", !blind, phases[it.phase])
+		}
+		if held, _ := it.team.Held(); held != 1 {
+			t.Errorf("in sync: %v, a hold ended though the roster may be old", !blind)
+		}
+		n.booked(it, nil) // the answer, that there are no pages and no machines
+		if held, _ := it.team.Held(); held != 0 || it.phase != ready {
+			t.Errorf("in sync: %v, %d holds on machines struck off, phase %s", !blind, held, phases[it.phase])
+		}
+		n.mu.Unlock()
+		cancel()
+		<-ended
+	}
+}
+
+// TestSharedPageSurvivesTakeOver: two jobs' finished tasks share a page; an owner
+// that takes over must find both, and its own writes must keep them.
+func TestSharedPageSurvivesTakeOver(t *testing.T) {
+	n := bare("127.0.0.1:1")
+	name := teamItem("red")
+	store := map[string]wire.Entry{}
+	for round := range 4 {
+		it := &item{name: name, phase: ready, book: ledger.NewBook(8 << 10), team: n.newTeam(name, ledger.NewReplica(), uint64(round+1))}
+		n.items[name] = it
+		var entries []wire.Entry
+		for _, e := range store {
+			entries = append(entries, e)
+		}
+		for i := range 2 {
+			spec := array(i, 10, "red")
+			n.jobs[spec.UID] = &job{spec: spec, active: true}
+			it.team.AddJob(spec, 1, n.began, nil)
+		}
+		n.booked(it, entries)
+		for i := range 2 {
+			if done, _ := it.team.Progress(fmt.Sprintf("job-%06d", i)); done != round {
+				t.Fatalf("round %d: %d tasks of job %d are known to be done", round, done, i)
+			}
+		}
+		for i := range 2 { // one more task of each completes, job 1 is written first
+			uid := fmt.Sprintf("job-%06d", 1-i)
+			v := &ledger.View{Machine: "m", Session: 1, Tasks: []ledger.TaskView{{Key: ledger.Key{Job: uid, Index: round}, Attempt: 1, State: wire.Exited, Why: wire.WhyDone}}}
+			it.team.Observe(v, n.began, func(string) (*wire.Submission, bool, bool) { return array(1-i, 10, "red"), true, true })
+			for _, p := range it.book.Plan(it.team.Unsaved(), it.team.Finished) {
+				key := fmt.Sprint(pagesPath(name), p.Number)
+				store[key] = wire.Entry{Key: key, Value: wire.Encode(p.Parts), Version: p.Version + 1}
+				it.book.Written(p.Number, p.Version+1)
+				for uid, done := range p.Done {
+					it.team.Saved(uid, done)
+				}
+			}
+		}
+	}
+}
