--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -311,13 +311,10 @@
 	return true
 }
 
-// Ranks is how many priorities there are.
-const Ranks = 4
-
-var priorities = [Ranks]string{"low", "standard", "high", "prod"}
-
 // Rank orders priorities: higher goes first.
-func Rank(priority string) int { return slices.Index(priorities[:], priority) }
+func Rank(priority string) int {
+	return slices.Index([]string{"low", "standard", "high", "prod"}, priority)
+}
 
 // FieldError names the field of a submission that is missing or invalid.
 type FieldError struct {
--- a/node.go
+++ b/node.go
@@ -110,8 +110,7 @@
 // machine is what every controller knows of a machine.
 type machine struct {
 	view    *ledger.View
-	host    placement.Host      // its entry for placement, if counted
-	busy    [wire.Ranks]float64 // CPUs that listed tasks of each priority take, if counted
+	host    placement.Host // its entry for placement, if counted
 	counted bool
 	heard   time.Time
 	images  map[string]bool
--- a/order.go
+++ b/order.go
@@ -63,9 +63,6 @@
 	submitted time.Time
 }
 
-// work is the CPU seconds that the waiting tasks probably take.
-func (w *wish) work() float64 { return float64(w.count) * w.spec.CPUs * max(w.spec.Estimate, 1) }
-
 // class compares what must not be mixed: work within its team's guarantee comes
 // first, then priority decides.
 func (w *wish) class(o *wish) int {
@@ -78,28 +75,10 @@
 	return wire.Rank(o.spec.Priority) - wire.Rank(w.spec.Priority)
 }
 
-// load is CPUs: all there are, and those that running tasks of each priority take.
-type load struct {
-	all  float64
-	busy [wire.Ranks]float64
-}
-
-// below is what is left to a priority by those above it.
-func (l *load) below(rank int) float64 {
-	left := l.all
-	for r := rank + 1; r < len(l.busy); r++ {
-		left -= l.busy[r]
-	}
-	return left
-}
-
 // arrange puts waiting work in the order in which it gets room, most urgent
 // first. Within a class those go first that must start soonest to reach their
-// goal; but when the CPUs there are cannot serve all of them in time, the largest
-// waits, so that as many jobs as possible are in time, and those that are late
-// anyway come last. What work of higher priority takes at present it is taken to
-// go on taking.
-func arrange(list []wish, cpus load, now time.Time) []wish {
+// goal; those that can reach none come last.
+func arrange(list []wish) {
 	slices.SortFunc(list, func(a, b wish) int {
 		if d := a.class(&b); d != 0 {
 			return d
@@ -112,39 +91,4 @@
 		}
 		return cmp.Or(a.latest.Compare(b.latest), a.submitted.Compare(b.submitted), strings.Compare(a.spec.UID, b.spec.UID))
 	})
-	out := make([]wish, 0, len(list))
-	ahead := 0.0 // CPU seconds that go before
-	for len(list) > 0 {
-		end := 1
-		for end < len(list) && list[end].class(&list[0]) == 0 {
-			end++
-		}
-		first, left := len(out), cpus.below(wire.Rank(list[0].spec.Priority))
-		var behind []wish
-		for _, w := range list[:end] {
-			if w.late {
-				behind = append(behind, w)
-				continue
-			}
-			out = append(out, w)
-			ahead += w.work()
-			if left <= 0 || ahead/left <= w.latest.Sub(now).Seconds() {
-				continue
-			}
-			at := first
-			for i := first; i < len(out); i++ {
-				if out[i].work() >= out[at].work() {
-					at = i
-				}
-			}
-			ahead -= out[at].work()
-			behind = append(behind, out[at])
-			out = slices.Delete(out, at, at+1)
-		}
-		for _, w := range behind {
-			ahead += w.work()
-		}
-		out, list = append(out, behind...), list[end:]
-	}
-	return out
 }
--- a/owner.go
+++ b/owner.go
@@ -499,12 +499,7 @@
 		h.Price = n.types[t].SpotPrice
 	}
 	h.CPUs, h.GPUs, h.Memory = n.free(m)
-	m.host, m.counted, m.busy = h, true, [wire.Ranks]float64{}
-	for _, x := range v.Tasks {
-		if j := n.jobs[x.Job]; j != nil && x.State != wire.Exited && j.spec.Priority != "" {
-			m.busy[wire.Rank(j.spec.Priority)] += j.spec.CPUs
-		}
-	}
+	m.host, m.counted = h, true
 	return true
 }
 
--- a/place.go
+++ b/place.go
@@ -62,14 +62,7 @@
 		return
 	}
 	hosts := n.hosts(now)
-	var cpus load
-	for _, h := range hosts {
-		cpus.all += n.types[h.Type].CPUs
-		for rank, busy := range n.machines[h.Name].busy {
-			cpus.busy[rank] += busy
-		}
-	}
-	list = arrange(list, cpus, now)
+	arrange(list)
 	var short []wish
 	var full []*placement.Ask // what fits no host any more
 	for _, w := range list {
