--- a/node.go
+++ b/node.go
@@ -174,8 +174,6 @@
 
 // Run serves until the context ends.
 func (n *Node) Run(ctx context.Context) error {
-	// Processor time is scarcer than memory: collect less often, up to the limit.
-	debug.SetGCPercent(200)
 	debug.SetMemoryLimit(int64(n.set.Deployment.Limits.MemoryMB * 0.75 * (1 << 20)))
 	group, ctx := errgroup.WithContext(ctx)
 	n.mu.Lock()
