--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,7 +51,8 @@
 	Warm       int
 	SpotShare  float64
 	Silent     time.Duration // a machine silent for so long is returned
-	Hurry      time.Duration // the same where it is surely gone, or holds up others
+	Hurry      time.Duration // the same where it holds up others
+	Unlisted   time.Duration // the same where the cloud no longer lists it
 	Haste      float64       // run times kept in hand before a job is due
 }
 
@@ -185,7 +186,10 @@
 // for it; one that an owner's barrier waits for costs all of a team more than a
 // new machine, unless so many are silent that something else must be wrong.
 func (f *Fleet) patience(m *Machine, few bool) time.Duration {
-	if m.State == "" || (m.Awaited && few) {
+	switch {
+	case m.State == "":
+		return min(f.opt.Unlisted, f.opt.Silent)
+	case m.Awaited && few:
 		return min(f.opt.Hurry, f.opt.Silent)
 	}
 	return f.opt.Silent
--- a/rent.go
+++ b/rent.go
@@ -79,8 +79,10 @@
 				rented: map[string]wire.Rent{}, giving: map[string]bool{},
 				f: fleet.New(fmt.Sprintf("%s-%d-%d", n.name, n.inc, it.since), fleet.Options{
 					IdleReturn: settings.Seconds(n.opt.IdleReturn), Warm: n.opt.WarmMachines, Haste: n.opt.Haste, SpotShare: n.opt.SpotShare,
-					Hurry:  settings.Seconds(2*n.set.Deployment.Workers.Report) + answerTime,
-					Silent: min(lease+4*time.Second, settings.Seconds(n.set.Deployment.Workers.Cancel)/2)})}
+					// Lists may be twice as old as their lag, and a report may be late.
+					Unlisted: settings.Seconds(2*n.set.Deployment.Cloud.ListLag) + time.Second,
+					Hurry:    settings.Seconds(2*n.set.Deployment.Workers.Report) + answerTime,
+					Silent:   min(lease+4*time.Second, settings.Seconds(n.set.Deployment.Workers.Cancel)/2)})}
 		}
 		n.poll(r, now)
 		if r.polled.IsZero() {
