--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -23,9 +23,8 @@
 )
 
 const (
-	timeout    = 6 * time.Second
-	maxReturn  = 100
-	maxPerRent = 50
+	timeout   = 6 * time.Second
+	maxReturn = 100
 )
 
 // Client talks to the cloud.
@@ -88,7 +87,7 @@
 
 // Rent asks for machines and gives the names of those rented.
 func (c *Client) Rent(ctx context.Context, r wire.Rent) ([]string, error) {
-	r.Count = min(r.Count, maxPerRent)
+	r.Count = min(r.Count, wire.MaxRent)
 	var names wire.Names
 	err := c.do(ctx, "POST", "/hosts", r, &names)
 	return names.Machines, err
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -56,12 +56,8 @@
 	Haste      float64       // run times kept in hand before a job is due
 }
 
-// maxPerRent is the protocol's bound of one request; maxRents how many of them
-// go out for one pool at a time.
-const (
-	maxPerRent = 50
-	maxRents   = 2
-)
+// maxRents is how many requests go out for one pool at a time.
+const maxRents = 2
 
 // Plan is what to do now.
 type Plan struct {
@@ -239,7 +235,7 @@
 	for p, n := range want {
 		// A wave of machines goes out at once; what is beyond that waits for answers.
 		for i := 0; i < maxRents && n > 0; i++ {
-			count := min(n, maxPerRent)
+			count := min(n, wire.MaxRent)
 			n -= count
 			f.counter++
 			f.pending[p] += count
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -743,7 +743,6 @@
 type Demand struct {
 	Spec     *wire.Submission
 	Count    int
-	Late     time.Time
 	Borrowed bool // beyond the team's guarantee
 }
 
@@ -755,7 +754,7 @@
 		if j.Over || j.Finishing || now.Before(j.notUntil) || j.errors > 3 {
 			continue
 		}
-		d := Demand{Spec: j.Spec, Late: j.Due()}
+		d := Demand{Spec: j.Spec}
 		for range t.Unstarted(j) {
 			if cpus+j.Spec.CPUs > t.MaxCPUs+slack || gpus+j.Spec.GPUs > t.MaxGPUs+slack {
 				break
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -57,6 +57,9 @@
 // MaxBody is the protocol's bound of a request body.
 const MaxBody = 64 << 10
 
+// MaxRent is the protocol's bound of the machines that one request rents.
+const MaxRent = 50
+
 // MaxTasks is the protocol's bound of a job's tasks.
 const MaxTasks = 100000
 
