--- a/control.go
+++ b/control.go
@@ -98,12 +98,14 @@
 	listed := false
 	for ctx.Err() == nil {
 		var err error
+		began := time.Now()
 		if !listed {
 			var entries []wire.Entry
 			var revision uint64
 			if entries, revision, err = n.state.List(ctx, frontend.Watched); err == nil {
 				n.mu.Lock()
 				n.reset(entries, revision)
+				n.known = later(n.known, began)
 				n.mu.Unlock()
 				listed = true
 			}
@@ -114,7 +116,7 @@
 			var ch *wire.Changes
 			if ch, err = n.state.Watch(ctx, frontend.Watched, after); err == nil {
 				n.mu.Lock()
-				n.caughtUp(ch)
+				n.caughtUp(ch, began)
 				n.mu.Unlock()
 				n.wake()
 			}
--- a/grown_test.go
+++ b/grown_test.go
@@ -49,6 +49,7 @@
 	n := g.n
 	n.types = []wire.MachineType{{Name: "m32", CPUs: 32, Memory: 256, Price: 2, SpotPrice: 0.5, Boot: 35, FetchRate: 0.25, Zones: s.Deployment.Zones}}
 	record.Nodes["node-a"] = n.inc
+	record.Deaf = []string{"node-b", "node-c"} // this controller is the home of all
 	for _, t := range s.Deployment.Teams {
 		name := teamItem(t.Name)
 		record.Items[name] = tenure.Item{Owner: "node-a", Since: 1}
--- a/home.go
+++ b/home.go
@@ -68,21 +68,24 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.entitled(now) {
-		return n.elsewhere(now)
+		return n.elsewhere(&r, now)
 	}
 	if r.Token > n.record.Term {
 		n.hint()
 		return busy()
 	}
 	if home := n.record.Home(r.Machine); home != n.name {
+		n.machine(r.Machine).came = now
+		n.stray[r.Machine] = true
 		if n.strayed(home, r.Machine, now) {
-			return httpx.Answer{Status: 200, Body: wire.Encode(wire.ReportAnswer{Token: n.record.Term, Commands: []wire.Command{}})}
+			return n.alive()
 		}
 		return httpx.Answer{Status: 421, Body: wire.Encode(wire.Moved{ReportTo: home})}
 	}
 	if m := n.machine(r.Machine); m.gone {
 		return busy()
 	}
+	n.first("first report answered", now)
 	n.hear(&r, now)
 	answer := wire.ReportAnswer{Token: n.record.Term, Commands: []wire.Command{}}
 	if m := n.home.Get(r.Machine); m.Report.Seq == r.Seq && m.Report.Session == r.Session {
@@ -105,7 +108,7 @@
 	if n.deaf[home] == nil {
 		n.deaf[home] = map[string]vain{}
 	}
-	if now.Sub(p.heard) > 2*time.Second {
+	if !p.near(now) {
 		// Nobody hears the home. Once it is heard again the machine goes there.
 		delete(n.deaf[home], name)
 		m.spared = now
@@ -221,17 +224,61 @@
 	return a
 }
 
-// elsewhere sends a worker to a controller that is entitled to act, if one is
-// known.
-func (n *Node) elsewhere(now time.Time) httpx.Answer {
+// alive is an answer that renews a worker's lease and commands nothing.
+func (n *Node) alive() httpx.Answer {
+	return httpx.Answer{Status: 200, Body: wire.Encode(wire.ReportAnswer{Token: n.record.Term, Commands: []wire.Command{}})}
+}
+
+// elsewhere answers a worker while this controller may not act: it sends it to
+// one that is entitled, if such is heard, and else keeps it alive for as long as
+// that can do no harm.
+func (n *Node) elsewhere(r *wire.Report, now time.Time) httpx.Answer {
 	for _, name := range slices.Sorted(maps.Keys(n.peers)) {
-		if p := n.peers[name]; p.entitled && now.Sub(p.heard) < 2*time.Second {
+		if p := n.peers[name]; p.entitled && p.near(now) {
 			return httpx.Answer{Status: 421, Body: wire.Encode(wire.Moved{ReportTo: name})}
 		}
 	}
+	if n.sustains(r, now) {
+		return n.alive()
+	}
 	return busy()
 }
 
+// sustainMargin covers the clocks' drift, the time in which an owner learns of a
+// withdrawal, and what a message takes.
+const sustainMargin = 1500 * time.Millisecond
+
+// sustains says whether a machine may be kept alive without being entitled, as in
+// a zone that is cut off. Such an answer changes nothing that an owner relies on:
+// silence is no proof, and nothing is commanded. What bounds it are withdrawals,
+// which this controller no longer hears of. Until its last read of the state
+// service began it knew them all, so every task that the machine lists must belong
+// to a job that was active then; one withdrawn later must be gone in time, by the
+// lease that this answer renews. A start that is held up on its way was sent after
+// the machine's home last heard it, so that is the latest to count from.
+func (n *Node) sustains(r *wire.Report, now time.Time) bool {
+	if n.record == nil || n.known.IsZero() || r.Token > n.record.Term {
+		return false
+	}
+	w := &n.set.Deployment.Workers
+	since := n.known
+	if m := n.machine(r.Machine); m.gone {
+		return false
+	} else if n.record.Home(r.Machine) != n.name && m.homed.Before(since) {
+		since = m.homed
+	}
+	if now.After(since.Add(settings.Seconds(w.Cancel*0.998-w.Lease) - sustainMargin)) {
+		return false
+	}
+	for _, t := range r.Tasks {
+		uid, _, _ := wire.SplitTask(t.Task)
+		if j := n.jobs[uid]; t.State != wire.Exited && (j == nil || !j.active) {
+			return false
+		}
+	}
+	return true
+}
+
 // hear takes in a worker's report, from itself or from the answer to a /do.
 func (n *Node) hear(r *wire.Report, now time.Time) {
 	newer, changed := n.home.Heard(r, now)
@@ -288,6 +335,9 @@
 			if j := n.jobs[t.Job]; j != nil {
 				j.longest = max(j.longest, now.Sub(since))
 				j.runs++
+				if j.spec.Checkpoint == 0 { // else it may have gone on from one
+					n.est.Ran(t.Job, j.spec.Class, j.spec.Estimate, now.Sub(since).Seconds())
+				}
 			}
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,8 @@
 	Bad     bool // fails different jobs
 	Kept    bool // registered in the state service
 	Awaited bool // an owner can start nothing before the machine is heard or gone
+	Passed  bool // the cloud lists a machine rented later, but not this one
+	Unknown bool // its home is not heard here, so that its silence says nothing
 	Slots   []Slot
 }
 
@@ -36,12 +38,14 @@
 type Slot struct {
 	CPUs, GPUs, Mem float64
 	Left            float64 // seconds until it probably ends
+	Pinned          bool    // may not run on a spot machine
 }
 
 // Demand is room asked for by tasks that wait.
 type Demand struct {
 	Spec  *wire.Submission
 	Count int
+	Run   float64 // seconds that a task probably takes; 0: as estimated
 	Late  time.Time
 	Cheap bool // not worth an ordinary machine while there is any room to come
 }
@@ -52,11 +56,16 @@
 	Warm       int
 	SpotShare  float64
 	Silent     time.Duration // a machine silent for so long is returned
+	Cut        time.Duration // the same where nearly all of its zone are silent
 	Hurry      time.Duration // the same where it holds up others
 	Unlisted   time.Duration // the same where the cloud no longer lists it
 	Haste      float64       // run times kept in hand before a job is due
 }
 
+// maxBackoff is for how long at most a pool that refused is left alone: room comes
+// back without a word.
+const maxBackoff = 10 * time.Second
+
 // maxRents is how many requests go out for one pool at a time.
 const maxRents = 2
 
@@ -64,6 +73,7 @@
 type Plan struct {
 	Rent   []wire.Rent
 	Return []string
+	Retire []string // get no more tasks, and go back once they are idle
 	Late   []string // types and zones, as "type in zone", where no machine comes up in time
 }
 
@@ -82,12 +92,13 @@
 	pending map[pool]int // asked for, not yet answered
 	boots   map[pool]*boots
 	booting map[string]bool // machines not heard yet when last looked at
+	retired map[string]bool // machines that get no more tasks
 }
 
 // New makes a fleet's decisions under names that nobody else uses.
 func New(prefix string, opt Options) *Fleet {
 	return &Fleet{opt: opt, prefix: prefix, shut: map[pool]time.Time{}, backoff: map[pool]time.Duration{}, pending: map[pool]int{},
-		boots: map[pool]*boots{}, booting: map[string]bool{}}
+		boots: map[pool]*boots{}, booting: map[string]bool{}, retired: map[string]bool{}}
 }
 
 // Forget drops what was asked for but is not sent.
@@ -101,7 +112,7 @@
 		delete(f.pending, p)
 	}
 	if got < r.Count && refused {
-		d := min(max(2*f.backoff[p], 4*time.Second), 30*time.Second)
+		d := min(max(2*f.backoff[p], 4*time.Second), maxBackoff)
 		f.backoff[p] = d
 		f.shut[p] = now.Add(d)
 		return
@@ -131,8 +142,9 @@
 			waitedFor++
 		}
 	}
+	cut := f.cutZones(machines, now, settled)
 	var bins []*bin
-	var idleMachines []*Machine
+	var live []*Machine
 	for i := range machines {
 		m := &machines[i]
 		t := byType[m.Type]
@@ -141,10 +153,12 @@
 		case m.State == wire.HostFailed, m.Bad:
 			plan.Return = append(plan.Return, m.Name)
 			continue
+		case m.Unknown && m.State != "":
+			continue
 		case m.Heard.IsZero() && !m.Kept && f.stuck(m, t, now):
 			plan.Return = append(plan.Return, m.Name)
 			continue
-		case (!m.Heard.IsZero() || m.Kept) && quiet > f.patience(m, waitedFor <= (len(machines)+9)/10):
+		case (!m.Heard.IsZero() || m.Kept) && quiet > f.patience(m, waitedFor <= (len(machines)+9)/10, cut[m.Zone]):
 			plan.Return = append(plan.Return, m.Name)
 			continue
 		case m.Going || t == nil:
@@ -157,14 +171,23 @@
 		case quiet > f.opt.Silent/2:
 			continue
 		}
+		live = append(live, m)
+	}
+	f.retire(live, byType, demands)
+	var idleMachines []*Machine
+	for _, m := range live {
+		if !m.Idle.IsZero() {
+			idleMachines = append(idleMachines, m)
+		}
+		if f.retired[m.Name] {
+			plan.Retire = append(plan.Retire, m.Name)
+			continue
+		}
 		b := &bin{pool: pool{m.Type, m.Zone, m.Spot}, free: []room{{0, m.CPUs, m.GPUs, m.Mem}}}
 		for _, x := range m.Slots {
 			b.add(room{max(x.Left, 1), x.CPUs, x.GPUs, x.Mem})
 		}
 		bins = append(bins, b)
-		if !m.Idle.IsZero() {
-			idleMachines = append(idleMachines, m)
-		}
 	}
 	for p, n := range f.pending {
 		if t := byType[p.Type]; t != nil {
@@ -175,17 +198,24 @@
 	}
 	f.rent(&plan, types, bins, demands, now)
 	if len(plan.Rent) == 0 {
-		f.giveBack(&plan, byType, idleMachines, len(bins), now)
+		f.giveBack(&plan, byType, idleMachines, len(bins)+len(plan.Retire), now)
 	}
 	return plan
 }
 
 // patience is how long a machine may be silent before it is returned. One that
 // the cloud no longer lists is gone already, and the cloud's word ends the wait
-// for it; one that an owner's barrier waits for costs all of a team more than a
-// new machine, unless so many are silent that something else must be wrong.
-func (f *Fleet) patience(m *Machine, few bool) time.Duration {
+// for it. Its list is in the order of rental, so that a missing machine before one
+// that is there is not just too new. One that an owner's barrier waits for costs all of a team more than a
+// new machine, unless so many are silent that something else must be wrong. In a
+// zone that is cut off, machines and what they run live on, and come back with
+// their images and results.
+func (f *Fleet) patience(m *Machine, few, cut bool) time.Duration {
 	switch {
+	case m.Awaited && m.Passed:
+		return time.Second
+	case cut && m.State != "":
+		return max(f.opt.Cut, f.opt.Silent)
 	case m.State == "":
 		return min(f.opt.Unlisted, f.opt.Silent)
 	case m.Awaited && few:
@@ -194,6 +224,31 @@
 	return f.opt.Silent
 }
 
+// enoughForCut is how many machines of a zone there must be to tell a cut of the
+// zone from the end of some of them.
+const enoughForCut = 4
+
+// cutZones are the zones of whose machines at least three quarters fell silent, so
+// that it is rather the zone's network.
+func (f *Fleet) cutZones(machines []Machine, now, settled time.Time) map[string]bool {
+	known, silent := map[string]int{}, map[string]int{}
+	for i := range machines {
+		m := &machines[i]
+		if m.Heard.IsZero() || m.Unknown {
+			continue
+		}
+		known[m.Zone]++
+		if now.Sub(later(m.Heard, settled)) > f.opt.Hurry/2 {
+			silent[m.Zone]++
+		}
+	}
+	cut := map[string]bool{}
+	for zone, n := range known {
+		cut[zone] = n >= enoughForCut && 4*silent[zone] >= 3*n
+	}
+	return cut
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -208,11 +263,11 @@
 	want := map[pool]int{}
 	for _, d := range demands {
 		s := d.Spec
-		run := max(s.Estimate, 1)
+		run := max(cmp.Or(d.Run, s.Estimate), 1)
 		if s.Kind == wire.Service {
 			run = 1e6
 		}
-		allowance := d.Late.Sub(now).Seconds() - f.opt.Haste*run - fetchTime(types, s)
+		allowance := d.Late.Sub(now).Seconds() - f.opt.Haste*run - FetchTime(types, s)
 		line := queueFor(s, bins)
 		for left := d.Count; left > 0; {
 			start := line.soonest()
@@ -249,9 +304,9 @@
 	slices.SortFunc(plan.Rent, func(a, b wire.Rent) int { return cmp.Compare(a.Request, b.Request) })
 }
 
-// fetchTime is how long a machine takes to get the job's image, by the slowest
-// type: it may have to share the rate.
-func fetchTime(types []wire.MachineType, s *wire.Submission) float64 {
+// FetchTime is how many seconds a machine takes to get the job's image, by the
+// slowest type: it may have to share the rate.
+func FetchTime(types []wire.MachineType, s *wire.Submission) float64 {
 	longest := 0.0
 	for i := range types {
 		if r := types[i].FetchRate; r > 0 {
@@ -322,6 +377,9 @@
 			return
 		}
 		keep := f.opt.IdleReturn
+		if f.retired[m.Name] {
+			keep = 0
+		}
 		if m.Spot && f.opt.SpotShare > 0 && left <= spare {
 			keep = time.Duration(float64(keep) * min(4, types[m.Type].Price/max(m.price(types), 1e-9)))
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -113,6 +113,13 @@
 	if want := []string{"failed", "silent", "stuck", "taken", "awaited", "idle"}; !slices.Equal(got, want) {
 		t.Fatalf("returns %v, want %v", got, want)
 	}
+	// The cloud's list has a later one: that machine is gone, and holds up its owner.
+	gone := []Machine{{Name: "gone", Type: "m8", Zone: "a", Heard: now.Add(-2 * time.Second), Since: old, Kept: true, Awaited: true, Passed: true},
+		{Name: "heard", Type: "m8", Zone: "a", Heard: now, Since: old, Kept: true, Awaited: true, Passed: true},
+		{Name: "fresh", Type: "m8", Zone: "a", Heard: now.Add(-2 * time.Second), Since: old, Kept: true, Awaited: true}}
+	if got := f.Decide(types, gone, nil, now, now.Add(-2*time.Minute)).Return; !slices.Equal(got, []string{"gone"}) {
+		t.Fatalf("returns %v of machines that the cloud does not list", got)
+	}
 	for i := range ms { // a cut of many machines must not cost all of them
 		ms[i].Awaited, ms[i].Heard, ms[i].State, ms[i].Idle = true, now.Add(-5*time.Second), wire.HostRunning, time.Time{}
 	}
--- /dev/null
+++ b/internal/fleet/retire.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"topazhollow/internal/wire"
+)
+
+// reserve is the part of the kept machines' room that stays free when dear
+// machines are let go: what comes next should not have to wait for a boot.
+const reserve = 0.04
+
+// share is what part of a machine of a type an amount takes: its scarcest kind.
+func share(t *wire.MachineType, cpus, gpus, mem float64) float64 {
+	most := 0.0
+	for _, x := range [][2]float64{{cpus, t.CPUs}, {gpus, t.GPUs}, {mem, t.Memory}} {
+		if x[1] > 0 {
+			most = max(most, x[0]/x[1])
+		}
+	}
+	return most
+}
+
+// free is what part of a machine is free: of its scarcest kind.
+func (m *Machine) free(t *wire.MachineType) float64 {
+	least := 1.0
+	for _, x := range [][2]float64{{m.CPUs, t.CPUs}, {m.GPUs, t.GPUs}, {m.Mem, t.Memory}} {
+		if x[1] > 0 {
+			least = min(least, x[0]/x[1])
+		}
+	}
+	return max(0, least)
+}
+
+// dear says whether a machine costs more than another kind of its type does, so
+// that work should leave it where there is room.
+func (f *Fleet) dear(m *Machine, t *wire.MachineType) bool {
+	return !m.Spot && f.opt.SpotShare > 0 && t.SpotPrice < t.Price
+}
+
+// retire keeps the set of dear machines that get no more tasks and go back when
+// those they have are over. Machines used in part never fall idle: work is spread
+// over all there are. A machine is retired once the others have room for its work
+// and the reserve, and taken back into use as soon as that is no longer so. What a
+// retired machine still runs is counted as work that the others are about to get.
+func (f *Fleet) retire(live []*Machine, types map[string]*wire.MachineType, demands []Demand) {
+	waiting, pinned := map[string]float64{}, false
+	for _, d := range demands {
+		pinned = pinned || !d.Spec.Spot
+		for name, t := range types {
+			if allowed(d.Spec, name, "", true) || d.Spec.Zone != nil {
+				waiting[name] += float64(d.Count) * share(t, d.Spec.CPUs, d.Spec.GPUs, d.Spec.Memory)
+			}
+		}
+	}
+	byType := map[string][]*Machine{}
+	there := map[string]bool{}
+	for _, m := range live {
+		byType[m.Type] = append(byType[m.Type], m)
+		there[m.Name] = true
+	}
+	for name := range f.retired {
+		if !there[name] || pinned {
+			delete(f.retired, name)
+		}
+	}
+	if pinned {
+		return // some work may not use cheap machines: which of the dear ones it needs is not known
+	}
+	for name, list := range byType {
+		t := types[name]
+		slices.SortFunc(list, func(a, b *Machine) int {
+			return cmp.Or(cmp.Compare(b.free(t), a.free(t)), cmp.Compare(a.Name, b.Name))
+		})
+		kept, room := 0.0, -waiting[name]
+		for _, m := range list {
+			if f.retired[m.Name] {
+				room -= 1 - m.free(t)
+			} else {
+				room += m.free(t)
+				kept++
+			}
+		}
+		for i := len(list) - 1; i >= 0 && room < reserve*kept; i-- { // the fullest first: they run on anyway
+			if m := list[i]; f.retired[m.Name] {
+				delete(f.retired, m.Name)
+				room++
+				kept++
+			}
+		}
+		// Twice the reserve before the next goes, so that none goes back and forth.
+		for _, m := range list {
+			if room-1 < 2*reserve*(kept-1) || kept <= math.Max(1, float64(f.opt.Warm)) {
+				break
+			}
+			if !f.retired[m.Name] && f.dear(m, t) && !m.pinned() {
+				f.retired[m.Name] = true
+				room--
+				kept--
+			}
+		}
+	}
+}
+
+// pinned says whether a machine runs what may not run on a cheap one.
+func (m *Machine) pinned() bool {
+	return slices.ContainsFunc(m.Slots, func(s Slot) bool { return s.Pinned })
+}
--- /dev/null
+++ b/internal/fleet/retire_test.go
@@ -0,0 +1,127 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// TestRetireModel lets machines fill and empty at random. Whatever is retired, the
+// kept machines' free room must at the moment of a retirement take all that the
+// retired ones run and what waits; cheap machines, and those that run what may not
+// use them, are never retired; nor is any when work waits beyond the room.
+func TestRetireModel(t *testing.T) {
+	retired, back := 0, 0
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		f, types, now := setup()
+		byType := map[string]*wire.MachineType{"m8": &types[0]}
+		ms := make([]*Machine, 40)
+		for i := range ms {
+			ms[i] = &Machine{Name: fmt.Sprintf("n-%02d", i), Type: "m8", Zone: "a", Spot: i%2 == 0, Heard: now, Since: now.Add(-time.Hour)}
+		}
+		for range 40 {
+			busy := rng.Float64()
+			for _, m := range ms {
+				used := 0.0
+				m.Slots = nil
+				for used < 8 && rng.Float64() < busy {
+					m.Slots = append(m.Slots, Slot{CPUs: 2, Left: 10, Pinned: rng.IntN(12) == 0})
+					used += 2
+				}
+				m.CPUs, m.Mem = 8-used, 64
+			}
+			var demands []Demand
+			wait := 0.0
+			if rng.IntN(3) == 0 {
+				wait = float64(rng.IntN(60))
+				demands = []Demand{{Spec: &wire.Submission{CPUs: 2, Spot: true}, Count: int(wait), Late: now}}
+			}
+			before := len(f.retired)
+			f.retire(ms, byType, demands)
+			room, kept := -wait/4, 0.0
+			for _, m := range ms {
+				switch {
+				case !f.retired[m.Name]:
+					room += m.CPUs / 8
+					kept++
+				case m.Spot:
+					t.Fatalf("seed %d: cheap machine retired", seed)
+				default:
+					room -= 1 - m.CPUs/8
+				}
+			}
+			if len(f.retired) > before {
+				retired++
+				if room < reserve*kept {
+					t.Fatalf("seed %d: %d retired, and the others have %.1f machines of room left", seed, len(f.retired), room)
+				}
+			}
+			if len(f.retired) < before {
+				back++
+			}
+			if len(f.retired) > 0 && room < reserve*kept {
+				t.Fatalf("seed %d: %d machines stay retired with %.1f machines of room", seed, len(f.retired), room)
+			}
+		}
+	}
+	if retired == 0 || back == 0 {
+		t.Fatalf("%d times retired, %d times taken back", retired, back)
+	}
+}
+
+// TestRetiredGoBack: a machine that is used in part never fell idle, so that dear
+// machines stayed all day beside cheap ones with room. It must get nothing more, be
+// no room for what waits, and go back when its work is over. Work that may not use
+// cheap machines keeps the dear ones.
+func TestRetiredGoBack(t *testing.T) {
+	f, types, now := setup()
+	var ms []Machine
+	for i := range 10 {
+		ms = append(ms, Machine{Name: fmt.Sprintf("n-%02d", i), Type: "m8", Zone: "a", Spot: i > 0, State: wire.HostRunning, Heard: now,
+			Since: now.Add(-time.Hour), CPUs: 4, Mem: 32, Slots: []Slot{{CPUs: 4, Mem: 32, Left: 30}}})
+	}
+	pinned := []Demand{{Spec: &wire.Submission{CPUs: 1, Estimate: 5}, Count: 1, Late: now.Add(time.Hour)}}
+	if p := f.Decide(types, ms, pinned, now, now); len(p.Retire) != 0 {
+		t.Fatalf("retires %v while work waits that may use nothing else", p.Retire)
+	}
+	if p := f.Decide(types, ms, nil, now, now); !slices.Equal(p.Retire, []string{"n-00"}) || len(p.Return) != 0 {
+		t.Fatalf("retires %v, returns %v", p.Retire, p.Return)
+	}
+	ms[0].CPUs, ms[0].Mem, ms[0].Slots, ms[0].Idle = 8, 64, nil, now.Add(-time.Second)
+	if p := f.Decide(types, ms, nil, now, now); !slices.Equal(p.Return, []string{"n-00"}) {
+		t.Fatalf("returns %v of an idle retired machine", p.Return)
+	}
+}
+
+// TestCutZoneKept: when nearly all machines of a zone fall silent at once, it is the
+// zone's network. They were returned after a worker's lease, with all that they ran
+// and with their images, and rented anew. A few that fall silent are returned as ever.
+func TestCutZoneKept(t *testing.T) {
+	f, types, now := setup()
+	f.opt.Cut = 30 * time.Second
+	silent := func(zone string, count int, quiet time.Duration) int {
+		var ms []Machine
+		for i := range 20 {
+			m := Machine{Name: fmt.Sprintf("n-%02d", i), Type: "m8", Zone: []string{"a", "b"}[i%2], State: wire.HostRunning, Heard: now, Since: now.Add(-time.Hour)}
+			if m.Zone == zone && count > 0 {
+				m.Heard, count = now.Add(-quiet), count-1
+			}
+			ms = append(ms, m)
+		}
+		return len(f.Decide(types, ms, nil, now, now.Add(-time.Hour)).Return)
+	}
+	for _, x := range []struct {
+		count    int
+		quiet    time.Duration
+		returned int
+	}{{10, 20 * time.Second, 0}, {8, 20 * time.Second, 0}, {10, 31 * time.Second, 10}, {5, 20 * time.Second, 5}, {1, 20 * time.Second, 1}} {
+		if got := silent("b", x.count, x.quiet); got != x.returned {
+			t.Errorf("%d of 10 machines of a zone silent for %v: %d returned, not %d", x.count, x.quiet, got, x.returned)
+		}
+	}
+}
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -114,6 +114,7 @@
 	stop    bool
 	grace   float64
 	ordered time.Time
+	starts  int // how often its start was given to its machine's home
 	listed  time.Time
 	asked   time.Time // when its stop was first ordered
 }
@@ -683,6 +684,7 @@
 			continue
 		case a.seq <= acked && TermOf(a.Attempt) == t.term && ready(a.Machine, a.Session):
 			order.Op = wire.Start
+			a.starts++
 		default:
 			continue
 		}
@@ -695,6 +697,21 @@
 	return due
 }
 
+// Unsent takes back orders that surely went nowhere, as when there is no connection
+// to the machine's home. An attempt whose start never left is on no machine, and
+// its task is free to be placed elsewhere.
+func (t *Team) Unsent(orders []Order) {
+	for _, o := range orders {
+		a := t.held[o.Key]
+		if a == nil || a.Attempt != o.Attempt || o.Op != wire.Start {
+			continue
+		}
+		if a.starts--; a.starts == 0 && a.state == "" {
+			t.off(a, "never sent")
+		}
+	}
+}
+
 // Held counts the attempts that may be on machines, and those of them that no
 // report has listed yet.
 func (t *Team) Held() (held, unlisted int) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -19,6 +19,7 @@
 	Price   float64
 	Fetch   float64 // GB per second
 	Images  map[string]bool
+	Pulls   int // images that it fetches now
 }
 
 // Ask is what a task needs.
@@ -30,6 +31,7 @@
 	Image              string
 	ImageGB            float64
 	Run                float64 // seconds that the task probably takes
+	Hurry              bool    // time counts, not money
 }
 
 const slack = 1e-6
@@ -62,11 +64,15 @@
 }
 
 // cost is what the machine costs while it fetches the image and runs the task:
-// an image that is there already counts as much as the time that it saves.
+// an image that is there already counts as much as the time that it saves. Images
+// fetched at the same time may share the rate. In a hurry the time alone counts.
 func (a *Ask) cost(h *Host) float64 {
 	seconds := max(a.Run, 1)
 	if !h.Images[a.Image] && h.Fetch > 0 {
-		seconds += a.ImageGB / h.Fetch
+		seconds += a.ImageGB / h.Fetch * float64(1+h.Pulls)
+	}
+	if a.Hurry {
+		return seconds + h.Price*1e-6
 	}
 	return h.Price * seconds
 }
@@ -108,8 +114,11 @@
 	return best
 }
 
-// Take books a task on a host.
+// Take books a task on a host, with its image.
 func (h *Host) Take(a *Ask) {
+	if !h.Images[a.Image] {
+		h.Pulls++
+	}
 	h.CPUs -= a.CPUs
 	h.GPUs -= a.GPUs
 	h.Memory -= a.Memory
--- a/node.go
+++ b/node.go
@@ -17,6 +17,7 @@
 
 	"topazhollow/internal/blame"
 	"topazhollow/internal/cloud"
+	"topazhollow/internal/estimate"
 	"topazhollow/internal/frontend"
 	"topazhollow/internal/httpx"
 	"topazhollow/internal/ledger"
@@ -63,6 +64,7 @@
 	live      map[string]tenure.Presence
 	listed    bool         // the watched keys were read
 	revision  uint64       // of the state service, up to which the watched keys are known
+	known     time.Time    // when a read began that made all changes before it known
 	unsynced  []chan error // those who wait for a read of the changes
 	syncNow   chan struct{}
 	missing   time.Time
@@ -90,6 +92,7 @@
 	drain     map[string]bool
 	deaf      map[string]map[string]vain // homes that machines tried in vain
 	blame     *blame.Judge
+	est       *estimate.Book          // how long tasks run
 	late      []string                // places where machines come up late, as the fleet's owner sees it
 	still     time.Duration           // how long this controller stood still last
 	waits     *hdrhistogram.Histogram // ms from submission to a task seen running
@@ -97,6 +100,16 @@
 	group     *errgroup.Group
 	ctx       context.Context
 	began     time.Time
+	stray     map[string]bool // machines of other homes that reported here since the last status
+	firsts    map[string]bool // what was told of this process's first steps
+}
+
+// first logs once when this process came to a step, for how long after its start.
+func (n *Node) first(step string, now time.Time) {
+	if !n.firsts[step] {
+		n.firsts[step] = true
+		n.log.Info(step, "after", now.Sub(n.began))
+	}
 }
 
 // job is what every controller knows of a job that is or was active.
@@ -119,6 +132,7 @@
 	heard   time.Time
 	homed   time.Time // when its home last heard it, as far as told
 	spared  time.Time // when it was last kept alive here as its home was silent
+	came    time.Time // when it last reported to a controller that is not its home
 	images  map[string]bool
 	gone    bool
 	idle    time.Time
@@ -142,6 +156,13 @@
 	writes   float64 // changes of the state service that it wants a second; negative if unknown
 }
 
+// unheardAfter is after what silence a peer counts as not heard: four of its
+// statuses.
+const unheardAfter = 2 * time.Second
+
+// near says whether the peer is heard.
+func (p *peerState) near(now time.Time) bool { return now.Sub(p.heard) <= unheardAfter }
+
 // Run serves until the context ends.
 func Run(ctx context.Context, s *settings.Settings, o *settings.Options, log *slog.Logger) error {
 	n := New(s, o, log)
@@ -162,8 +183,8 @@
 		live: map[string]tenure.Presence{}, items: map[string]*item{}, backups: map[string]*backup{},
 		peers: map[string]*peerState{}, jobs: map[string]*job{}, machines: map[string]*machine{}, enrolling: map[string]bool{}, roster: workers.NewRoster(valueRoom(s.Deployment.State)),
 		doers: map[string]*doer{}, fresh: map[string]bool{}, settled: now, began: now, renewed: now, promised: now.Add(promiseLife),
-		lookups: map[string]bool{}, evicting: map[ledger.Ref]eviction{}, news: make(chan struct{}, 1), drain: map[string]bool{}, deaf: map[string]map[string]vain{}, blame: blame.New(),
-		waits: hdrhistogram.New(1, time.Hour.Milliseconds(), 2),
+		lookups: map[string]bool{}, evicting: map[ledger.Ref]eviction{}, news: make(chan struct{}, 1), drain: map[string]bool{}, deaf: map[string]map[string]vain{}, blame: blame.New(), est: estimate.New(),
+		stray: map[string]bool{}, firsts: map[string]bool{}, waits: hdrhistogram.New(1, time.Hour.Milliseconds(), 2),
 	}
 	life := settings.Seconds(o.NodeLease)
 	n.lease = tenure.Lease{Life: life, Margin: life / 20}
@@ -361,6 +382,7 @@
 func (b *userBackend) Accepted(s frontend.Stored, version uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	(*Node)(b).first("first submission accepted", time.Now())
 	(*Node)(b).learnJob(s, version)
 }
 
@@ -384,7 +406,7 @@
 	// Without the state service nothing can be answered, but when no other
 	// controller is better off there is nobody to send users to.
 	for _, p := range n.peers {
-		if p.leased && now.Sub(p.heard) < 2*time.Second {
+		if p.leased && p.near(now) {
 			return false
 		}
 	}
--- a/order.go
+++ b/order.go
@@ -34,24 +34,52 @@
 	return j.goals
 }
 
+// run is how long a task of a job probably takes, by what its owner said and what
+// was seen since.
+func (n *Node) run(s *wire.Submission) time.Duration {
+	return settings.Seconds(n.est.Run(s.UID, s.Class, s.Estimate))
+}
+
 // far is the goal of a job of which nobody said when it should be complete.
 const far = 24 * time.Hour
 
 // goal is the next of a job's goals that it can still reach if all that is left
-// of it started now; late if there is none. Estimates are often wrong by half.
+// of it started now; late if there is none. Expectations are often wrong by half.
 func (n *Node) goal(j *job, now time.Time) (goal time.Time, late bool) {
 	goals := n.goals(j)
 	if len(goals) == 0 {
 		return j.at.Add(far), false
 	}
 	for _, g := range goals {
-		if !now.Add(settings.Seconds(j.spec.Estimate / 2)).After(g) {
+		if !now.Add(n.run(j.spec) / 2).After(g) {
 			return g, false
 		}
 	}
 	return goals[len(goals)-1], true
 }
 
+// startBy is when tasks of a job's class should have started; false if nobody said,
+// or if it is too late for that.
+func (n *Node) startBy(j *job, now time.Time) (time.Time, bool) {
+	for _, o := range n.set.Deployment.Objectives {
+		if by := j.at.Add(settings.Seconds(o.Within)); o.Kind == "wait" && o.Class == j.spec.Class && o.Within > 0 && !now.After(by) {
+			return by, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// promptly is when work within a guarantee should have started, of a job that
+// came at a time; false if nobody said.
+func (n *Node) promptly(came, now time.Time) (time.Time, bool) {
+	for _, o := range n.set.Deployment.Objectives {
+		if by := came.Add(settings.Seconds(o.Within)); o.Kind == "guarantee" && o.Within > 0 && !now.After(by) {
+			return by, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // wish is a job's waiting tasks as all owners order them.
 type wish struct {
 	claim
@@ -60,6 +88,8 @@
 	borrowed  bool // beyond the team's guarantee
 	probe     bool // of a job that fails everywhere
 	late      bool // can reach no goal any more
+	lost      bool // nor start when it should
+	hurry     bool // has no time to wait for a machine with its image
 	latest    time.Time
 	submitted time.Time
 }
@@ -90,11 +120,13 @@
 		if d := a.class(&b); d != 0 {
 			return d
 		}
-		if a.late != b.late {
-			if a.late {
-				return 1
+		for _, x := range [][2]bool{{a.late, b.late}, {a.lost, b.lost}} {
+			if x[0] != x[1] {
+				if x[0] {
+					return 1
+				}
+				return -1
 			}
-			return -1
 		}
 		return cmp.Or(a.latest.Compare(b.latest), a.submitted.Compare(b.submitted), strings.Compare(a.spec.UID, b.spec.UID))
 	})
--- a/order_test.go
+++ b/order_test.go
@@ -14,7 +14,8 @@
 func TestOrderOfWaitingWork(t *testing.T) {
 	n := bare("127.0.0.1:1")
 	n.set.Deployment.Objectives = []settings.Objective{
-		{Kind: "deadline", Class: "c", Times: 1}, {Kind: "deadline", Class: "c", Times: 2}, {Kind: "finished", Class: "d", Within: 30}}
+		{Kind: "deadline", Class: "c", Times: 1}, {Kind: "deadline", Class: "c", Times: 2}, {Kind: "finished", Class: "d", Within: 30},
+		{Kind: "wait", Class: "d", Within: 60}, {Kind: "guarantee", Within: 8}}
 	now := time.Unix(10000, 0)
 	for _, x := range []struct {
 		class    string
@@ -29,6 +30,7 @@
 		{"d", 0, 10, 30, false},
 		{"d", 20, 10, 20, false},
 		{"d", 20, 16, 30, false},
+		{"d", 0, 26, 30, true},
 		{"other", 0, 1000, int(far / time.Second), false},
 		{"other", 50, 0, 50, false},
 	} {
@@ -42,18 +44,31 @@
 			t.Errorf("%+v: goal after %v, late %v", x, goal.Sub(j.at), late)
 		}
 	}
+	for age, want := range map[int]bool{0: true, 8: true, 9: false} {
+		if by, ok := n.promptly(now.Add(-time.Duration(age)*time.Second), now); ok != want || (ok && by.Sub(now) != time.Duration(8-age)*time.Second) {
+			t.Errorf("work within the guarantee that waits for %d s should start by %v, %v", age, by, ok)
+		}
+	}
+	for age, want := range map[int]bool{26: true, 60: true, 61: false} {
+		j := &job{spec: &wire.Submission{Class: "d", Estimate: 10}, at: now.Add(-time.Duration(age) * time.Second)}
+		if by, ok := n.startBy(j, now); ok != want || (ok && by.Sub(j.at) != time.Minute) {
+			t.Errorf("after %d s tasks should start by %v, %v", age, by, ok)
+		}
+	}
 	waits := func(uid, priority string, borrowed, late bool, latest int) wish {
 		return wish{spec: &wire.Submission{UID: uid, Priority: priority}, borrowed: borrowed, late: late,
 			latest: now.Add(time.Duration(latest) * time.Second), submitted: now}
 	}
-	list := []wish{waits("h", "prod", true, false, 1), waits("g", "low", false, false, 1), waits("f", "standard", false, true, 3), waits("e", "standard", false, true, 2),
+	lost := waits("g", "standard", false, true, 1)
+	lost.lost = true
+	list := []wish{waits("i", "prod", true, false, 1), lost, waits("h", "low", false, false, 1), waits("f", "standard", false, true, 3), waits("e", "standard", false, true, 2),
 		waits("d", "standard", false, false, 9), waits("c", "standard", false, false, 8), waits("b", "high", false, true, 1), waits("a", "high", false, false, 50)}
 	arrange(list)
 	got := ""
 	for _, w := range list {
 		got += w.spec.UID
 	}
-	if got != "abcdefgh" {
+	if got != "abcdefghi" {
 		t.Errorf("order %s", got)
 	}
 }
--- a/overview.go
+++ b/overview.go
@@ -95,7 +95,7 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(n.peers)) {
-		if now.Sub(n.peers[name].heard) > 2*time.Second {
+		if !n.peers[name].near(now) {
 			o.Unheard = append(o.Unheard, name)
 		}
 	}
--- a/owner.go
+++ b/owner.go
@@ -14,7 +14,6 @@
 	"topazhollow/internal/ledger"
 	"topazhollow/internal/peer"
 	"topazhollow/internal/placement"
-	"topazhollow/internal/settings"
 	"topazhollow/internal/state"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
@@ -34,14 +33,16 @@
 	phase    int
 	blind    bool
 	team     *ledger.Team
-	frozen   bool      // being handed over
-	adding   []string  // backups that a pending change of the record puts in sync
+	frozen   bool     // being handed over
+	adding   []string // backups that a pending change of the record puts in sync
+	took     time.Time
 	taken    time.Time // or became ready, or the controller woke: backups get their time from then
 	acks     map[string]*ack
 	await    map[string]bool // machines that the barrier waits for
 	book     *ledger.Book
 	readable bool // the book holds what the state service has
 	saving   bool
+	started  bool // a start was given to a home
 }
 
 // ack is what a backup acknowledged.
@@ -67,7 +68,8 @@
 
 // takeUp begins to own an item.
 func (n *Node) takeUp(name string, r tenure.Item) {
-	it := &item{name: name, since: r.Since, blind: r.Blind, taken: time.Now(),
+	now := time.Now()
+	it := &item{name: name, since: r.Since, blind: r.Blind, taken: now, took: now,
 		acks: map[string]*ack{}, book: ledger.NewBook(valueRoom(n.set.Deployment.State))}
 	n.items[name] = it
 	rep := ledger.NewReplica()
@@ -191,7 +193,7 @@
 	if it.readable {
 		n.dropUnregistered(it)
 	}
-	n.log.Info("item ready", "item", it.name, "term", it.since)
+	n.log.Info("item ready", "item", it.name, "term", it.since, "after", it.taken.Sub(it.took))
 	for _, name := range slices.Sorted(maps.Keys(n.machines)) {
 		if m := n.machines[name]; m.view != nil {
 			n.observe(it, m.view)
@@ -239,14 +241,15 @@
 	}
 }
 
-// order hands commands for a machine to its home.
-func (n *Node) order(name string, orders []ledger.Order) {
+// order hands commands for a machine to its home; false if they surely went
+// nowhere.
+func (n *Node) order(name string, orders []ledger.Order) bool {
 	home := n.record.Home(name)
 	if home == n.name {
 		n.take(name, n.record.Term, orders)
-		return
+		return true
 	}
-	n.links.Send(home, "orders", ordersMsg{Term: n.record.Term, Machine: name, Orders: orders})
+	return n.links.Send(home, "orders", ordersMsg{Term: n.record.Term, Machine: name, Orders: orders})
 }
 
 // take is the home's side of order.
@@ -422,7 +425,12 @@
 			return x != nil && !x.gone && n.roster.Has(m) && x.view != nil && x.view.Session == session
 		})
 		for m, orders := range due {
-			n.order(m, orders)
+			if !n.order(m, orders) {
+				it.team.Unsent(orders)
+			} else if !it.started && orders[0].Op == wire.Start {
+				it.started = true
+				n.log.Info("item's first start", "item", name, "after", now.Sub(it.took))
+			}
 		}
 		n.finish(it)
 		if seldom {
@@ -437,7 +445,7 @@
 const lookEvery = 500 * time.Millisecond
 
 func (n *Node) ask(s *wire.Submission) *placement.Ask {
-	a := &placement.Ask{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.Memory, Zone: -1, Spot: s.Spot, Image: s.Image, ImageGB: s.ImageGB, Run: s.Estimate}
+	a := &placement.Ask{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.Memory, Zone: -1, Spot: s.Spot, Image: s.Image, ImageGB: s.ImageGB, Run: n.run(s).Seconds()}
 	if s.Kind == wire.Service {
 		a.Run = 1e6
 	}
@@ -465,15 +473,20 @@
 
 // hosts lists the machines that may take tasks, with their free room as far as
 // this controller knows. A stale guess costs a refusal at the machine's home.
-// Only machines where something changed are counted anew.
+// Only machines where something changed are counted anew. A machine whose home has
+// not heard it since the term was raised takes no orders yet.
 func (n *Node) hosts(now time.Time) []*placement.Host {
 	n.recountMoved()
 	fresh := 2*time.Duration(n.set.Deployment.Workers.Report*float64(time.Second)) + 3*time.Second
 	drain := n.draining()
+	away := map[string]bool{} // homes that no order reaches
+	for name, p := range n.peers {
+		away[name] = !p.up || !p.near(now)
+	}
 	n.scratch = n.scratch[:0]
 	for _, m := range n.board {
 		v := m.view
-		if m.gone || v.Notice || now.Sub(m.heard) > fresh || n.blame.Bad(v.Machine, now) || n.slow(m, now) || !n.count(m) {
+		if m.gone || v.Notice || v.Term != n.record.Term || now.Sub(m.heard) > fresh || away[n.record.Home(v.Machine)] || n.blame.Bad(v.Machine, now) || n.slow(m, now) || !n.count(m) {
 			continue
 		}
 		if !drain[v.Machine] && n.roster.Has(v.Machine) {
@@ -518,6 +531,13 @@
 		h.Price = n.types[t].SpotPrice
 	}
 	h.CPUs, h.GPUs, h.Memory = n.free(m)
+	pulls := map[string]bool{}
+	for _, t := range v.Tasks {
+		if j := n.jobs[t.Job]; j != nil && t.State == wire.Pulling {
+			pulls[j.spec.Image] = true
+		}
+	}
+	h.Pulls = len(pulls)
 	m.host, m.counted = h, true
 	return true
 }
@@ -531,7 +551,7 @@
 		if j == nil || j.runs < max(3, tj.Spec.Tasks/3) || tj.Spec.Kind != wire.Batch {
 			return
 		}
-		limit := max(j.longest, settings.Seconds(tj.Spec.Estimate)) * 5 / 2
+		limit := max(j.longest, n.run(tj.Spec)) * 5 / 2
 		it.team.Running(tj, func(h ledger.Hold) {
 			m := n.machines[h.Machine]
 			if m == nil || tj.Avoids(h.Machine, now) {
--- a/place.go
+++ b/place.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"topazhollow/internal/fleet"
 	"topazhollow/internal/ledger"
 	"topazhollow/internal/placement"
 	"topazhollow/internal/settings"
@@ -28,9 +29,18 @@
 		if j == nil || !j.active {
 			return
 		}
-		goal, late := n.goal(j, now)
-		list = append(list, wish{claim: c, spec: j.spec, count: count, borrowed: borrowed, probe: probe, late: late,
-			latest: goal.Add(-settings.Seconds(j.spec.Estimate)), submitted: j.at})
+		w := wish{claim: c, spec: j.spec, count: count, borrowed: borrowed, probe: probe, submitted: j.at}
+		w.latest, w.late = n.goal(j, now)
+		w.latest = w.latest.Add(-n.run(j.spec))
+		if by, ok := n.startBy(j, now); w.late && ok {
+			w.latest = by
+		} else if w.late {
+			w.lost = true
+		}
+		if by, ok := n.promptly(j.at, now); ok && !borrowed && by.Before(w.latest) {
+			w.latest, w.late = by, false
+		}
+		list = append(list, w)
 	}
 	for _, it := range n.items {
 		if it.phase != ready || it.frozen || it.name == tenure.Fleet {
@@ -44,7 +54,7 @@
 		return nil
 	}
 	for _, p := range n.peers {
-		if now.Sub(p.heard) > 2*time.Second || !p.entitled {
+		if !p.near(now) || !p.entitled {
 			continue // one that lost its lease tells of work that others have taken over
 		}
 		for _, d := range p.demands {
@@ -55,77 +65,114 @@
 }
 
 // place starts what can be started, most urgent first. Room that a peer's more
-// urgent tasks will take is left to them.
+// urgent tasks will take is left to them. Within a class, what has time goes first
+// to the machines that have its image, and only then to any: fetching one can take
+// as long as the task runs.
 func (n *Node) place(now time.Time) {
 	list := n.wishes(now)
 	if len(list) == 0 {
 		return
 	}
-	hosts := n.hosts(now)
 	arrange(list)
-	var short []wish
-	var full []*placement.Ask // what fits no host any more
-	for _, w := range list {
-		ask := n.ask(w.spec)
-		choose := func(skip func(*placement.Host) bool) *placement.Host {
-			if slices.ContainsFunc(full, ask.Exceeds) {
-				return nil
-			}
-			skipped := false
-			h := placement.Choose(n.rng, hosts, ask, n.opt.SampleSize, func(h *placement.Host) bool {
-				skip := skip(h)
-				skipped = skipped || skip
-				return skip
-			})
-			if h == nil && !skipped {
-				full = append(full, ask)
-			}
-			return h
+	p := &placing{n: n, now: now, hosts: n.hosts(now)}
+	for len(list) > 0 {
+		same := 1
+		for same < len(list) && list[same].class(&list[0]) == 0 {
+			same++
+		}
+		for i := range list[:same] {
+			w := &list[i]
+			w.hurry = !n.hasTime(w, now)
+			p.serve(w, !w.hurry)
 		}
-		if w.own == nil {
-			for range w.count {
-				h := choose(func(*placement.Host) bool { return false })
-				if h == nil {
-					break
+		for i := range list[:same] {
+			if w := &list[i]; w.count > 0 {
+				p.serve(w, false)
+				if w.own != nil && w.count > 0 {
+					p.short = append(p.short, *w)
 				}
-				h.Take(ask)
 			}
-			continue
 		}
-		if w.own.Spec.Kind == wire.Gang {
-			if !n.placeGang(w, ask, hosts, now) {
-				short = append(short, w)
+		list = list[same:]
+	}
+	n.preempt(p.short, p.hosts, now)
+	if len(p.short) > 0 || n.told {
+		n.told = len(p.short) > 0
+		select {
+		case n.news <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// hasTime says whether a wish may wait for a machine with its image: even if it
+// runs three times as long as expected and fetches first, it is complete in time.
+func (n *Node) hasTime(w *wish, now time.Time) bool {
+	return w.spec.Image != "" && w.spec.Kind == wire.Batch &&
+		(w.late || w.latest.Sub(now) > 2*n.run(w.spec)+settings.Seconds(fleet.FetchTime(n.types, w.spec))+patience)
+}
+
+// placing is one step's search for places.
+type placing struct {
+	n     *Node
+	now   time.Time
+	hosts []*placement.Host
+	full  []*placement.Ask // what fits no host any more
+	short []wish           // what found no room
+}
+
+// choose finds a host that is not to be skipped.
+func (p *placing) choose(ask *placement.Ask, skip func(*placement.Host) bool) *placement.Host {
+	if slices.ContainsFunc(p.full, ask.Exceeds) {
+		return nil
+	}
+	skipped := false
+	h := placement.Choose(p.n.rng, p.hosts, ask, p.n.opt.SampleSize, func(h *placement.Host) bool {
+		skip := skip(h)
+		skipped = skipped || skip
+		return skip
+	})
+	if h == nil && !skipped {
+		p.full = append(p.full, ask)
+	}
+	return h
+}
+
+// serve places what it can of a wish and takes that off its count; if warm, only
+// on hosts that have the image.
+func (p *placing) serve(w *wish, warm bool) {
+	n, ask := p.n, p.n.ask(w.spec)
+	ask.Hurry = w.hurry && !w.late && !w.borrowed && w.spec.Kind == wire.Batch
+	cold := func(h *placement.Host) bool { return warm && !h.Images[ask.Image] }
+	switch {
+	case w.own == nil:
+		for ; w.count > 0; w.count-- {
+			h := p.choose(ask, cold)
+			if h == nil {
+				break
 			}
-			continue
+			h.Take(ask)
+		}
+	case w.own.Spec.Kind == wire.Gang:
+		if n.placeGang(*w, ask, p.hosts, p.now) {
+			w.count = 0
 		}
-		left := w.count
-		fits := n.zoneRule(w)
-		w.it.team.Pending(w.own, now, func(index int) bool {
-			if left == 0 || !w.it.team.Fits(w.own) {
+	default:
+		fits := n.zoneRule(*w)
+		w.it.team.Pending(w.own, p.now, func(index int) bool {
+			if w.count == 0 || !w.it.team.Fits(w.own) {
 				return false
 			}
-			h := choose(func(h *placement.Host) bool { return w.own.Avoids(h.Name, now) || !fits.allows(h) })
+			h := p.choose(ask, func(h *placement.Host) bool { return cold(h) || w.own.Avoids(h.Name, p.now) || !fits.allows(h) })
 			if h == nil || !w.it.team.Place(w.own, index, n.spot(h)) {
 				return false
 			}
 			fits.take(h)
-			left--
+			w.count--
 			h.Take(ask)
 			h.Images[ask.Image] = true
 			return true
 		})
-		if left > 0 {
-			w.count = left
-			short = append(short, w)
-		}
-	}
-	n.preempt(short, hosts, now)
-	if len(short) > 0 || n.told {
-		n.told = len(short) > 0
-		select {
-		case n.news <- struct{}{}:
-		default:
-		}
 	}
 }
 
@@ -311,7 +358,7 @@
 	list := []ends{}
 	for uid, count := range running {
 		if j := n.jobs[uid]; j != nil && j.spec.Estimate > 0 {
-			list = append(list, ends{j.spec.CPUs, float64(count) * j.spec.CPUs / j.spec.Estimate})
+			list = append(list, ends{j.spec.CPUs, float64(count) * j.spec.CPUs / n.run(j.spec).Seconds()})
 		}
 	}
 	return list
@@ -354,7 +401,7 @@
 		v := victim{ref: ref, spec: j.spec}
 		if since, ok := m.running[ref]; ok {
 			ran := l.now.Sub(since).Seconds()
-			if left := j.spec.Estimate - ran; ran > left && left < soonOver {
+			if left := n.run(j.spec).Seconds() - ran; ran > left && left < soonOver {
 				continue // much would be lost
 			}
 			v.lost = ran * j.spec.CPUs
--- a/rent.go
+++ b/rent.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -56,6 +57,50 @@
 	polled  time.Time
 	polling bool
 	started time.Time
+	told    time.Time // when the log last told of the whole fleet
+}
+
+// tellEvery is how often the log tells of the whole fleet.
+const tellEvery = 20 * time.Second
+
+// tellFleet logs what the fleet looks like, so that an incident can be followed
+// from the log alone.
+func (n *Node) tellFleet(r *rental, machines []fleet.Machine, demands []fleet.Demand, plan *fleet.Plan, now time.Time) {
+	if now.Sub(r.told) < tellEvery {
+		return
+	}
+	r.told = now
+	up, spot, silent, waiting, pulling, running := 0, 0, 0, 0, 0, 0
+	free, all := 0.0, 0.0
+	for i := range machines {
+		m := &machines[i]
+		x := n.machines[m.Name]
+		if x.view == nil {
+			continue
+		}
+		up++
+		if m.Spot {
+			spot++
+		}
+		if now.Sub(x.heard) > n.vainFor() {
+			silent++
+		}
+		cpus, _, _, _ := n.capacity(x.view.Type)
+		free, all = free+m.CPUs, all+cpus
+		for _, t := range x.view.Tasks {
+			switch t.State {
+			case wire.Pulling:
+				pulling++
+			case wire.Running:
+				running++
+			}
+		}
+	}
+	for _, d := range demands {
+		waiting += d.Count
+	}
+	n.log.Info("fleet", "machines", up, "spot", spot, "on_their_way", len(machines)-up, "silent", silent, "retired", len(plan.Retire),
+		"free_share", math.Round(1000*free/max(all, 1))/1000, "tasks_running", running, "tasks_pulling", pulling, "tasks_waiting", waiting)
 }
 
 // runFleet rents and returns while this controller owns the fleet.
@@ -82,7 +127,9 @@
 					// Lists may be twice as old as their lag, and a report may be late.
 					Unlisted: settings.Seconds(2*n.set.Deployment.Cloud.ListLag) + time.Second,
 					Hurry:    settings.Seconds(2*n.set.Deployment.Workers.Report) + answerTime,
-					Silent:   min(lease+4*time.Second, settings.Seconds(n.set.Deployment.Workers.Cancel)/2)})}
+					Silent:   min(lease+4*time.Second, settings.Seconds(n.set.Deployment.Workers.Cancel)/2),
+					// What runs in a cut zone is kept alive there for no longer than this.
+					Cut: settings.Seconds(n.set.Deployment.Workers.Cancel)})}
 		}
 		n.poll(r, now)
 		if r.polled.IsZero() {
@@ -94,7 +141,7 @@
 		add := func(list []demand) {
 			for _, d := range list {
 				if j := n.jobs[d.Job]; j != nil && j.active {
-					demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count, Late: n.due(j, now).Add(-time.Duration(d.Behind) * time.Millisecond),
+					demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count, Run: n.run(j.spec).Seconds(), Late: n.due(j, now).Add(-time.Duration(d.Behind) * time.Millisecond),
 						Cheap: wire.Rank(j.spec.Priority) == 0 && len(n.goals(j)) == 0})
 				}
 			}
@@ -117,12 +164,13 @@
 			n.log.Info("places where machines come up late", "before", n.late, "now", plan.Late)
 			n.late = plan.Late
 		}
+		n.tellFleet(r, machines, demands, &plan, now)
 		lag := settings.Seconds(n.set.Deployment.Cloud.ListLag)
 		if now.Sub(r.started) < lag && r.since > 1 {
 			plan.Rent = nil // machines rented by the last owner may not be listed yet
 			r.f.Forget()
 		}
-		n.give(r, plan.Return)
+		n.give(r, plan.Return, plan.Retire)
 		if writes := n.unstruck(); len(writes) > 0 && !n.striking {
 			n.striking = true
 			n.group.Go(func() error {
@@ -145,7 +193,7 @@
 // anyway is not worth more machines at once than a new one takes to come up.
 func (n *Node) due(j *job, now time.Time) time.Time {
 	goal, late := n.goal(j, now)
-	haste := settings.Seconds(n.opt.Haste * j.spec.Estimate)
+	haste := time.Duration(n.opt.Haste * float64(n.run(j.spec)))
 	switch {
 	case late:
 		return now.Add(haste + time.Minute)
@@ -210,6 +258,10 @@
 		}
 	}
 	var out []fleet.Machine
+	last := "" // in the cloud's list, whose order is that of rental
+	for name := range r.list {
+		last = max(last, name)
+	}
 	for _, name := range slices.Sorted(maps.Keys(names)) {
 		x := n.machine(name)
 		if x.gone || r.giving[name] {
@@ -221,9 +273,11 @@
 				r.seen[name] = now.Add(-settings.Seconds(h.Age))
 			}
 		}
-		m := fleet.Machine{Name: name, Since: r.seen[name], Heard: x.heard, Idle: x.idle, Kept: n.roster.Has(name), Bad: n.blame.Bad(name, now), Awaited: awaited[name]}
+		m := fleet.Machine{Name: name, Since: r.seen[name], Heard: x.lastHeard(), Idle: x.idle, Kept: n.roster.Has(name), Bad: n.blame.Bad(name, now), Awaited: awaited[name],
+			Unknown: x.view != nil && n.homeUnheard(name, now)}
+		m.Passed = name < last
 		if h, ok := r.list[name]; ok {
-			m.Type, m.Zone, m.Spot, m.State = h.Type, h.Zone, h.Spot, h.State
+			m.Type, m.Zone, m.Spot, m.State, m.Passed = h.Type, h.Zone, h.Spot, h.State, false
 		} else if rent, ok := r.rented[name]; ok {
 			m.Type, m.Zone, m.Spot = rent.Type, rent.Zone, rent.Spot
 		}
@@ -234,13 +288,13 @@
 			}
 			for _, t := range x.view.Tasks {
 				if j := n.jobs[t.Job]; j != nil && t.State != wire.Exited {
-					left := max(j.spec.Estimate, 1)
+					left := max(n.run(j.spec).Seconds(), 1)
 					if j.spec.Kind == wire.Service {
 						left = 1e6
 					} else if since, ok := x.running[t.Ref()]; ok {
 						left = max(left-now.Sub(since).Seconds(), left/8)
 					}
-					m.Slots = append(m.Slots, fleet.Slot{CPUs: j.spec.CPUs, GPUs: j.spec.GPUs, Mem: j.spec.Memory, Left: left})
+					m.Slots = append(m.Slots, fleet.Slot{CPUs: j.spec.CPUs, GPUs: j.spec.GPUs, Mem: j.spec.Memory, Left: left, Pinned: !j.spec.Spot})
 				}
 			}
 			if m.Heard.IsZero() {
@@ -252,6 +306,25 @@
 	return out
 }
 
+// lastHeard is when any controller last heard a machine, as far as known here. One
+// that reports in vain to other controllers is alive, whatever its home says; a
+// machine that never reported to its home counts from there.
+func (m *machine) lastHeard() time.Time {
+	if m.heard.IsZero() {
+		return m.heard
+	}
+	return later(m.heard, m.came)
+}
+
+// homeUnheard says whether a machine's home is another member that holds its lease
+// but is not heard here, as when connections between controllers are refused. Then
+// nothing that happens on the machine is heard here either.
+func (n *Node) homeUnheard(name string, now time.Time) bool {
+	home := n.record.Home(name)
+	p := n.peers[home]
+	return p != nil && n.live[home].Incarnation == n.record.Nodes[home] && !p.near(now)
+}
+
 func (n *Node) rent(ctx context.Context, r *rental, rent wire.Rent) {
 	names, err := n.cloud.Rent(ctx, rent)
 	n.mu.Lock()
@@ -266,8 +339,9 @@
 }
 
 // give returns machines: first nothing more is placed there, then the cloud is
-// asked, and only its confirmation ends what may be on them.
-func (n *Node) give(r *rental, names []string) {
+// asked, and only its confirmation ends what may be on them. On those that retire
+// nothing more is placed either.
+func (n *Node) give(r *rental, names, retire []string) {
 	var now []string
 	for _, name := range names {
 		if n.drain[name] {
@@ -278,7 +352,7 @@
 		}
 	}
 	n.drain = map[string]bool{}
-	for _, name := range names {
+	for _, name := range slices.Concat(names, retire) {
 		n.drain[name] = true
 	}
 	if len(now) == 0 {
--- a/stray_test.go
+++ b/stray_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -84,6 +85,7 @@
 // out of the homes, as that moves all machines under a new term; many must.
 func TestUnheardHome(t *testing.T) {
 	n := newGrown(120, 1).n
+	n.record.Deaf = nil
 	now := time.Now()
 	n.settled = now.Add(-time.Minute)
 	home := "node-b"
@@ -207,3 +209,30 @@
 		t.Error("a backup that stays silent must go out of sync in the end")
 	}
 }
+
+// TestStrayIsNotSilent: machines that a home does not answer report to others, who
+// keep them alive. The fleet's owner must hear of that from whoever does, or it
+// returns them for their silence.
+func TestStrayIsNotSilent(t *testing.T) {
+	g := newGrown(6, 1)
+	fleetOwner, n := newGrown(6, 1).n, g.n
+	n.record.Deaf = nil
+	at := g.now.Add(20 * time.Second)
+	n.lease.Renewed(at)
+	name := g.names[slices.IndexFunc(g.names, func(name string) bool { return n.record.Home(name) != n.name })]
+	r := wire.Report{Machine: name, Addr: "127.0.0.1:1", Type: "m32", Zone: "east", Session: 1, Seq: 9, Token: 1, Tasks: []wire.TaskStatus{}}
+	n.report(wire.Encode(r))
+	s := n.status(at)
+	if !slices.Equal(s.Stray, []string{name}) || len(n.status(at).Stray) != 0 {
+		t.Fatalf("tells of %v, then of more", s.Stray)
+	}
+	m := fleetOwner.machine(name)
+	before := m.lastHeard()
+	fleetOwner.onStatus(&peerState{}, &s, at)
+	if got := m.lastHeard(); got != at || before == at {
+		t.Errorf("the fleet's owner last heard the machine at %v, not %v", got, at)
+	}
+	if m.homed == at {
+		t.Error("a home that heard nothing counts as having heard")
+	}
+}
--- /dev/null
+++ b/sustain_test.go
@@ -0,0 +1,148 @@
+package topazhollow
+
+import (
+	"testing"
+	"time"
+
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/tenure"
+	"topazhollow/internal/wire"
+)
+
+// TestCutZoneLivesOn: a controller that is cut off with its zone loses its lease,
+// and so did the machines beside it: all that they ran was lost with any cut longer
+// than their lease. They must be kept alive, but no longer than a withdrawal that
+// this controller cannot hear of allows, and none that runs what had ended before.
+func TestCutZoneLivesOn(t *testing.T) {
+	g := newGrown(8, 1)
+	n := g.n
+	n.lease = tenure.Lease{Life: 5 * time.Second} // lapsed, and nobody promises anything
+	n.peers["node-b"] = &peerState{heard: g.now.Add(-time.Minute)}
+	w := n.set.Deployment.Workers
+	g.submit(1, 4)
+	n.known = g.now
+	report := func(name string, token uint64, state, task string) []byte {
+		return wire.Encode(wire.Report{Machine: name, Addr: "127.0.0.1:1", Type: "m32", Zone: "east", Session: 1, Seq: 9, Token: token,
+			Tasks: []wire.TaskStatus{{Task: task, Attempt: 1, State: state, Why: wire.WhyDone}}})
+	}
+	answer := func(at time.Time, name string, token uint64, state, task string) int {
+		var r wire.Report
+		if err := wire.Decode(report(name, token, state, task), &r); err != nil {
+			t.Fatal(err)
+		}
+		return n.elsewhere(&r, at).Status
+	}
+	name, later := g.names[0], g.now.Add(10*time.Second)
+	if n.entitled(later) {
+		t.Fatal("entitled without lease and promises")
+	}
+	for what, got := range map[string][2]int{
+		"a machine with an active job's task": {answer(later, name, 1, wire.Running, "job-000001/0"), 200},
+		"one whose task has exited":           {answer(later, name, 1, wire.Exited, "job-000009/0"), 200},
+		"one that runs a job not known here":  {answer(later, name, 1, wire.Running, "job-000009/0"), 503},
+		"one that saw a later term":           {answer(later, name, 2, wire.Running, "job-000001/0"), 503},
+	} {
+		if got[0] != got[1] {
+			t.Errorf("%s is answered by %d, not %d", what, got[0], got[1])
+		}
+	}
+	// However long it goes on, nothing is on the machine once the time is over in
+	// which a job that was withdrawn right after the last read must be gone.
+	last := g.now
+	for at := g.now; at.Before(g.now.Add(3 * time.Minute)); at = at.Add(time.Second) {
+		if answer(at, name, 1, wire.Running, "job-000001/0") == 200 {
+			last = at
+		}
+	}
+	gone := last.Add(settings.Seconds(w.Lease)).Sub(g.now)
+	if cancel := settings.Seconds(w.Cancel); gone >= cancel || gone < cancel-4*time.Second {
+		t.Errorf("kept alive until %v after the last read, a withdrawal has %v", gone, cancel)
+	}
+	n.endJob("job-000001")
+	if got := answer(later, name, 1, wire.Running, "job-000001/0"); got != 503 {
+		t.Errorf("a machine that runs a withdrawn job is answered by %d", got)
+	}
+	n.record.Deaf = nil
+	for _, name := range g.names {
+		if n.record.Home(name) != n.name {
+			if got := answer(later, name, 1, wire.Exited, "job-000001/0"); got != 503 {
+				t.Errorf("a machine is kept alive though nothing is known of its home's last word: %d", got)
+			}
+			n.machine(name).homed = g.now
+			if got := answer(later, name, 1, wire.Exited, "job-000001/0"); got != 200 {
+				t.Errorf("a machine of another home is answered by %d", got)
+			}
+		}
+	}
+	n.peers["node-b"].heard, n.peers["node-b"].entitled = later, true
+	if got := answer(later, name, 1, wire.Exited, "job-000001/0"); got != 421 {
+		t.Errorf("with an entitled peer in hearing the answer is %d", got)
+	}
+}
+
+// TestRefusedLinks: with connections between controllers refused, the fleet's owner
+// heard no machine of another home, took two thirds of a fleet for silent and
+// returned them; starts for them were held for as long as the refusal lasted. A
+// machine whose home is alive but not heard is neither silent nor a place.
+func TestRefusedLinks(t *testing.T) {
+	g := newGrown(40, 1)
+	n := g.n
+	n.record.Deaf = nil
+	homed := map[string]bool{}
+	for _, name := range g.names {
+		homed[name] = n.record.Home(name) == n.name
+	}
+	for _, p := range []string{"node-b", "node-c"} {
+		n.peers[p] = &peerState{up: true, heard: g.now}
+		n.live[p] = tenure.Presence{Incarnation: 1, Version: 1}
+	}
+	if hosts := n.hosts(g.now); len(hosts) != 40 {
+		t.Fatalf("%d of 40 machines may take tasks", len(hosts))
+	}
+	n.lease.Renewed(g.now)
+	for p := range n.peers {
+		n.peers[p].up = false
+	}
+	now := g.now.Add(4 * time.Second)
+	n.lease.Renewed(now)
+	for _, h := range n.hosts(now) {
+		if !homed[h.Name] {
+			t.Errorf("%s may take tasks, though no order reaches its home", h.Name)
+		}
+	}
+	r := &rental{started: g.now, list: map[string]wire.Host{}, seen: map[string]time.Time{}, rented: map[string]wire.Rent{}, giving: map[string]bool{}}
+	for _, m := range n.fleetView(r, now) {
+		if m.Unknown == homed[m.Name] {
+			t.Errorf("%s, homed here: %v, is of an unheard home: %v", m.Name, homed[m.Name], m.Unknown)
+		}
+	}
+	delete(n.live, "node-b") // it lost its lease: that is silence for good
+	for _, m := range n.fleetView(r, now) {
+		if m.Unknown && n.record.Home(m.Name) == "node-b" {
+			t.Errorf("%s counts as heard elsewhere, by a controller that is gone", m.Name)
+		}
+	}
+	// A start that went nowhere is free to be placed elsewhere; one that may have
+	// left stays held.
+	it := n.items[teamItem("team-0")]
+	g.submit(1, 4)
+	spec := n.jobs["job-000001"].spec
+	place := func() []ledger.Order {
+		tj := it.team.Job(spec.UID)
+		if !it.team.Place(tj, 0, ledger.Spot{Machine: g.names[0], Session: 1}) {
+			t.Fatal("no place")
+		}
+		return it.team.Due(it.team.Replica().Seq, now, func(string, uint64) bool { return true })[g.names[0]]
+	}
+	it.team.Unsent(place())
+	if held, _ := it.team.Held(); held != 0 {
+		t.Error("a start that went nowhere is held")
+	}
+	place()
+	now = now.Add(5 * time.Second)
+	it.team.Unsent(it.team.Due(it.team.Replica().Seq, now, func(string, uint64) bool { return true })[g.names[0]])
+	if held, _ := it.team.Held(); held != 1 {
+		t.Error("a start that may be on its way is no longer held")
+	}
+}
--- a/sync.go
+++ b/sync.go
@@ -61,12 +61,12 @@
 		after, listed := n.revision, n.listed
 		n.mu.Unlock()
 		n.group.Go(func() error {
-			err := errUnsynced
+			err, began := errUnsynced, time.Now()
 			if listed && len(waiting) > 0 {
 				var ch *wire.Changes
 				if ch, err = n.state.Changes(ctx, frontend.Watched, after); err == nil {
 					n.mu.Lock()
-					n.caughtUp(ch)
+					n.caughtUp(ch, began)
 					n.mu.Unlock()
 				}
 			}
@@ -82,10 +82,12 @@
 	}
 }
 
-// caughtUp takes in all changes since a revision that was known before.
-func (n *Node) caughtUp(ch *wire.Changes) {
+// caughtUp takes in all changes since a revision that was known before, by a read
+// that began at a time.
+func (n *Node) caughtUp(ch *wire.Changes, began time.Time) {
 	for _, e := range ch.Events {
 		n.changed(e)
 	}
 	n.revision = max(n.revision, ch.Revision)
+	n.known = later(n.known, began)
 }
--- a/talk.go
+++ b/talk.go
@@ -45,6 +45,7 @@
 		Heard    map[string]echo   `json:"heard,omitempty"`   // the last At of each peer
 		Promise  bool              `json:"promise,omitempty"` // to raise no term for promiseLife
 		Alive    map[string]int64  `json:"alive,omitempty"`   // homed machines: ms since their last report
+		Stray    []string          `json:"stray,omitempty"`   // machines of other homes that reported here since the last status
 		Demands  []demand          `json:"demands,omitempty"`
 		Progress map[string][2]int `json:"progress,omitempty"`
 		Drain    []string          `json:"drain,omitempty"`
@@ -184,6 +185,11 @@
 			m.heard, m.homed = later(m.heard, t), later(m.homed, t)
 		}
 	}
+	for _, name := range s.Stray {
+		if m := n.machines[name]; m != nil && !m.gone {
+			m.came = now
+		}
+	}
 	if n.record == nil || s.Term > n.record.Term {
 		n.hint()
 	}
@@ -306,7 +312,7 @@
 	var others []float64
 	for _, p := range n.peers {
 		wanted := p.writes
-		if now.Sub(p.heard) > 2*time.Second {
+		if !p.near(now) {
 			wanted = -1
 		}
 		others = append(others, wanted)
@@ -333,6 +339,8 @@
 	for name, m := range n.home.All() {
 		s.Alive[name] = now.Sub(m.Heard).Milliseconds()
 	}
+	s.Stray = slices.Sorted(maps.Keys(n.stray))
+	clear(n.stray)
 	s.Demands = n.demands(now)
 	for _, it := range n.items {
 		it.team.Jobs(func(j *ledger.Job) {
@@ -365,6 +373,7 @@
 		old := !j.active && now.Sub(j.ended) > long
 		if old {
 			n.blame.ForgetJob(uid)
+			n.est.Forget(uid)
 		}
 		return old
 	})
