--- a/home.go
+++ b/home.go
@@ -335,9 +335,6 @@
 			if j := n.jobs[t.Job]; j != nil {
 				j.longest = max(j.longest, now.Sub(since))
 				j.runs++
-				if j.spec.Checkpoint == 0 { // else it may have gone on from one
-					n.est.Ran(t.Job, j.spec.Class, j.spec.Estimate, now.Sub(since).Seconds())
-				}
 			}
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,7 @@
 	Bad     bool // fails different jobs
 	Kept    bool // registered in the state service
 	Awaited bool // an owner can start nothing before the machine is heard or gone
+	Mute    bool // it did not answer when its home knocked
 	Passed  bool // the cloud lists a machine rented later, but not this one
 	Unknown bool // its home is not heard here, so that its silence says nothing
 	Slots   []Slot
@@ -45,7 +46,6 @@
 type Demand struct {
 	Spec  *wire.Submission
 	Count int
-	Run   float64 // seconds that a task probably takes; 0: as estimated
 	Late  time.Time
 	Cheap bool // not worth an ordinary machine while there is any room to come
 }
@@ -58,6 +58,7 @@
 	Silent     time.Duration // a machine silent for so long is returned
 	Cut        time.Duration // the same where nearly all of its zone are silent
 	Hurry      time.Duration // the same where it holds up others
+	Overdue    time.Duration // the same where nearly all others were heard
 	Unlisted   time.Duration // the same where the cloud no longer lists it
 	Haste      float64       // run times kept in hand before a job is due
 }
@@ -91,14 +92,15 @@
 	backoff map[pool]time.Duration
 	pending map[pool]int // asked for, not yet answered
 	boots   map[pool]*boots
-	booting map[string]bool // machines not heard yet when last looked at
-	retired map[string]bool // machines that get no more tasks
+	booting map[string]bool      // machines not heard yet when last looked at
+	retired map[string]bool      // machines that get no more tasks
+	plans   map[string]time.Time // by when all of a job should have started, as first laid out
 }
 
 // New makes a fleet's decisions under names that nobody else uses.
 func New(prefix string, opt Options) *Fleet {
 	return &Fleet{opt: opt, prefix: prefix, shut: map[pool]time.Time{}, backoff: map[pool]time.Duration{}, pending: map[pool]int{},
-		boots: map[pool]*boots{}, booting: map[string]bool{}, retired: map[string]bool{}}
+		boots: map[pool]*boots{}, booting: map[string]bool{}, retired: map[string]bool{}, plans: map[string]time.Time{}}
 }
 
 // Forget drops what was asked for but is not sent.
@@ -136,12 +138,7 @@
 	}
 	f.watchBoots(machines, byType, now)
 	plan.Late = f.late()
-	waitedFor := 0 // silent machines that hold up others
-	for i := range machines {
-		if m := &machines[i]; m.Awaited && now.Sub(later(m.Heard, settled)) > f.opt.Hurry {
-			waitedFor++
-		}
-	}
+	hurry := f.hurry(machines, now, settled)
 	cut := f.cutZones(machines, now, settled)
 	var bins []*bin
 	var live []*Machine
@@ -158,7 +155,7 @@
 		case m.Heard.IsZero() && !m.Kept && f.stuck(m, t, now):
 			plan.Return = append(plan.Return, m.Name)
 			continue
-		case (!m.Heard.IsZero() || m.Kept) && quiet > f.patience(m, waitedFor <= (len(machines)+9)/10, cut[m.Zone]):
+		case (!m.Heard.IsZero() || m.Kept) && quiet > f.patience(m, hurry, cut[m.Zone]):
 			plan.Return = append(plan.Return, m.Name)
 			continue
 		case m.Going || t == nil:
@@ -206,20 +203,45 @@
 // patience is how long a machine may be silent before it is returned. One that
 // the cloud no longer lists is gone already, and the cloud's word ends the wait
 // for it. Its list is in the order of rental, so that a missing machine before one
-// that is there is not just too new. One that an owner's barrier waits for costs all of a team more than a
-// new machine, unless so many are silent that something else must be wrong. In a
-// zone that is cut off, machines and what they run live on, and come back with
-// their images and results.
-func (f *Fleet) patience(m *Machine, few, cut bool) time.Duration {
+// that is there is not just too new. One that an owner's barrier waits for has so
+// long as hurry says. In a zone that is cut off, machines and what they run live
+// on, and come back with their images and results.
+func (f *Fleet) patience(m *Machine, hurry time.Duration, cut bool) time.Duration {
 	switch {
-	case m.Awaited && m.Passed:
+	case m.Awaited && m.Passed, m.Awaited && m.Mute && hurry <= f.opt.Overdue:
 		return time.Second
-	case cut && m.State != "":
-		return max(f.opt.Cut, f.opt.Silent)
 	case m.State == "":
 		return min(f.opt.Unlisted, f.opt.Silent)
-	case m.Awaited && few:
-		return min(f.opt.Hurry, f.opt.Silent)
+	case m.Awaited:
+		return min(hurry, f.opt.Silent)
+	case cut:
+		return max(f.opt.Cut, f.opt.Silent)
+	}
+	return f.opt.Silent
+}
+
+// hurry is how long a machine may be silent that a barrier waits for, which costs
+// all of a team more than a new machine. If only a few are missing when all others
+// must have reported, it is those; if many are, they get the time in which a worker
+// finds another controller, and more than a tenth are rather cut off.
+func (f *Fleet) hurry(machines []Machine, now, settled time.Time) time.Duration {
+	overdue, silent := 0, 0
+	for i := range machines {
+		m := &machines[i]
+		if m.Awaited && m.Mute {
+			overdue++
+		} else if quiet := now.Sub(later(m.Heard, settled)); m.Awaited && quiet > f.opt.Hurry {
+			overdue++
+			silent++
+		} else if m.Awaited && quiet > f.opt.Overdue {
+			overdue++
+		}
+	}
+	switch {
+	case 50*overdue <= len(machines):
+		return f.opt.Overdue
+	case silent <= (len(machines)+9)/10:
+		return f.opt.Hurry
 	}
 	return f.opt.Silent
 }
@@ -258,20 +280,27 @@
 
 // rent lays out what waits on the machines there are, now and as running tasks
 // end, and rents for what would come too late so but in better time on a new
-// machine.
+// machine. What did not start as it was laid out before counts as late by that.
 func (f *Fleet) rent(plan *Plan, types []wire.MachineType, bins []*bin, demands []Demand, now time.Time) {
 	want := map[pool]int{}
+	waits := map[string]time.Time{}
 	for _, d := range demands {
 		s := d.Spec
-		run := max(cmp.Or(d.Run, s.Estimate), 1)
+		run := max(s.Estimate, 1)
 		if s.Kind == wire.Service {
 			run = 1e6
 		}
 		allowance := d.Late.Sub(now).Seconds() - f.opt.Haste*run - FetchTime(types, s)
+		behind := 0.0
+		if by, ok := f.plans[s.UID]; ok {
+			behind = max(0, now.Sub(by).Seconds())
+		}
 		line := queueFor(s, bins)
+		last := 0.0
 		for left := d.Count; left > 0; {
-			start := line.soonest()
+			start := line.soonest() + behind
 			if start <= max(allowance, 0) {
+				last = max(last, start)
 				left -= line.take(run, left)
 				continue
 			}
@@ -280,17 +309,24 @@
 				if math.IsInf(start, 1) {
 					break
 				}
+				last = max(last, start)
 				left -= line.take(run, left)
 				continue
 			}
 			want[p]++
+			delete(f.plans, s.UID) // a new one, with what is rented
 			boot := f.boot(p, t)
 			b := newBin(p, t, boot)
 			bins = append(bins, b)
+			last = max(last, boot)
 			left -= b.take(s, boot, run, left)
 			line.add(b)
 		}
+		if by := now.Add(time.Duration(last * float64(time.Second))); by.After(waits[s.UID]) {
+			waits[s.UID] = by
+		}
 	}
+	f.plan(waits)
 	for p, n := range want {
 		// A wave of machines goes out at once; what is beyond that waits for answers.
 		for i := 0; i < maxRents && n > 0; i++ {
@@ -304,6 +340,23 @@
 	slices.SortFunc(plan.Rent, func(a, b wire.Rent) int { return cmp.Compare(a.Request, b.Request) })
 }
 
+// plan keeps by when each job should have started. What comes later goes before much
+// of what waits, and is in no layout yet; so a job that has not started by then
+// counts as that much further behind, until machines are rented for it. Else work of
+// low priority would be laid out within its time again and again and never start.
+func (f *Fleet) plan(waits map[string]time.Time) {
+	for uid := range f.plans {
+		if _, ok := waits[uid]; !ok {
+			delete(f.plans, uid)
+		}
+	}
+	for uid, by := range waits {
+		if first, ok := f.plans[uid]; !ok || by.Before(first) {
+			f.plans[uid] = by
+		}
+	}
+}
+
 // FetchTime is how many seconds a machine takes to get the job's image, by the
 // slowest type: it may have to share the rate.
 func FetchTime(types []wire.MachineType, s *wire.Submission) float64 {
--- a/internal/rehearse/cloud.go
+++ b/internal/rehearse/cloud.go
@@ -120,7 +120,7 @@
 		h.host.State = wire.HostFailed
 		return
 	}
-	h.worker, h.host.State = worker, wire.HostRunning
+	h.worker, h.host.State, h.host.Addr = worker, wire.HostRunning, worker.Addr()
 }
 
 func (c *Cloud) giveBack(w http.ResponseWriter, r *http.Request) {
--- a/internal/rehearse/worker.go
+++ b/internal/rehearse/worker.go
@@ -62,6 +62,17 @@
 	return w, nil
 }
 
+// Addr is where the worker takes commands.
+func (w *Worker) Addr() string { return w.addr }
+
+// Expire begins the next session, as a worker does whose lease ended.
+func (w *Worker) Expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.killAll()
+	w.session++
+}
+
 // Cut takes the worker's network away or gives it back.
 func (w *Worker) Cut(on bool) {
 	w.mu.Lock()
--- /dev/null
+++ b/knock_test.go
@@ -0,0 +1,100 @@
+package topazhollow
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"topazhollow/internal/rehearse"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/wire"
+)
+
+// TestKnock: after an end of all controllers the barrier waited for each machine's
+// next report, and for each dead one until silence told. A knock must make a machine
+// known under the term at once, whatever its session, without a command and without a
+// second one; one that does not answer must be told of. Nothing goes to machines of
+// other homes, nor without being entitled.
+func TestKnock(t *testing.T) {
+	check := rehearse.NewChecker(map[string]float64{"red": 8})
+	per := rehearse.Periods{Report: time.Hour, Lease: time.Hour, Run: func(string) time.Duration { return time.Hour }}
+	addrs := map[string]string{}
+	workers := map[string]*rehearse.Worker{}
+	for i := range 12 {
+		name := fmt.Sprintf("n-%06d", i)
+		w, err := rehearse.NewWorker(name, "m8", "east", false, map[string]string{"a": "127.0.0.1:1"}, []string{"a"}, per, check)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer w.End()
+		if i%3 == 0 {
+			w.Expire()
+		}
+		workers[name], addrs[name] = w, w.Addr()
+	}
+	addrs["n-000099"] = "127.0.0.1:1" // nobody there
+	addrs["n-000098"] = addrs["n-000001"]
+	n := New(&settings.Settings{Name: "node-a", Peers: []settings.Peer{{Name: "node-b"}}, Deployment: settings.Deployment{Zones: []string{"east"}, Teams: []settings.Team{{Name: "red", CPUsMax: 8}},
+		State: settings.State{RPS: 9, WriteRPS: 9, TxnOps: 4, ValueKB: 4}, Cloud: settings.Cloud{RPS: 1}}}, settings.DefaultOptions(), slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n.group, n.ctx = &errgroup.Group{}, ctx
+	n.record = bare("127.0.0.1:1").record
+	n.record.Nodes = map[string]uint64{"node-a": n.inc, "node-b": 1}
+	n.home.SetTerm(5, func(string) bool { return true })
+	knock := func() {
+		n.mu.Lock()
+		n.onKnock(addrs, time.Now())
+		n.mu.Unlock()
+		if err := n.group.Wait(); err != nil {
+			t.Fatal(err)
+		}
+		n.group = &errgroup.Group{}
+	}
+	knock()
+	if len(n.board) != 0 {
+		t.Fatal("knocked without being entitled")
+	}
+	n.lease.Renewed(time.Now())
+	knock()
+	for name := range workers {
+		m := n.machines[name]
+		mine := n.record.Home(name) == n.name
+		if heard := m != nil && m.view != nil && m.view.Token == 5; heard != mine {
+			t.Errorf("%s: homed here %v, heard under the term %v", name, mine, heard)
+		}
+	}
+	var mute []string
+	for _, name := range []string{"n-000098", "n-000099"} { // another machine's address, and nobody's
+		if n.record.Home(name) == n.name {
+			mute = append(mute, name)
+		}
+	}
+	if got := n.mute(); !slices.Equal(got, mute) {
+		t.Errorf("mute are %v, not %v", got, mute)
+	}
+	seq := map[string]uint64{}
+	for name, m := range n.machines {
+		if m.view != nil {
+			seq[name] = m.view.Seq
+		}
+	}
+	knock()
+	for name, m := range n.machines {
+		if m.view != nil && m.view.Seq != seq[name] {
+			t.Errorf("%s was asked again", name)
+		}
+	}
+	if len(seq) < 2 || len(check.Rules()) > 0 || check.Started > 0 {
+		t.Errorf("%d machines heard, rules %v, %d starts", len(seq), check.Rules(), check.Started)
+	}
+	n.hear(&wire.Report{Machine: "n-000099", Session: 1, Seq: 1, Token: 5, Tasks: []wire.TaskStatus{}}, time.Now())
+	if got := n.mute(); slices.Contains(got, "n-000099") {
+		t.Errorf("mute though it reported since: %v", got)
+	}
+}
--- a/node.go
+++ b/node.go
@@ -17,7 +17,6 @@
 
 	"topazhollow/internal/blame"
 	"topazhollow/internal/cloud"
-	"topazhollow/internal/estimate"
 	"topazhollow/internal/frontend"
 	"topazhollow/internal/httpx"
 	"topazhollow/internal/ledger"
@@ -92,7 +91,6 @@
 	drain     map[string]bool
 	deaf      map[string]map[string]vain // homes that machines tried in vain
 	blame     *blame.Judge
-	est       *estimate.Book          // how long tasks run
 	late      []string                // places where machines come up late, as the fleet's owner sees it
 	still     time.Duration           // how long this controller stood still last
 	waits     *hdrhistogram.Histogram // ms from submission to a task seen running
@@ -100,6 +98,7 @@
 	group     *errgroup.Group
 	ctx       context.Context
 	began     time.Time
+	knocked   knocking
 	stray     map[string]bool // machines of other homes that reported here since the last status
 	firsts    map[string]bool // what was told of this process's first steps
 }
@@ -153,6 +152,7 @@
 	progress map[string][2]int
 	drain    map[string]bool
 	awaits   []string
+	mute     []string
 	writes   float64 // changes of the state service that it wants a second; negative if unknown
 }
 
@@ -183,7 +183,7 @@
 		live: map[string]tenure.Presence{}, items: map[string]*item{}, backups: map[string]*backup{},
 		peers: map[string]*peerState{}, jobs: map[string]*job{}, machines: map[string]*machine{}, enrolling: map[string]bool{}, roster: workers.NewRoster(valueRoom(s.Deployment.State)),
 		doers: map[string]*doer{}, fresh: map[string]bool{}, settled: now, began: now, renewed: now, promised: now.Add(promiseLife),
-		lookups: map[string]bool{}, evicting: map[ledger.Ref]eviction{}, news: make(chan struct{}, 1), drain: map[string]bool{}, deaf: map[string]map[string]vain{}, blame: blame.New(), est: estimate.New(),
+		lookups: map[string]bool{}, evicting: map[ledger.Ref]eviction{}, news: make(chan struct{}, 1), drain: map[string]bool{}, deaf: map[string]map[string]vain{}, blame: blame.New(),
 		stray: map[string]bool{}, firsts: map[string]bool{}, waits: hdrhistogram.New(1, time.Hour.Milliseconds(), 2),
 	}
 	life := settings.Seconds(o.NodeLease)
--- a/order.go
+++ b/order.go
@@ -34,24 +34,21 @@
 	return j.goals
 }
 
-// run is how long a task of a job probably takes, by what its owner said and what
-// was seen since.
-func (n *Node) run(s *wire.Submission) time.Duration {
-	return settings.Seconds(n.est.Run(s.UID, s.Class, s.Estimate))
-}
+// run is how long a task of a job takes, as its owner estimates.
+func run(s *wire.Submission) time.Duration { return settings.Seconds(s.Estimate) }
 
 // far is the goal of a job of which nobody said when it should be complete.
 const far = 24 * time.Hour
 
 // goal is the next of a job's goals that it can still reach if all that is left
-// of it started now; late if there is none. Expectations are often wrong by half.
+// of it started now; late if there is none. Estimates are often wrong by half.
 func (n *Node) goal(j *job, now time.Time) (goal time.Time, late bool) {
 	goals := n.goals(j)
 	if len(goals) == 0 {
 		return j.at.Add(far), false
 	}
 	for _, g := range goals {
-		if !now.Add(n.run(j.spec) / 2).After(g) {
+		if !now.Add(run(j.spec) / 2).After(g) {
 			return g, false
 		}
 	}
@@ -89,7 +86,6 @@
 	probe     bool // of a job that fails everywhere
 	late      bool // can reach no goal any more
 	lost      bool // nor start when it should
-	hurry     bool // has no time to wait for a machine with its image
 	latest    time.Time
 	submitted time.Time
 }
--- a/owner.go
+++ b/owner.go
@@ -445,7 +445,7 @@
 const lookEvery = 500 * time.Millisecond
 
 func (n *Node) ask(s *wire.Submission) *placement.Ask {
-	a := &placement.Ask{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.Memory, Zone: -1, Spot: s.Spot, Image: s.Image, ImageGB: s.ImageGB, Run: n.run(s).Seconds()}
+	a := &placement.Ask{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.Memory, Zone: -1, Spot: s.Spot, Image: s.Image, ImageGB: s.ImageGB, Run: s.Estimate}
 	if s.Kind == wire.Service {
 		a.Run = 1e6
 	}
@@ -551,7 +551,7 @@
 		if j == nil || j.runs < max(3, tj.Spec.Tasks/3) || tj.Spec.Kind != wire.Batch {
 			return
 		}
-		limit := max(j.longest, n.run(tj.Spec)) * 5 / 2
+		limit := max(j.longest, run(tj.Spec)) * 5 / 2
 		it.team.Running(tj, func(h ledger.Hold) {
 			m := n.machines[h.Machine]
 			if m == nil || tj.Avoids(h.Machine, now) {
--- a/place.go
+++ b/place.go
@@ -31,7 +31,7 @@
 		}
 		w := wish{claim: c, spec: j.spec, count: count, borrowed: borrowed, probe: probe, submitted: j.at}
 		w.latest, w.late = n.goal(j, now)
-		w.latest = w.latest.Add(-n.run(j.spec))
+		w.latest = w.latest.Add(-run(j.spec))
 		if by, ok := n.startBy(j, now); w.late && ok {
 			w.latest = by
 		} else if w.late {
@@ -65,9 +65,7 @@
 }
 
 // place starts what can be started, most urgent first. Room that a peer's more
-// urgent tasks will take is left to them. Within a class, what has time goes first
-// to the machines that have its image, and only then to any: fetching one can take
-// as long as the task runs.
+// urgent tasks will take is left to them.
 func (n *Node) place(now time.Time) {
 	list := n.wishes(now)
 	if len(list) == 0 {
@@ -75,25 +73,12 @@
 	}
 	arrange(list)
 	p := &placing{n: n, now: now, hosts: n.hosts(now)}
-	for len(list) > 0 {
-		same := 1
-		for same < len(list) && list[same].class(&list[0]) == 0 {
-			same++
+	for i := range list {
+		w := &list[i]
+		p.serve(w)
+		if w.own != nil && w.count > 0 {
+			p.short = append(p.short, *w)
 		}
-		for i := range list[:same] {
-			w := &list[i]
-			w.hurry = !n.hasTime(w, now)
-			p.serve(w, !w.hurry)
-		}
-		for i := range list[:same] {
-			if w := &list[i]; w.count > 0 {
-				p.serve(w, false)
-				if w.own != nil && w.count > 0 {
-					p.short = append(p.short, *w)
-				}
-			}
-		}
-		list = list[same:]
 	}
 	n.preempt(p.short, p.hosts, now)
 	if len(p.short) > 0 || n.told {
@@ -105,11 +90,11 @@
 	}
 }
 
-// hasTime says whether a wish may wait for a machine with its image: even if it
-// runs three times as long as expected and fetches first, it is complete in time.
-func (n *Node) hasTime(w *wish, now time.Time) bool {
-	return w.spec.Image != "" && w.spec.Kind == wire.Batch &&
-		(w.late || w.latest.Sub(now) > 2*n.run(w.spec)+settings.Seconds(fleet.FetchTime(n.types, w.spec))+patience)
+// hurries says whether a wish has no time to spare: it would not be complete in
+// time if it ran three times as long as estimated after fetching its image.
+func (n *Node) hurries(w *wish, now time.Time) bool {
+	return w.spec.Kind == wire.Batch && !w.late && !w.borrowed &&
+		w.latest.Sub(now) <= 2*run(w.spec)+settings.Seconds(fleet.FetchTime(n.types, w.spec))+patience
 }
 
 // placing is one step's search for places.
@@ -138,16 +123,14 @@
 	return h
 }
 
-// serve places what it can of a wish and takes that off its count; if warm, only
-// on hosts that have the image.
-func (p *placing) serve(w *wish, warm bool) {
+// serve places what it can of a wish and takes that off its count.
+func (p *placing) serve(w *wish) {
 	n, ask := p.n, p.n.ask(w.spec)
-	ask.Hurry = w.hurry && !w.late && !w.borrowed && w.spec.Kind == wire.Batch
-	cold := func(h *placement.Host) bool { return warm && !h.Images[ask.Image] }
+	ask.Hurry = n.hurries(w, p.now)
 	switch {
 	case w.own == nil:
 		for ; w.count > 0; w.count-- {
-			h := p.choose(ask, cold)
+			h := p.choose(ask, func(*placement.Host) bool { return false })
 			if h == nil {
 				break
 			}
@@ -163,7 +146,7 @@
 			if w.count == 0 || !w.it.team.Fits(w.own) {
 				return false
 			}
-			h := p.choose(ask, func(h *placement.Host) bool { return cold(h) || w.own.Avoids(h.Name, p.now) || !fits.allows(h) })
+			h := p.choose(ask, func(h *placement.Host) bool { return w.own.Avoids(h.Name, p.now) || !fits.allows(h) })
 			if h == nil || !w.it.team.Place(w.own, index, n.spot(h)) {
 				return false
 			}
@@ -358,7 +341,7 @@
 	list := []ends{}
 	for uid, count := range running {
 		if j := n.jobs[uid]; j != nil && j.spec.Estimate > 0 {
-			list = append(list, ends{j.spec.CPUs, float64(count) * j.spec.CPUs / n.run(j.spec).Seconds()})
+			list = append(list, ends{j.spec.CPUs, float64(count) * j.spec.CPUs / j.spec.Estimate})
 		}
 	}
 	return list
@@ -401,7 +384,7 @@
 		v := victim{ref: ref, spec: j.spec}
 		if since, ok := m.running[ref]; ok {
 			ran := l.now.Sub(since).Seconds()
-			if left := n.run(j.spec).Seconds() - ran; ran > left && left < soonOver {
+			if left := j.spec.Estimate - ran; ran > left && left < soonOver {
 				continue // much would be lost
 			}
 			v.lost = ran * j.spec.CPUs
--- a/rent.go
+++ b/rent.go
@@ -127,6 +127,7 @@
 					// Lists may be twice as old as their lag, and a report may be late.
 					Unlisted: settings.Seconds(2*n.set.Deployment.Cloud.ListLag) + time.Second,
 					Hurry:    settings.Seconds(2*n.set.Deployment.Workers.Report) + answerTime,
+					Overdue:  n.overdue() + time.Second,
 					Silent:   min(lease+4*time.Second, settings.Seconds(n.set.Deployment.Workers.Cancel)/2),
 					// What runs in a cut zone is kept alive there for no longer than this.
 					Cut: settings.Seconds(n.set.Deployment.Workers.Cancel)})}
@@ -141,7 +142,7 @@
 		add := func(list []demand) {
 			for _, d := range list {
 				if j := n.jobs[d.Job]; j != nil && j.active {
-					demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count, Run: n.run(j.spec).Seconds(), Late: n.due(j, now).Add(-time.Duration(d.Behind) * time.Millisecond),
+					demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count, Late: n.due(j, now).Add(-time.Duration(d.Behind) * time.Millisecond),
 						Cheap: wire.Rank(j.spec.Priority) == 0 && len(n.goals(j)) == 0})
 				}
 			}
@@ -193,7 +194,7 @@
 // anyway is not worth more machines at once than a new one takes to come up.
 func (n *Node) due(j *job, now time.Time) time.Time {
 	goal, late := n.goal(j, now)
-	haste := time.Duration(n.opt.Haste * float64(n.run(j.spec)))
+	haste := time.Duration(n.opt.Haste * float64(run(j.spec)))
 	switch {
 	case late:
 		return now.Add(haste + time.Minute)
@@ -226,10 +227,32 @@
 				r.list[h.UID] = h
 			}
 		}
+		awaited, _ := n.awaited(r.polled)
+		n.knockAll(r.list, awaited)
 		return nil
 	})
 }
 
+// awaited is the machines that any owner's barrier waits for, and those that did
+// not answer their home's knock.
+func (n *Node) awaited(now time.Time) (awaited, mute map[string]bool) {
+	awaited, mute = map[string]bool{}, map[string]bool{}
+	add := func(to map[string]bool, names []string) {
+		for _, name := range names {
+			to[name] = true
+		}
+	}
+	add(awaited, n.awaits())
+	add(mute, n.mute())
+	for _, p := range n.peers {
+		if now.Sub(p.heard) < 3*time.Second {
+			add(awaited, p.awaits)
+			add(mute, p.mute)
+		}
+	}
+	return awaited, mute
+}
+
 // fleetView sums up every machine that is listed, registered, reporting or
 // rented lately.
 func (n *Node) fleetView(r *rental, now time.Time) []fleet.Machine {
@@ -246,17 +269,7 @@
 			names[name] = true
 		}
 	}
-	awaited := map[string]bool{}
-	for _, name := range n.awaits() {
-		awaited[name] = true
-	}
-	for _, p := range n.peers {
-		if now.Sub(p.heard) < 3*time.Second {
-			for _, name := range p.awaits {
-				awaited[name] = true
-			}
-		}
-	}
+	awaited, mute := n.awaited(now)
 	var out []fleet.Machine
 	last := "" // in the cloud's list, whose order is that of rental
 	for name := range r.list {
@@ -273,7 +286,7 @@
 				r.seen[name] = now.Add(-settings.Seconds(h.Age))
 			}
 		}
-		m := fleet.Machine{Name: name, Since: r.seen[name], Heard: x.lastHeard(), Idle: x.idle, Kept: n.roster.Has(name), Bad: n.blame.Bad(name, now), Awaited: awaited[name],
+		m := fleet.Machine{Name: name, Since: r.seen[name], Heard: x.lastHeard(), Idle: x.idle, Kept: n.roster.Has(name), Bad: n.blame.Bad(name, now), Awaited: awaited[name], Mute: mute[name],
 			Unknown: x.view != nil && n.homeUnheard(name, now)}
 		m.Passed = name < last
 		if h, ok := r.list[name]; ok {
@@ -288,7 +301,7 @@
 			}
 			for _, t := range x.view.Tasks {
 				if j := n.jobs[t.Job]; j != nil && t.State != wire.Exited {
-					left := max(n.run(j.spec).Seconds(), 1)
+					left := max(j.spec.Estimate, 1)
 					if j.spec.Kind == wire.Service {
 						left = 1e6
 					} else if since, ok := x.running[t.Ref()]; ok {
--- a/talk.go
+++ b/talk.go
@@ -50,6 +50,7 @@
 		Progress map[string][2]int `json:"progress,omitempty"`
 		Drain    []string          `json:"drain,omitempty"`
 		Awaits   []string          `json:"awaits,omitempty"` // machines that a barrier waits for
+		Mute     []string          `json:"mute,omitempty"`   // machines that did not answer a knock
 		Writes   *float64          `json:"writes,omitempty"` // changes of the state service wanted a second
 	}
 )
@@ -133,6 +134,11 @@
 		if err = wire.Decode(body, &o); err == nil {
 			n.onOrders(&o, now)
 		}
+	case "knock":
+		var k knockMsg
+		if err = wire.Decode(body, &k); err == nil {
+			n.onKnock(k.Addrs, now)
+		}
 	case "evict":
 		var e evictMsg
 		if err = wire.Decode(body, &e); err == nil {
@@ -175,7 +181,7 @@
 	for _, m := range s.Drain {
 		p.drain[m] = true
 	}
-	p.awaits, p.writes = s.Awaits, -1
+	p.awaits, p.mute, p.writes = s.Awaits, s.Mute, -1
 	if s.Writes != nil {
 		p.writes = *s.Writes
 	}
@@ -350,7 +356,7 @@
 			}
 		})
 	}
-	s.Awaits = n.awaits()
+	s.Awaits, s.Mute = n.awaits(), n.mute()
 	if n.items[tenure.Fleet] != nil {
 		s.Drain = slices.Sorted(maps.Keys(n.drain))
 	}
@@ -373,7 +379,6 @@
 		old := !j.active && now.Sub(j.ended) > long
 		if old {
 			n.blame.ForgetJob(uid)
-			n.est.Forget(uid)
 		}
 		return old
 	})
