--- /dev/null
+++ b/cmd/topaz/main.go
@@ -0,0 +1,18 @@
+// Command topaz is the command line for operators, users and build tools.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"topazhollow/internal/topaz"
+)
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := topaz.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	cancel()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/blob/digest.go
@@ -0,0 +1,73 @@
+package blob
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"hash"
+	"strconv"
+	"strings"
+)
+
+// Digest names a blob: its sha256 and its size in bytes.
+type Digest struct {
+	Hash [sha256.Size]byte
+	Size int64
+}
+
+// Of is the digest of data.
+func Of(data []byte) Digest { return Digest{sha256.Sum256(data), int64(len(data))} }
+
+// String is the digest as hash/size, as Parse reads it.
+func (d Digest) String() string {
+	return hex.EncodeToString(d.Hash[:]) + "/" + strconv.FormatInt(d.Size, 10)
+}
+
+// Parse reads a digest written as hash/size: 64 lower-case hexadecimal digits and
+// a decimal number without sign or leading zeros.
+func Parse(s string) (Digest, error) {
+	hash, size, ok := strings.Cut(s, "/")
+	d := Digest{}
+	n, err := strconv.ParseInt(size, 10, 64)
+	if !ok || err != nil || n < 0 || strconv.FormatInt(n, 10) != size || len(hash) != 2*sha256.Size || strings.ToLower(hash) != hash {
+		return Digest{}, fmt.Errorf("%w: %.100q", ErrDigest, s)
+	}
+	if _, err := hex.Decode(d.Hash[:], []byte(hash)); err != nil {
+		return Digest{}, fmt.Errorf("%w: %.100q", ErrDigest, s)
+	}
+	d.Size = n
+	return d, nil
+}
+
+const keySize = sha256.Size + 8
+
+// key is the digest as the index has it.
+func (d Digest) key() string {
+	return string(binary.BigEndian.AppendUint64(d.Hash[:], uint64(d.Size)))
+}
+
+func digestOf(key string) Digest {
+	var d Digest
+	copy(d.Hash[:], key)
+	d.Size = int64(binary.BigEndian.Uint64([]byte(key[sha256.Size:])))
+	return d
+}
+
+// parseObject reads a large blob's file name.
+func parseObject(name string) (Digest, error) {
+	i := strings.IndexByte(name, '-')
+	if i < 0 {
+		return Digest{}, fmt.Errorf("%w: %.100q", ErrDigest, name)
+	}
+	return Parse(name[:i] + "/" + name[i+1:])
+}
+
+// Sum is a running sha256.
+type Sum struct{ hash.Hash }
+
+// NewSum is the sum of nothing yet.
+func NewSum() Sum { return Sum{sha256.New()} }
+
+// Is says whether what was written has the hash of a digest.
+func (s Sum) Is(d Digest) bool { return [sha256.Size]byte(s.Sum(nil)) == d.Hash }
--- /dev/null
+++ b/internal/blob/record.go
@@ -0,0 +1,154 @@
+package blob
+
+import (
+	"encoding/binary"
+	"errors"
+
+	"topazhollow/internal/wal"
+)
+
+// Kinds of records in the log. Everything that the index holds can be made again
+// from them and the files of large blobs.
+const (
+	recSmall  = 'S' // a small blob with its content
+	recFile   = 'F' // a large blob, whose file was durable before
+	recTenant = 'T' // another tenant proved that it has a blob
+	recDrop   = 'D' // a blob was collected
+	recRef    = 'R' // a reference, replacing one of the same name
+	recUnref  = 'U' // a reference was taken back
+)
+
+// How a blob's content is stored.
+const (
+	plain = 0
+	zstdc = 1
+)
+
+// record is one entry of the log.
+type record struct {
+	kind   byte
+	codec  byte
+	digest Digest
+	stored int64    // bytes on disk
+	tenant string   // or the tenant of a reference
+	name   string   // of a reference
+	keys   []string // of a reference
+	data   []byte
+}
+
+var errRecord = errors.New("blob: malformed record")
+
+func appendString(b []byte, s string) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
+}
+
+func (r *record) encode() []byte {
+	b := make([]byte, 0, 64+len(r.data)+len(r.tenant)+len(r.name)+keySize*len(r.keys))
+	b = append(b, r.kind, r.codec)
+	b = append(b, r.digest.key()...)
+	b = binary.AppendUvarint(b, uint64(r.stored))
+	b = appendString(b, r.tenant)
+	b = appendString(b, r.name)
+	b = binary.AppendUvarint(b, uint64(len(r.keys)))
+	for _, k := range r.keys {
+		b = append(b, k...)
+	}
+	return append(b, r.data...)
+}
+
+// decoder reads what encode wrote; bad is set once something does not fit.
+type decoder struct {
+	b   []byte
+	bad bool
+}
+
+func (d *decoder) take(n uint64) []byte {
+	if n > uint64(len(d.b)) {
+		d.bad, d.b = true, nil
+		return nil
+	}
+	p := d.b[:n]
+	d.b = d.b[n:]
+	return p
+}
+
+func (d *decoder) number() uint64 {
+	n, used := binary.Uvarint(d.b)
+	if used <= 0 {
+		d.bad, d.b = true, nil
+		return 0
+	}
+	d.b = d.b[used:]
+	return n
+}
+
+func decodeRecord(b []byte) (*record, error) {
+	d := &decoder{b: b}
+	r := &record{}
+	if head := d.take(2 + keySize); !d.bad {
+		r.kind, r.codec = head[0], head[1]
+		r.digest = digestOf(string(head[2:]))
+	}
+	r.stored = int64(d.number())
+	r.tenant = string(d.take(d.number()))
+	r.name = string(d.take(d.number()))
+	for n := d.number(); n > 0 && !d.bad; n-- {
+		r.keys = append(r.keys, string(d.take(keySize)))
+	}
+	r.data = d.b
+	if d.bad || r.digest.Size < 0 || r.stored < 0 {
+		return nil, errRecord
+	}
+	return r, nil
+}
+
+// entry is what the index holds of a blob.
+type entry struct {
+	codec   byte
+	rotten  bool // its content went bad and could not be repaired yet
+	small   bool // its content is in the log
+	stored  int64
+	used    int64 // last use, seconds of the epoch; roughly
+	at      wal.Pos
+	refs    uint32
+	tenants []string
+}
+
+func (e *entry) encode() []byte {
+	flags := e.codec
+	if e.rotten {
+		flags |= 0x80
+	}
+	if e.small {
+		flags |= 0x40
+	}
+	b := append(make([]byte, 0, 64), flags)
+	b = binary.AppendUvarint(b, uint64(e.stored))
+	b = binary.AppendUvarint(b, uint64(e.used))
+	b = binary.AppendUvarint(b, uint64(e.at.Segment))
+	b = binary.AppendUvarint(b, uint64(e.at.Offset))
+	b = binary.AppendUvarint(b, uint64(e.refs))
+	b = binary.AppendUvarint(b, uint64(len(e.tenants)))
+	for _, t := range e.tenants {
+		b = appendString(b, t)
+	}
+	return b
+}
+
+func decodeEntry(b []byte) (*entry, error) {
+	d := &decoder{b: b}
+	e := &entry{}
+	if head := d.take(1); !d.bad {
+		e.codec, e.rotten, e.small = head[0]&0x3f, head[0]&0x80 != 0, head[0]&0x40 != 0
+	}
+	e.stored, e.used = int64(d.number()), int64(d.number())
+	e.at = wal.Pos{Segment: uint32(d.number()), Offset: int64(d.number())}
+	e.refs = uint32(d.number())
+	for n := d.number(); n > 0 && !d.bad; n-- {
+		e.tenants = append(e.tenants, string(d.take(d.number())))
+	}
+	if d.bad {
+		return nil, errRecord
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/blob/store.go
@@ -0,0 +1,691 @@
+// Package blob keeps content under its sha256 on a local disk: for logs, artefacts
+// and build actions alike. Small blobs lie in a log (package wal), large ones in
+// files of their own; whatever a caller was told to be there is durable before.
+// Everything that the index holds can be made again from the log, so that an index
+// that is lost costs time only.
+package blob
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+	bolt "go.etcd.io/bbolt"
+
+	"topazhollow/internal/wal"
+)
+
+// Errors that callers decide by.
+var (
+	ErrDigest   = errors.New("blob: malformed digest")
+	ErrNotFound = errors.New("blob: not here")
+	ErrRotten   = errors.New("blob: went bad on the disk")
+	ErrMismatch = errors.New("blob: content does not have that digest")
+	ErrGap      = errors.New("blob: upload goes on at another offset")
+	ErrUpload   = errors.New("blob: no such upload")
+	ErrTenant   = errors.New("blob: this tenant does not have it")
+	ErrBusy     = errors.New("blob: too many uploads")
+)
+
+// FullError says that a quota leaves no room; try again once something was
+// collected.
+type FullError struct {
+	Tenant     string // "" for the store as a whole
+	Want, Free int64
+	Retry      time.Duration
+}
+
+func (e *FullError) Error() string {
+	whose := "the store"
+	if e.Tenant != "" {
+		whose = "tenant " + e.Tenant
+	}
+	return fmt.Sprintf("blob: %s has room for %d bytes, not for %d; try again in %s", whose, e.Free, e.Want, e.Retry)
+}
+
+// Options are a store's choices.
+type Options struct {
+	Dir       string
+	Inline    int64                      // blobs up to so many bytes lie in the log; 16 KiB if 0
+	Quota     int64                      // bytes on disk in all; 0: no bound
+	Reserve   int64                      // of these, kept for what must not fail (see Urgent)
+	Tenant    func(tenant string) int64  // a tenant's bytes; nil or 0: no bound of its own
+	Uploads   int                        // open at a time; 1024 if 0
+	Abandoned time.Duration              // uploads that nobody touched for so long are dropped; 1 h if 0
+	Now       func() time.Time           // for ages; time.Now if nil
+	Step      func(step string)          // told of each durable step, for tests
+	OpenFile  func(string) (File, error) // opens upload files, for tests
+	// Repair gives a good copy of a blob that went bad here, as from a replica.
+	Repair func(ctx context.Context, d Digest) (io.ReadCloser, error)
+}
+
+// File is an open upload file. *os.File is one.
+type File interface {
+	io.ReaderAt
+	io.WriterAt
+	Sync() error
+	Truncate(int64) error
+	Close() error
+}
+
+// Store is an open store. Its methods may be called at the same time.
+type Store struct {
+	opt  Options
+	log  *wal.Log
+	db   *bolt.DB
+	stop context.CancelFunc
+	done chan struct{}
+
+	commits  sync.RWMutex // held for reading from before a record is written until it is applied
+	mu       sync.Mutex
+	changed  sync.Cond
+	fresh    map[string]*entry // changed since the last checkpoint; nil: gone
+	refs     map[string]*ref   // the same for references
+	used     map[string]int64  // bytes on disk by tenant, "" for all
+	held     map[string]int64  // the same, promised to uploads
+	pins     map[string]int    // readers and uploads of a blob
+	deleting map[string]bool
+	uploads  map[string]*Upload
+	applied  wal.Pos // behind the last record that fresh has
+	closed   bool
+}
+
+// ref is a named reference to blobs.
+type ref struct {
+	tenant string
+	keys   []string
+	at     wal.Pos
+}
+
+var (
+	bucketBlobs = []byte("blobs")
+	bucketRefs  = []byte("refs")
+	bucketUsed  = []byte("used")
+	bucketMeta  = []byte("meta")
+	keyPos      = []byte("applied")
+)
+
+// checkpointEvery is how often the index is brought up to date on disk, and
+// checkpointAt how many changes make it sooner. Both bound what a start reads of
+// the log again.
+const (
+	checkpointEvery = 2 * time.Second
+	checkpointAt    = 8192
+)
+
+// Open opens the store in a directory, which it makes if need be. An index that is
+// missing or can't be read is made again from the log.
+func Open(opt Options) (*Store, error) {
+	if opt.Inline <= 0 {
+		opt.Inline = 16 << 10
+	}
+	if opt.Uploads <= 0 {
+		opt.Uploads = 1024
+	}
+	if opt.Abandoned <= 0 {
+		opt.Abandoned = time.Hour
+	}
+	if opt.Now == nil {
+		opt.Now = time.Now
+	}
+	if opt.Step == nil {
+		opt.Step = func(string) {}
+	}
+	if opt.OpenFile == nil {
+		opt.OpenFile = func(p string) (File, error) { return os.OpenFile(p, os.O_RDWR|os.O_CREATE, 0o600) }
+	}
+	for _, dir := range []string{"objects", "uploads", "rotten"} {
+		if err := os.MkdirAll(filepath.Join(opt.Dir, dir), 0o700); err != nil {
+			return nil, fmt.Errorf("blob: %w", err)
+		}
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s := &Store{opt: opt, stop: stop, done: make(chan struct{}), fresh: map[string]*entry{}, refs: map[string]*ref{}, used: map[string]int64{},
+		held: map[string]int64{}, pins: map[string]int{}, deleting: map[string]bool{}, uploads: map[string]*Upload{}}
+	s.changed.L = &s.mu
+	if err := s.openIndex(); err != nil {
+		stop()
+		return nil, err
+	}
+	err := s.openLog()
+	if errors.Is(err, errStale) {
+		// The log does not reach as far as the index: it was put back from a copy, say.
+		// The log is the truth.
+		if err = s.dropIndex(); err == nil {
+			err = s.openLog()
+		}
+	}
+	if err == nil {
+		err = s.openUploads()
+	}
+	if err != nil {
+		stop()
+		if s.log != nil {
+			s.log.Close()
+		}
+		s.db.Close()
+		return nil, err
+	}
+	go s.keep(ctx)
+	return s, nil
+}
+
+var errStale = errors.New("blob: index is ahead of the log")
+
+func (s *Store) indexPath() string { return filepath.Join(s.opt.Dir, "index") }
+
+func (s *Store) openIndex() error {
+	open := func() error {
+		db, err := bolt.Open(s.indexPath(), 0o600, &bolt.Options{Timeout: time.Second})
+		if err != nil {
+			return err
+		}
+		err = db.Update(func(tx *bolt.Tx) error {
+			for _, b := range [][]byte{bucketBlobs, bucketRefs, bucketUsed, bucketMeta} {
+				if _, err := tx.CreateBucketIfNotExists(b); err != nil {
+					return err
+				}
+			}
+			if pos := tx.Bucket(bucketMeta).Get(keyPos); len(pos) == 12 {
+				s.applied = wal.Pos{Segment: binary.BigEndian.Uint32(pos), Offset: int64(binary.BigEndian.Uint64(pos[4:]))}
+			}
+			return tx.Bucket(bucketUsed).ForEach(func(k, v []byte) error {
+				s.used[strings.TrimPrefix(string(k), "/")] = int64(binary.BigEndian.Uint64(v))
+				return nil
+			})
+		})
+		if err != nil {
+			db.Close()
+			return err
+		}
+		s.db = db
+		return nil
+	}
+	err := open()
+	if errors.Is(err, bolt.ErrTimeout) {
+		return fmt.Errorf("blob: another process has %s open: %w", s.opt.Dir, err)
+	}
+	if err != nil { // unreadable: the log has it all
+		if rerr := os.Rename(s.indexPath(), s.indexPath()+".bad"); rerr != nil && !errors.Is(rerr, fs.ErrNotExist) {
+			return fmt.Errorf("blob: %w", rerr)
+		}
+		s.applied, s.used = wal.Pos{}, map[string]int64{}
+		err = open()
+	}
+	if err != nil {
+		return fmt.Errorf("blob: index: %w", err)
+	}
+	return nil
+}
+
+func (s *Store) dropIndex() error {
+	s.db.Close()
+	if err := os.Remove(s.indexPath()); err != nil {
+		return fmt.Errorf("blob: %w", err)
+	}
+	s.applied, s.used, s.fresh, s.refs = wal.Pos{}, map[string]int64{}, map[string]*entry{}, map[string]*ref{}
+	return s.openIndex()
+}
+
+func (s *Store) openLog() error {
+	from, replayed := s.applied, 0
+	log, err := wal.Open(filepath.Join(s.opt.Dir, "log"), wal.Options{Step: s.opt.Step}, from, func(at wal.Pos, b []byte) error {
+		r, err := decodeRecord(b)
+		if err != nil {
+			return fmt.Errorf("%w at %v", err, at)
+		}
+		s.apply(r, at)
+		if replayed++; replayed%checkpointAt == 0 {
+			return s.writeIndex(at) // this record is then read again, which changes nothing
+		}
+		return nil
+	})
+	if errors.Is(err, wal.ErrBehind) {
+		return errStale
+	}
+	if err != nil {
+		return err
+	}
+	s.log = log
+	s.applied = log.End()
+	return s.checkpoint()
+}
+
+// find gives what is known of a blob; nil if it is not here. s.mu is held.
+func (s *Store) find(key string) *entry {
+	if e, ok := s.fresh[key]; ok {
+		return e
+	}
+	var e *entry
+	// A read of the index fails only if its file is unreadable.
+	_ = s.db.View(func(tx *bolt.Tx) (err error) {
+		if b := tx.Bucket(bucketBlobs).Get([]byte(key)); b != nil {
+			e, err = decodeEntry(b)
+		}
+		return err
+	})
+	return e
+}
+
+// change gives the entry of a blob to be changed, nil if it is not here. s.mu is held.
+func (s *Store) change(key string) *entry {
+	e := s.find(key)
+	if e == nil {
+		return nil
+	}
+	if _, ok := s.fresh[key]; !ok {
+		s.fresh[key] = e
+	}
+	return e
+}
+
+func (s *Store) findRef(name string) *ref {
+	if r, ok := s.refs[name]; ok {
+		return r
+	}
+	var r *ref
+	_ = s.db.View(func(tx *bolt.Tx) error {
+		if b := tx.Bucket(bucketRefs).Get([]byte(name)); b != nil {
+			r = decodeRef(b)
+		}
+		return nil
+	})
+	return r
+}
+
+func (r *ref) encode() []byte {
+	b := binary.BigEndian.AppendUint32(nil, r.at.Segment)
+	b = binary.BigEndian.AppendUint64(b, uint64(r.at.Offset))
+	b = appendString(b, r.tenant)
+	return append(b, strings.Join(r.keys, "")...)
+}
+
+func decodeRef(b []byte) *ref {
+	d := &decoder{b: b}
+	r := &ref{}
+	if head := d.take(12); !d.bad {
+		r.at = wal.Pos{Segment: binary.BigEndian.Uint32(head), Offset: int64(binary.BigEndian.Uint64(head[4:]))}
+	}
+	r.tenant = string(d.take(d.number()))
+	for len(d.b) >= keySize {
+		r.keys = append(r.keys, string(d.take(keySize)))
+	}
+	return r
+}
+
+// apply carries a record of the log over to the index. s.mu is held, or the store
+// is being opened. It must give the same for the same records however often it is
+// done from a position on.
+func (s *Store) apply(r *record, at wal.Pos) {
+	key := r.digest.key()
+	switch r.kind {
+	case recSmall, recFile:
+		e := s.change(key)
+		if e == nil {
+			e = &entry{codec: r.codec, small: r.kind == recSmall, stored: r.stored, used: s.opt.Now().Unix()}
+			s.fresh[key] = e
+			s.used[""] += r.stored
+		} else if e.rotten || e.at != at { // repaired, or moved on in the log
+			s.charge(e, r.stored-e.stored)
+			e.codec, e.small, e.stored, e.rotten = r.codec, r.kind == recSmall, r.stored, false
+		}
+		e.at = at
+		s.give(e, r.tenant)
+	case recTenant:
+		if e := s.change(key); e != nil {
+			s.give(e, r.tenant)
+			if now := s.opt.Now().Unix(); now-e.used > 60 {
+				e.used = now
+			}
+		}
+	case recDrop:
+		if e := s.change(key); e != nil {
+			s.charge(e, -e.stored)
+			s.fresh[key] = nil
+		}
+	case recRef, recUnref:
+		if old := s.findRef(r.name); old != nil {
+			s.count(old.keys, -1)
+		}
+		s.refs[r.name] = nil
+		if r.kind == recRef {
+			s.refs[r.name] = &ref{tenant: r.tenant, keys: r.keys, at: at}
+			s.count(r.keys, 1)
+		}
+	}
+}
+
+// charge adds to what a blob takes of all quotas that it is counted in.
+func (s *Store) charge(e *entry, bytes int64) {
+	s.used[""] += bytes
+	for _, t := range e.tenants {
+		s.used[t] += bytes
+	}
+}
+
+func (s *Store) give(e *entry, tenant string) {
+	if !slices.Contains(e.tenants, tenant) {
+		e.tenants = append(slices.Clone(e.tenants), tenant)
+		s.used[tenant] += e.stored
+	}
+}
+
+func (s *Store) count(keys []string, by int) {
+	for _, k := range keys {
+		if e := s.change(k); e != nil {
+			e.refs = uint32(max(0, int(e.refs)+by))
+		}
+	}
+}
+
+// keep brings the index up to date now and then, and drops abandoned uploads.
+func (s *Store) keep(ctx context.Context) {
+	defer close(s.done)
+	t := time.NewTicker(checkpointEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			// If the index can't be written, the log has it all, and the next start
+			// reads more of it.
+			_ = s.checkpoint()
+			s.dropAbandoned()
+		}
+	}
+}
+
+// checkpoint writes what changed to the index.
+func (s *Store) checkpoint() error {
+	s.commits.Lock()
+	end := s.log.End() // everything before it is applied
+	s.commits.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applied = end
+	return s.writeIndex(end)
+}
+
+// writeIndex is checkpoint with s.mu held: the index then holds all records before
+// a position.
+func (s *Store) writeIndex(upTo wal.Pos) error {
+	err := s.db.Update(func(tx *bolt.Tx) error {
+		put := func(b *bolt.Bucket, key string, value []byte) error {
+			if value == nil {
+				return b.Delete([]byte(key))
+			}
+			return b.Put([]byte(key), value)
+		}
+		blobs := tx.Bucket(bucketBlobs)
+		for _, key := range slices.Sorted(maps.Keys(s.fresh)) {
+			var value []byte
+			if e := s.fresh[key]; e != nil {
+				value = e.encode()
+			}
+			if err := put(blobs, key, value); err != nil {
+				return err
+			}
+		}
+		for name, r := range s.refs {
+			var value []byte
+			if r != nil {
+				value = r.encode()
+			}
+			if err := put(tx.Bucket(bucketRefs), name, value); err != nil {
+				return err
+			}
+		}
+		for tenant, n := range s.used {
+			if err := tx.Bucket(bucketUsed).Put([]byte("/"+tenant), binary.BigEndian.AppendUint64(nil, uint64(n))); err != nil {
+				return err
+			}
+		}
+		pos := binary.BigEndian.AppendUint32(nil, upTo.Segment)
+		return tx.Bucket(bucketMeta).Put(keyPos, binary.BigEndian.AppendUint64(pos, uint64(upTo.Offset)))
+	})
+	if err != nil {
+		return fmt.Errorf("blob: index: %w", err)
+	}
+	s.fresh, s.refs = map[string]*entry{}, map[string]*ref{}
+	return nil
+}
+
+// commit writes records to the log and carries them over to the index.
+func (s *Store) commit(ctx context.Context, rs ...*record) error {
+	var data [][]byte
+	for _, r := range rs {
+		data = append(data, r.encode())
+	}
+	// What was begun is seen through: a caller that gives up must not leave it open
+	// whether the records are there.
+	s.commits.RLock()
+	defer s.commits.RUnlock()
+	at, err := s.log.Append(context.WithoutCancel(ctx), data...)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, r := range rs {
+		s.apply(r, at[i])
+	}
+	return nil
+}
+
+// Close brings the index up to date and ends the store. Open readers may be read
+// to their end.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil
+	}
+	s.closed = true
+	for _, u := range s.uploads {
+		u.file.Close()
+	}
+	s.mu.Unlock()
+	s.stop()
+	<-s.done
+	return errors.Join(s.log.Close(), s.checkpoint(), s.db.Close())
+}
+
+// objectPath is the file of a large blob.
+func (s *Store) objectPath(d Digest) string {
+	hash, size, _ := strings.Cut(d.String(), "/")
+	return filepath.Join(s.opt.Dir, "objects", hash[:2], hash+"-"+size)
+}
+
+// Has says whether a tenant has a blob here, and counts it as used now.
+func (s *Store) Has(tenant string, d Digest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.touch(tenant, d.key()) != nil
+}
+
+// Missing lists those of some blobs that a tenant does not have here. The others
+// count as used now, so that they are not collected before they have an age again.
+func (s *Store) Missing(tenant string, ds []Digest) (missing []Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range ds {
+		if s.touch(tenant, d.key()) == nil {
+			missing = append(missing, d)
+		}
+	}
+	return missing
+}
+
+func (s *Store) touch(tenant, key string) *entry {
+	e := s.find(key)
+	if e == nil || e.rotten || s.deleting[key] || !slices.Contains(e.tenants, tenant) {
+		return nil
+	}
+	if now := s.opt.Now().Unix(); now-e.used > 60 {
+		s.change(key).used = now
+	}
+	return e
+}
+
+// Reader reads a blob from its beginning on. It must be closed; until then the blob
+// is not collected.
+type Reader struct {
+	io.Reader
+	d     Digest
+	close func()
+	once  sync.Once
+}
+
+// Digest is what is read.
+func (r *Reader) Digest() Digest { return r.d }
+
+// Close lets the blob go.
+func (r *Reader) Close() error {
+	r.once.Do(r.close)
+	return nil
+}
+
+// Open reads a blob that a tenant has, from an offset on. What is read is not
+// verified as a whole; see Scrub.
+func (s *Store) Open(tenant string, d Digest, offset int64) (*Reader, error) {
+	if offset < 0 || offset > d.Size {
+		return nil, fmt.Errorf("%w: offset %d of %d", ErrNotFound, offset, d.Size)
+	}
+	return s.open(d, offset, func(key string) *entry { return s.touch(tenant, key) })
+}
+
+func (s *Store) open(d Digest, offset int64, find func(key string) *entry) (*Reader, error) {
+	key := d.key()
+	for range 3 { // a small blob may move on in the log meanwhile
+		s.mu.Lock()
+		e := find(key)
+		if e == nil {
+			e := s.find(key)
+			s.mu.Unlock()
+			switch {
+			case e == nil:
+				return nil, fmt.Errorf("%w: %s", ErrNotFound, d)
+			case e.rotten:
+				return nil, fmt.Errorf("%w: %s", ErrRotten, d)
+			}
+			return nil, fmt.Errorf("%w: %s", ErrTenant, d)
+		}
+		e = &entry{codec: e.codec, small: e.small, at: e.at}
+		s.pins[key]++
+		s.mu.Unlock()
+		r, err := s.content(d, e)
+		if err == nil {
+			if _, err = io.CopyN(io.Discard, r, offset); err == nil {
+				return &Reader{Reader: r, d: d, close: func() { r.Close(); s.unpin(key) }}, nil
+			}
+			r.Close()
+		}
+		s.unpin(key)
+		if !errors.Is(err, fs.ErrNotExist) {
+			return nil, fmt.Errorf("%w: %s: %v", ErrRotten, d, err)
+		}
+	}
+	return nil, fmt.Errorf("%w: %s", ErrRotten, d)
+}
+
+func (s *Store) unpin(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pins[key]--; s.pins[key] <= 0 {
+		delete(s.pins, key)
+	}
+}
+
+// content opens what lies on the disk.
+func (s *Store) content(d Digest, e *entry) (io.ReadCloser, error) {
+	var raw io.ReadCloser
+	if e.small {
+		b, err := s.log.Read(e.at)
+		if err != nil {
+			return nil, err
+		}
+		r, err := decodeRecord(b)
+		if err != nil {
+			return nil, err
+		}
+		raw = io.NopCloser(bytes.NewReader(r.data))
+	} else {
+		f, err := os.Open(s.objectPath(d))
+		if err != nil {
+			return nil, err
+		}
+		raw = f
+	}
+	if e.codec == plain {
+		return raw, nil
+	}
+	z, err := zstd.NewReader(raw, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(64<<20))
+	if err != nil {
+		raw.Close()
+		return nil, err
+	}
+	return &unpacked{z, raw}, nil
+}
+
+// unpacked is a decompressed file.
+type unpacked struct {
+	*zstd.Decoder
+	raw io.Closer
+}
+
+func (u *unpacked) Close() error {
+	u.Decoder.Close()
+	return u.raw.Close()
+}
+
+// Get reads a whole blob of at most max bytes.
+func (s *Store) Get(tenant string, d Digest, max int64) ([]byte, error) {
+	if d.Size > max {
+		return nil, fmt.Errorf("%w: %s is longer than %d bytes", ErrNotFound, d, max)
+	}
+	r, err := s.Open(tenant, d, 0)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	b, err := io.ReadAll(io.LimitReader(r, d.Size+1))
+	if err != nil || Of(b) != d {
+		return nil, fmt.Errorf("%w: %s", ErrRotten, d)
+	}
+	return b, nil
+}
+
+// Stats is what a store holds.
+type Stats struct {
+	Blobs   int
+	Bytes   int64            // on disk, by the quotas' count
+	Tenants map[string]int64 // the same by tenant; what several have counts for each
+	Uploads int
+	Waiting int // bytes of records that wait for the disk
+}
+
+// Stats counts what is here. Blobs are those of the last checkpoint.
+func (s *Store) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := Stats{Bytes: s.used[""], Tenants: maps.Clone(s.used), Uploads: len(s.uploads)}
+	delete(st.Tenants, "")
+	_ = s.db.View(func(tx *bolt.Tx) error {
+		st.Blobs = tx.Bucket(bucketBlobs).Stats().KeyN
+		return nil
+	})
+	return st
+}
--- /dev/null
+++ b/internal/blob/upload.go
@@ -0,0 +1,436 @@
+package blob
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"hash"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+)
+
+// Upload is a blob on its way in. What was written is kept across a restart of the
+// store, but is durable, and seen by anybody, only once Commit returned.
+type Upload struct {
+	s      *Store
+	id     string
+	tenant string
+	d      Digest
+	urgent bool
+	file   File
+
+	mu    sync.Mutex
+	sum   hash.Hash // of the first bytes; nil: to be read again
+	at    int64
+	used  time.Time
+	ended bool
+}
+
+// retryFull is when to come back to a store without room.
+const retryFull = 10 * time.Second
+
+// Choices of an upload.
+type Choice int
+
+// Urgent uploads may use the reserve: what must not fail once it was begun, as the
+// seal of an attempt.
+const Urgent Choice = 1
+
+// Begin starts an upload for a tenant. Room for it is kept until it ends. done says
+// that the tenant has the blob already. Another tenant's blob does not count: who
+// has no content to show gets none.
+func (s *Store) Begin(tenant string, d Digest, choices ...Choice) (u *Upload, done bool, err error) {
+	if s.Has(tenant, d) {
+		return nil, true, nil
+	}
+	urgent := len(choices) > 0
+	var id [16]byte
+	_, _ = rand.Read(id[:]) // never fails
+	u = &Upload{s: s, id: hex.EncodeToString(id[:]), tenant: tenant, d: d, urgent: urgent, sum: sha256.New(), used: s.opt.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.uploads) >= s.opt.Uploads {
+		return nil, false, ErrBusy
+	}
+	if err := s.hold(tenant, d.Size, urgent); err != nil {
+		return nil, false, err
+	}
+	u.file, err = s.opt.OpenFile(s.uploadPath(u))
+	if err != nil {
+		s.release(tenant, d.Size)
+		return nil, false, fmt.Errorf("blob: %w", err)
+	}
+	s.uploads[u.id] = u
+	s.pins[d.key()]++
+	return u, false, nil
+}
+
+// hold keeps room for so many bytes. s.mu is held.
+func (s *Store) hold(tenant string, bytes int64, urgent bool) error {
+	free := int64(1) << 62
+	if s.opt.Quota > 0 {
+		free = s.opt.Quota - s.used[""] - s.held[""]
+		if !urgent {
+			free -= s.opt.Reserve
+		}
+	}
+	if bytes > free {
+		return &FullError{Want: bytes, Free: max(0, free), Retry: retryFull}
+	}
+	if s.opt.Tenant != nil && !urgent {
+		if quota := s.opt.Tenant(tenant); quota > 0 && s.used[tenant]+s.held[tenant]+bytes > quota {
+			return &FullError{Tenant: tenant, Want: bytes, Free: max(0, quota-s.used[tenant]-s.held[tenant]), Retry: retryFull}
+		}
+	}
+	s.held[""] += bytes
+	s.held[tenant] += bytes
+	return nil
+}
+
+func (s *Store) release(tenant string, bytes int64) {
+	s.held[""] -= bytes
+	if s.held[tenant] -= bytes; s.held[tenant] <= 0 {
+		delete(s.held, tenant)
+	}
+}
+
+// uploadPath names an upload's file by all that a restart must know of it.
+func (s *Store) uploadPath(u *Upload) string {
+	hash := hex.EncodeToString(u.d.Hash[:])
+	return filepath.Join(s.opt.Dir, "uploads", fmt.Sprintf("%s-%s-%d-%s", u.id, hash, u.d.Size, hex.EncodeToString([]byte(u.tenant))))
+}
+
+// openUploads takes up the uploads that were on their way when the store ended.
+func (s *Store) openUploads() error {
+	entries, err := os.ReadDir(filepath.Join(s.opt.Dir, "uploads"))
+	if err != nil {
+		return fmt.Errorf("blob: %w", err)
+	}
+	for _, e := range entries {
+		path := filepath.Join(s.opt.Dir, "uploads", e.Name())
+		parts := bytes.SplitN([]byte(e.Name()), []byte("-"), 4)
+		info, err := e.Info()
+		u := &Upload{s: s}
+		if err == nil && len(parts) == 4 && len(parts[0]) == 32 {
+			u.id = string(parts[0])
+			u.d, err = Parse(string(parts[1]) + "/" + string(parts[2]))
+			tenant, terr := hex.DecodeString(string(parts[3]))
+			u.tenant, err = string(tenant), errors.Join(err, terr)
+		} else {
+			err = ErrUpload // left over from packing a blob
+		}
+		if err != nil || info.Size() > u.d.Size || s.hold(u.tenant, u.d.Size, false) != nil {
+			if err := os.Remove(path); err != nil {
+				return fmt.Errorf("blob: %w", err)
+			}
+			continue
+		}
+		if u.file, err = s.opt.OpenFile(path); err != nil {
+			return fmt.Errorf("blob: %w", err)
+		}
+		u.at, u.used = info.Size(), s.opt.Now()
+		s.uploads[u.id] = u
+		s.pins[u.d.key()]++
+	}
+	return nil
+}
+
+// Resume finds an upload again by its id, for the tenant that began it.
+func (s *Store) Resume(tenant, id string) (*Upload, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.uploads[id]
+	if u == nil || u.tenant != tenant {
+		return nil, ErrUpload
+	}
+	return u, nil
+}
+
+// dropAbandoned ends uploads that nobody touched for long.
+func (s *Store) dropAbandoned() {
+	s.mu.Lock()
+	var old []*Upload
+	for _, u := range s.uploads {
+		u.mu.Lock()
+		if s.opt.Now().Sub(u.used) > s.opt.Abandoned {
+			old = append(old, u)
+		}
+		u.mu.Unlock()
+	}
+	s.mu.Unlock()
+	for _, u := range old {
+		u.Abort()
+	}
+}
+
+// ID names the upload, for Resume.
+func (u *Upload) ID() string { return u.id }
+
+// Digest is what is to come.
+func (u *Upload) Digest() Digest { return u.d }
+
+// Offset is how many bytes are there.
+func (u *Upload) Offset() int64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.at
+}
+
+// Write adds content at an offset. What is there already is passed over, so that a
+// repeated piece has no second effect; a piece that begins behind the end is ErrGap.
+func (u *Upload) Write(offset int64, p []byte) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.used = u.s.opt.Now()
+	switch {
+	case u.ended:
+		return ErrUpload
+	case offset < 0 || offset > u.at:
+		return fmt.Errorf("%w: at %d, wanted at %d", ErrGap, offset, u.at)
+	case offset+int64(len(p)) > u.d.Size:
+		return fmt.Errorf("%w: more than %d bytes", ErrMismatch, u.d.Size)
+	case offset+int64(len(p)) <= u.at:
+		return nil
+	}
+	p = p[u.at-offset:]
+	if _, err := u.file.WriteAt(p, u.at); err != nil {
+		// What went out is passed over by the next try.
+		return fmt.Errorf("blob: %w", err)
+	}
+	if u.sum != nil {
+		u.sum.Write(p)
+	}
+	u.at += int64(len(p))
+	return nil
+}
+
+// Abort ends the upload and drops what was written.
+func (u *Upload) Abort() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.end()
+}
+
+// end drops the upload's file. u.mu is held.
+func (u *Upload) end() {
+	if u.ended {
+		return
+	}
+	u.ended = true
+	u.file.Close()
+	_ = os.Remove(u.s.uploadPath(u)) // moved away, or dropped at the next start
+	s := u.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.uploads, u.id)
+	s.release(u.tenant, u.d.Size)
+	if s.pins[u.d.key()]--; s.pins[u.d.key()] <= 0 {
+		delete(s.pins, u.d.key())
+	}
+}
+
+// Commit verifies what was written and makes it visible. When it returns without an
+// error the blob is durable. After ErrMismatch the upload is gone; after any other
+// error it can be tried again.
+func (u *Upload) Commit(ctx context.Context) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.used = u.s.opt.Now()
+	switch {
+	case u.ended:
+		return ErrUpload
+	case u.at < u.d.Size:
+		return fmt.Errorf("%w: %d of %d bytes are here", ErrGap, u.at, u.d.Size)
+	}
+	if u.sum == nil { // taken up after a restart
+		sum := sha256.New()
+		if _, err := io.Copy(sum, io.NewSectionReader(u.file, 0, u.d.Size)); err != nil {
+			return fmt.Errorf("blob: %w", err)
+		}
+		u.sum = sum
+	}
+	if [sha256.Size]byte(u.sum.Sum(nil)) != u.d.Hash {
+		u.end()
+		return fmt.Errorf("%w: %s", ErrMismatch, u.d)
+	}
+	if err := u.s.take(ctx, u.tenant, u.d, u.file, u.s.uploadPath(u)); err != nil {
+		return err
+	}
+	u.end()
+	return nil
+}
+
+// packSample is how much of a blob is packed to see whether that pays, and pays the
+// part of its size that it must come down to.
+const (
+	packSample = 64 << 10
+	pays       = 0.8
+)
+
+// take makes verified content durable and visible for a tenant. A large blob's file
+// is moved from path.
+func (s *Store) take(ctx context.Context, tenant string, d Digest, file File, path string) error {
+	key := d.key()
+	s.mu.Lock()
+	for s.deleting[key] {
+		s.changed.Wait()
+	}
+	e := s.find(key)
+	known := e != nil && !e.rotten
+	s.mu.Unlock()
+	if known {
+		return s.commit(ctx, &record{kind: recTenant, digest: d, tenant: tenant})
+	}
+	if d.Size <= s.opt.Inline {
+		r := &record{kind: recSmall, digest: d, tenant: tenant, data: make([]byte, d.Size)}
+		if _, err := file.ReadAt(r.data, 0); err != nil && !(err == io.EOF) {
+			return fmt.Errorf("blob: %w", err)
+		}
+		if packed := pack(r.data); packed != nil {
+			r.codec, r.data = zstdc, packed
+		}
+		r.stored = int64(len(r.data)) + keySize + 32
+		return s.commit(ctx, r)
+	}
+	r := &record{kind: recFile, digest: d, tenant: tenant, stored: d.Size}
+	sample := make([]byte, min(d.Size, packSample))
+	if _, err := file.ReadAt(sample, 0); err != nil && err != io.EOF {
+		return fmt.Errorf("blob: %w", err)
+	}
+	if pack(sample) != nil {
+		if packed, err := s.packFile(d, file, path+".zst"); err == nil && float64(packed) <= pays*float64(d.Size) {
+			path, r.codec, r.stored = path+".zst", zstdc, packed
+		} else {
+			_ = os.Remove(path + ".zst")
+		}
+	}
+	if r.codec == plain {
+		s.opt.Step("sync file")
+		if err := file.Sync(); err != nil {
+			return fmt.Errorf("blob: %w", err)
+		}
+	}
+	to := s.objectPath(d)
+	if err := os.MkdirAll(filepath.Dir(to), 0o700); err != nil {
+		return fmt.Errorf("blob: %w", err)
+	}
+	s.opt.Step("rename")
+	if err := os.Rename(path, to); err != nil {
+		return fmt.Errorf("blob: %w", err)
+	}
+	s.opt.Step("sync directory")
+	if err := errors.Join(syncDir(filepath.Dir(to)), syncDir(filepath.Join(s.opt.Dir, "objects"))); err != nil {
+		return fmt.Errorf("blob: %w", err)
+	}
+	return s.commit(ctx, r)
+}
+
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+var encoder = sync.OnceValue(func() *zstd.Encoder {
+	e, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(2))
+	if err != nil {
+		panic(fmt.Sprintf("blob: zstd without an encoder: %v", err))
+	}
+	return e
+})
+
+// pack compresses data, or gives nil if that does not pay.
+func pack(data []byte) []byte {
+	if len(data) < 256 {
+		return nil
+	}
+	packed := encoder().EncodeAll(data, make([]byte, 0, len(data)))
+	if float64(len(packed)) > pays*float64(len(data)) {
+		return nil
+	}
+	return packed
+}
+
+// packFile compresses a file into another, which is durable afterwards, and gives
+// its size. The last step verifies that the content comes back.
+func (s *Store) packFile(d Digest, file File, path string) (int64, error) {
+	out, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return 0, err
+	}
+	defer out.Close()
+	z, err := zstd.NewWriter(out, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1))
+	if err != nil {
+		return 0, err
+	}
+	if _, err := io.Copy(z, io.NewSectionReader(file, 0, d.Size)); err != nil {
+		z.Close()
+		return 0, err
+	}
+	if err := z.Close(); err != nil {
+		return 0, err
+	}
+	s.opt.Step("sync file")
+	if err := out.Sync(); err != nil {
+		return 0, err
+	}
+	return out.Seek(0, io.SeekCurrent)
+}
+
+// Put uploads a whole blob and gives its digest.
+func (s *Store) Put(ctx context.Context, tenant string, data []byte, choices ...Choice) (Digest, error) {
+	d := Of(data)
+	if d.Size <= s.opt.Inline { // no file needed
+		if s.Has(tenant, d) {
+			return d, nil
+		}
+		s.mu.Lock()
+		err := s.hold(tenant, d.Size, len(choices) > 0)
+		if err == nil {
+			s.pins[d.key()]++
+		}
+		s.mu.Unlock()
+		if err != nil {
+			return d, err
+		}
+		err = s.take(ctx, tenant, d, memory{bytes.NewReader(data)}, "")
+		s.mu.Lock()
+		s.release(tenant, d.Size)
+		s.mu.Unlock()
+		s.unpin(d.key())
+		return d, err
+	}
+	u, done, err := s.Begin(tenant, d, choices...)
+	if err != nil || done {
+		return d, err
+	}
+	if err := u.Write(0, data); err != nil {
+		u.Abort()
+		return d, err
+	}
+	if err := u.Commit(ctx); err != nil {
+		u.Abort()
+		return d, err
+	}
+	return d, nil
+}
+
+// memory is a small blob's content, read like a file.
+type memory struct{ *bytes.Reader }
+
+func (memory) WriteAt([]byte, int64) (int, error) { return 0, errors.ErrUnsupported }
+func (memory) Sync() error                        { return nil }
+func (memory) Truncate(int64) error               { return errors.ErrUnsupported }
+func (memory) Close() error                       { return nil }
--- /dev/null
+++ b/internal/keeper/client.go
@@ -0,0 +1,254 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"topazhollow/internal/blob"
+)
+
+// ErrPartial says that what was read is no sealed attempt's.
+var ErrPartial = errors.New("keeper: partial, its worker never sealed it")
+
+// Reader reads from a keeper.
+type Reader struct {
+	URL   string // of the keeper
+	Token string
+	HTTP  *http.Client // http.DefaultClient if nil
+	Tries int          // of a request that got no answer; 5 if 0
+}
+
+// get asks once and again, with jittered pauses, while the keeper can't be reached or
+// has no room for the request.
+func (r *Reader) get(ctx context.Context, path string, q url.Values) (*http.Response, error) {
+	c, tries := r.HTTP, r.Tries
+	if c == nil {
+		c = http.DefaultClient
+	}
+	if tries <= 0 {
+		tries = 5
+	}
+	var last error
+	for try := range tries {
+		if try > 0 {
+			pause := time.Duration(rand.Int64N(int64(200*time.Millisecond) << try))
+			select {
+			case <-time.After(pause):
+			case <-ctx.Done():
+				return nil, errors.Join(ctx.Err(), last)
+			}
+		}
+		req, err := http.NewRequestWithContext(ctx, "GET", strings.TrimSuffix(r.URL, "/")+path+"?"+q.Encode(), nil)
+		if err != nil {
+			return nil, err
+		}
+		req.Header.Set("Authorization", "Bearer "+r.Token)
+		resp, err := c.Do(req)
+		if err != nil {
+			last = err
+			continue
+		}
+		if resp.StatusCode == http.StatusOK {
+			return resp, nil
+		}
+		var a answer
+		_ = json.NewDecoder(io.LimitReader(resp.Body, 64<<10)).Decode(&a) // its status says the most of it
+		resp.Body.Close()
+		last = fmt.Errorf("%s %s", resp.Status, a.Error)
+		switch resp.StatusCode {
+		case http.StatusNotFound:
+			return nil, fmt.Errorf("%w: %w", ErrUnknown, last)
+		case http.StatusUnauthorized, http.StatusForbidden:
+			return nil, fmt.Errorf("%w: %w", ErrToken, last)
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+			continue
+		}
+		return nil, last
+	}
+	return nil, last
+}
+
+// Query says which part of a log is wanted.
+type Query struct {
+	Attempt uint64 // 0: the final one, else the latest
+	Stream  string // stdout if empty
+	From    uint64
+	Since   time.Time
+	Follow  bool
+}
+
+// Logs hands over the lines of a task's log. It goes on by itself where a connection
+// broke off, so that each line comes once and in order, and gives the last one, whose
+// State says what it was of.
+func (r *Reader) Logs(ctx context.Context, job string, task int, q Query, each func(Line) error) (Line, error) {
+	failures := 0
+	for {
+		v := url.Values{"from": {strconv.FormatUint(q.From, 10)}}
+		if q.Attempt > 0 {
+			v.Set("attempt", strconv.FormatUint(q.Attempt, 10))
+		}
+		if q.Stream != "" {
+			v.Set("stream", q.Stream)
+		}
+		if !q.Since.IsZero() {
+			v.Set("since", q.Since.UTC().Format(time.RFC3339))
+		}
+		if q.Follow {
+			v.Set("follow", "1")
+		}
+		resp, err := r.get(ctx, fmt.Sprintf("/logs/%s/%d", url.PathEscape(job), task), v)
+		if err != nil {
+			return Line{}, err
+		}
+		before := q.From
+		last, err := readLines(resp.Body, &q, each)
+		resp.Body.Close()
+		switch {
+		case err != nil && !errors.Is(err, io.ErrUnexpectedEOF):
+			return Line{}, err
+		case err == nil && (last.State != "goes on" || !q.Follow):
+			return last, nil
+		case ctx.Err() != nil:
+			return last, ctx.Err()
+		}
+		if failures++; q.From > before || err == nil {
+			failures = 0
+		}
+		if failures > 5 {
+			return Line{}, err
+		}
+	}
+}
+
+func readLines(body io.Reader, q *Query, each func(Line) error) (Line, error) {
+	d := json.NewDecoder(body)
+	for {
+		var l Line
+		if err := d.Decode(&l); err != nil {
+			return Line{}, io.ErrUnexpectedEOF // the last line was not seen
+		}
+		if l.State != "" {
+			if q.Attempt == 0 {
+				q.Attempt = l.Attempt // a follower stays with what it began
+			}
+			return l, nil
+		}
+		if l.Record == nil || l.Number < q.From {
+			continue
+		}
+		if err := each(l); err != nil {
+			return Line{}, err
+		}
+		q.From = l.Number + 1
+	}
+}
+
+// Manifest reads the manifest of a task's attempt: the final one's for number 0, else
+// the latest's. It is not verified, since the key is the keeper's.
+func (r *Reader) Manifest(ctx context.Context, job string, task int, number uint64) (m *Manifest, final bool, err error) {
+	v := url.Values{}
+	if number > 0 {
+		v.Set("attempt", strconv.FormatUint(number, 10))
+	}
+	resp, err := r.get(ctx, fmt.Sprintf("/manifest/%s/%d", url.PathEscape(job), task), v)
+	if err != nil {
+		return nil, false, err
+	}
+	defer resp.Body.Close()
+	var a answer
+	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil || a.Sealed == nil {
+		return nil, false, fmt.Errorf("%w: %v", errBody, err)
+	}
+	return a.Sealed, a.Final, nil
+}
+
+// Attempts lists a task's attempts.
+func (r *Reader) Attempts(ctx context.Context, job string, task int) ([]Known, error) {
+	resp, err := r.get(ctx, fmt.Sprintf("/attempts/%s/%d", url.PathEscape(job), task), nil)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var a answer
+	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+		return nil, fmt.Errorf("%w: %v", errBody, err)
+	}
+	if len(a.List) == 0 {
+		return nil, ErrUnknown
+	}
+	return a.List, nil
+}
+
+// Fetch copies a file of an attempt to a path, which appears only once all of it is
+// there and verified. A transfer that breaks off is gone on with.
+func (r *Reader) Fetch(ctx context.Context, m *Manifest, file FileInfo, to string, progress func(done, all int64)) error {
+	if err := CheckPath(file.Path); err != nil {
+		return err
+	}
+	d, err := blob.Parse(file.Digest)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(filepath.Dir(to), 0o755); err != nil {
+		return err
+	}
+	f, err := os.CreateTemp(filepath.Dir(to), ".fetch-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name()) // gone already if it went well
+	defer f.Close()
+	segments := strings.Split(file.Path, "/")
+	for i := range segments {
+		segments[i] = url.PathEscape(segments[i])
+	}
+	done, sum := int64(0), blob.NewSum()
+	for failures := 0; done < d.Size; {
+		resp, err := r.get(ctx, fmt.Sprintf("/files/%s/%d/%s", url.PathEscape(m.Job), m.Task, strings.Join(segments, "/")),
+			url.Values{"attempt": {strconv.FormatUint(m.Number, 10)}, "offset": {strconv.FormatInt(done, 10)}})
+		if err != nil {
+			return err
+		}
+		n, err := io.Copy(io.MultiWriter(f, sum, counter{&done, d.Size, progress}), io.LimitReader(resp.Body, d.Size-done))
+		resp.Body.Close()
+		if failures++; n > 0 {
+			failures = 0
+		}
+		if failures > 5 {
+			return fmt.Errorf("%s: broken off at %d of %d bytes: %w", file.Path, done, d.Size, errors.Join(err, io.ErrUnexpectedEOF))
+		}
+	}
+	if !sum.Is(d) {
+		return fmt.Errorf("%s: %w", file.Path, blob.ErrMismatch)
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), to)
+}
+
+// counter counts what is written and tells of it.
+type counter struct {
+	done *int64
+	all  int64
+	tell func(done, all int64)
+}
+
+func (c counter) Write(p []byte) (int, error) {
+	*c.done += int64(len(p))
+	if c.tell != nil {
+		c.tell(*c.done, c.all)
+	}
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/keeper/serve_test.go
@@ -0,0 +1,170 @@
+package keeper
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"topazhollow/internal/blob"
+)
+
+// site is a keeper behind HTTP, and a caller.
+type site struct {
+	t   *testing.T
+	url string
+	now time.Time
+}
+
+func newSite(t *testing.T) *site {
+	k, b := open(t, t.TempDir(), nil)
+	x := &site{t: t, now: time.Unix(1e9, 0)}
+	srv := httptest.NewServer((&Server{Keeper: k, Blobs: b, Key: key, Log: slog.New(slog.DiscardHandler), Now: func() time.Time { return x.now }}).Handler())
+	t.Cleanup(srv.Close)
+	x.url = srv.URL
+	return x
+}
+
+func (x *site) writer(c Claim) string {
+	return Grant{Right: Write, Tenant: c.Tenant, Job: c.Job, Task: &c.Task, Number: c.Number, Machine: c.Machine, Session: c.Session, Until: x.now.Add(time.Hour)}.Token(key)
+}
+
+func (x *site) reader(job string) string {
+	return Grant{Right: Read, Job: job, Until: x.now.Add(time.Hour)}.Token(key)
+}
+
+func (x *site) call(token, method, path string, body []byte) (int, answer, string) {
+	x.t.Helper()
+	req, err := http.NewRequest(method, x.url+path, bytes.NewReader(body))
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	var a answer
+	_ = json.Unmarshal(text, &a) // not all answers are of this kind
+	return resp.StatusCode, a, string(text)
+}
+
+// TestOverHTTP: an attempt from its beginning to its seal, a file in pieces of which
+// one is repeated, and what readers then get.
+func TestOverHTTP(t *testing.T) {
+	x := newSite(t)
+	c := claim(1, 3, 7)
+	w, r := x.writer(c), x.reader(c.Job)
+	must := func(code int, a answer, text string) answer {
+		t.Helper()
+		if code != 200 {
+			t.Fatalf("%d %s", code, text)
+		}
+		return a
+	}
+	must(x.call(w, "POST", "/attempt", nil))
+	records, _ := json.Marshal(lines(0, 3, "line"))
+	if a := must(x.call(w, "POST", "/streams/stdout?first=0", records)); *a.Next != 3 {
+		t.Fatalf("next %d", *a.Next)
+	}
+	if code, a, _ := x.call(w, "POST", "/streams/stdout?first=9", records); code != 409 || *a.Next != 3 {
+		t.Fatalf("a gap: %d, next %v", code, a.Next)
+	}
+	content := bytes.Repeat([]byte("grades "), 1000)
+	d := blob.Of(content)
+	a := must(x.call(w, "POST", "/uploads?blob="+d.String(), nil))
+	must(x.call(w, "POST", "/uploads/"+a.Upload+"?offset=0", content[:4000]))
+	must(x.call(w, "POST", "/uploads/"+a.Upload+"?offset=0", content[:4000]))
+	if code, b, _ := x.call(w, "POST", "/uploads/"+a.Upload+"?offset=6000", content[6000:]); code != 409 || *b.Offset != 4000 {
+		t.Fatalf("a gap in a file: %d %v", code, b.Offset)
+	}
+	if a := must(x.call(w, "POST", "/uploads/"+a.Upload+"?offset=4000", content[4000:])); !a.Done {
+		t.Fatal("not done")
+	}
+	must(x.call(w, "POST", "/files/out/grades.bin?blob="+d.String(), nil))
+	if _, _, text := x.call(r, "GET", "/logs/job-000001/3", nil); !strings.Contains(text, `"goes on"`) || strings.Count(text, "\n") != 4 {
+		t.Fatalf("log of an open attempt: %s", text)
+	}
+	if a := must(x.call(w, "POST", "/seal", []byte(`{"exit":{"completed":true},"records":{"stdout":3}}`))); !a.Final {
+		t.Fatal("not the result")
+	}
+	code, _, text := x.call(r, "GET", "/logs/job-000001/3?from=1&follow=1", nil)
+	want := `"n":1,` // then 2, then the end
+	if code != 200 || !strings.HasPrefix(text, "{"+want) || !strings.Contains(text, `"state":"final","attempt":7`) {
+		t.Fatalf("%d %s", code, text)
+	}
+	if _, _, text := x.call(r, "GET", "/files/job-000001/3/out/grades.bin?offset=3500", nil); text != string(content[3500:]) {
+		t.Fatalf("%d bytes of the file", len(text))
+	}
+	if a := must(x.call(r, "GET", "/attempts/job-000001/3", nil)); len(a.List) != 1 || !a.List[0].Final {
+		t.Fatalf("%+v", a.List)
+	}
+	if a := must(x.call(r, "GET", "/manifest/job-000001/3", nil)); a.Sealed.Files[0].Digest != d.String() {
+		t.Fatalf("%+v", a.Sealed)
+	}
+}
+
+// TestTokens: a token that is forged, too old, for another job, attempt or right
+// opens nothing.
+func TestTokens(t *testing.T) {
+	x := newSite(t)
+	c := claim(1, 0, 1)
+	w, r := x.writer(c), x.reader(c.Job)
+	if code, _, text := x.call(w, "POST", "/attempt", nil); code != 200 {
+		t.Fatal(text)
+	}
+	task := 1
+	other := Grant{Right: Read, Job: c.Job, Task: &task, Until: x.now.Add(time.Hour)}.Token(key)
+	forged := Grant{Right: Read, Job: c.Job, Until: x.now.Add(time.Hour)}.Token([]byte("another key 0000"))
+	body, _, _ := strings.Cut(r, ".")
+	for what, token := range map[string]string{"none": "", "a writer's": w, "another task's": other, "another job's": x.reader("job-000002"), "forged": forged,
+		"without a code": body, "with a short code": r[:len(r)-2], "of a wrong code": body + "." + strings.Repeat("A", 43), "long": strings.Repeat("A", 5000) + ".A"} {
+		if code, _, text := x.call(token, "GET", "/attempts/job-000001/0", nil); code != 401 {
+			t.Errorf("a token that is %s: %d %s", what, code, text)
+		}
+	}
+	for _, path := range []string{"/attempt", "/streams/stdout", "/seal", "/uploads?blob=x", "/files/a"} {
+		if code, _, text := x.call(r, "POST", path, nil); code != 401 {
+			t.Errorf("%s with a reader's token: %d %s", path, code, text)
+		}
+	}
+	old := c
+	old.Session = 0
+	if code, _, text := x.call(x.writer(old), "POST", "/seal", []byte(`{"exit":{"completed":true},"records":{}}`)); code != 403 {
+		t.Errorf("a worker of an older session: %d %s", code, text)
+	}
+	x.now = x.now.Add(2 * time.Hour)
+	if code, _, _ := x.call(r, "GET", "/attempts/job-000001/0", nil); code != 401 {
+		t.Errorf("a token that ended: %d", code)
+	}
+	x.now = x.now.Add(-2 * time.Hour)
+	for path, want := range map[string]int{"/attempts/job-000001/x": 400, "/logs/job-000001/0?stream=../x": 400, "/logs/job-000001/0?from=-1": 400,
+		"/logs/job-000001/0?since=yesterday": 400, "/logs/job-000001/0?attempt=9": 404, "/manifest/job-000001/0": 404, "/files/job-000001/0/a": 404} {
+		if code, _, text := x.call(r, "GET", path, nil); code != want {
+			t.Errorf("%s: %d %s", path, code, text)
+		}
+	}
+}
+
+// FuzzToken: no text that was not given out is taken for a token.
+func FuzzToken(f *testing.F) {
+	now := time.Unix(1e9, 0)
+	good := Grant{Right: Read, Job: "job-000001", Until: now.Add(time.Hour)}.Token(key)
+	f.Add(good)
+	f.Add("e30.AAAA")
+	f.Fuzz(func(t *testing.T, text string) {
+		if g, err := ParseToken(key, text, now); err == nil && text != good && g.Token(key) != text {
+			t.Fatalf("%q is %+v", text, g)
+		}
+	})
+}
--- a/internal/rehearse/worker.go
+++ b/internal/rehearse/worker.go
@@ -16,6 +16,9 @@
 type Periods struct {
 	Report, Lease time.Duration
 	Run           func(task string) time.Duration
+	// Exec, if given, is what a task does instead of waiting for Run's time; it says
+	// whether it completed. Its context ends when the task is stopped or lost.
+	Exec func(ctx context.Context, machine string, session uint64, task string, attempt uint64) (done bool)
 }
 
 // Worker is a stand-in for a machine's worker.
@@ -40,13 +43,14 @@
 	ended   map[string]bool             // results that are kept
 	alive   time.Time                   // when the last answered report was sent
 	timers  map[string]*time.Timer
+	stops   map[string]context.CancelFunc // of what runs for real
 }
 
 // NewWorker starts a worker that reports to one of the controllers.
 func NewWorker(name, typ, zone string, spot bool, nodes map[string]string, order []string, per Periods, check *Checker) (*Worker, error) {
 	w := &Worker{name: name, typ: typ, zone: zone, spot: spot, nodes: nodes, order: order, per: per, check: check,
 		session: 1, tasks: map[string]*wire.TaskStatus{}, ended: map[string]bool{}, alive: time.Now(),
-		timers: map[string]*time.Timer{}, wake: make(chan struct{}, 1)}
+		timers: map[string]*time.Timer{}, stops: map[string]context.CancelFunc{}, wake: make(chan struct{}, 1)}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -98,6 +102,9 @@
 		if timer := w.timers[task]; timer != nil {
 			timer.Stop()
 		}
+		if stop := w.stops[task]; stop != nil {
+			stop()
+		}
 	}
 	w.tasks = map[string]*wire.TaskStatus{}
 }
@@ -166,6 +173,9 @@
 	if timer := w.timers[t.Task]; timer != nil {
 		timer.Stop()
 	}
+	if stop := w.stops[t.Task]; stop != nil {
+		stop()
+	}
 	select {
 	case w.wake <- struct{}{}:
 	default:
@@ -173,6 +183,25 @@
 }
 
 func (w *Worker) finishLater(task string, attempt uint64) {
+	if w.per.Exec != nil {
+		ctx, stop := context.WithCancel(context.Background())
+		w.stops[task] = stop
+		session := w.session
+		go func() {
+			defer stop()
+			done := w.per.Exec(ctx, w.name, session, task, attempt)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if t := w.tasks[task]; t != nil && t.Attempt == attempt && t.State == wire.Running && w.session == session {
+				if w.ended[task] = done; done {
+					w.exit(t, wire.WhyDone)
+				} else {
+					w.exit(t, wire.WhyError)
+				}
+			}
+		}()
+		return
+	}
 	run := w.per.Run(task)
 	if w.ended[task] {
 		run = 0
--- /dev/null
+++ b/internal/runner/bring.go
@@ -0,0 +1,252 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"topazhollow/internal/blob"
+	"topazhollow/internal/keeper"
+)
+
+// refusal is an answer that trying again does not change.
+type refusal struct {
+	status int
+	reason string
+	next   *uint64
+	offset *int64
+}
+
+func (r *refusal) Error() string { return fmt.Sprintf("runner: keeper says %d %s", r.status, r.reason) }
+
+// reply is what of a keeper's answers a worker looks at.
+type reply struct {
+	Error  string  `json:"error"`
+	Next   *uint64 `json:"next"`
+	Offset *int64  `json:"offset"`
+	Upload string  `json:"upload"`
+	Done   bool    `json:"done"`
+	Final  bool    `json:"final"`
+}
+
+// call makes a request until it is answered, with jittered pauses that grow, for as
+// long as the context allows.
+func (s *spool) call(ctx context.Context, path string, body []byte) (*reply, error) {
+	for pause := s.opt.Pause; ; pause = min(2*pause, 30*time.Second) {
+		a, wait, err := s.once(ctx, s.opt.Keeper, path, body)
+		var no *refusal
+		if err == nil || errors.As(err, &no) {
+			return a, err
+		}
+		t := time.NewTimer(max(wait, time.Duration(rand.Int64N(int64(pause)))))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return nil, errors.Join(ctx.Err(), err)
+		}
+	}
+}
+
+func (s *spool) once(ctx context.Context, at, path string, body []byte) (a *reply, wait time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "POST", strings.TrimSuffix(at, "/")+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, 0, &refusal{reason: err.Error()}
+	}
+	req.Header.Set("Authorization", "Bearer "+s.task.Token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer resp.Body.Close()
+	a = &reply{}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(a); err != nil {
+		return nil, 0, err
+	}
+	switch {
+	case resp.StatusCode == 200:
+		return a, 0, nil
+	case resp.StatusCode == 429, resp.StatusCode >= 500: // busy, full or broken: perhaps not for long
+		seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
+		return nil, time.Duration(min(seconds, 60)) * time.Second, fmt.Errorf("%s %s", resp.Status, a.Error)
+	}
+	return nil, 0, &refusal{resp.StatusCode, a.Error, a.Next, a.Offset}
+}
+
+// sealed says that a keeper refused something since the attempt is sealed: an earlier
+// process ended before it removed the spool, and all of it is there.
+func sealed(err error) bool {
+	var no *refusal
+	return errors.As(err, &no) && no.status == http.StatusConflict && no.next == nil && no.offset == nil
+}
+
+// atOnce bounds the records of one request, in number and bytes.
+const (
+	atOnce      = 500
+	atOnceBytes = 1 << 20
+)
+
+// bring carries the spool over to a keeper and removes it when that is done. Every step
+// may be taken again after a restart: the keeper knows what it has.
+func (s *spool) bring(ctx context.Context) (Result, error) {
+	stop := context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.more.Broadcast()
+	})
+	defer stop()
+	var result Result
+	if _, err := s.call(ctx, "/attempt", nil); err != nil && !sealed(err) {
+		return result, err
+	}
+	for {
+		s.mu.Lock()
+		for len(s.waits) == 0 && !s.whole && ctx.Err() == nil {
+			s.more.Wait()
+		}
+		var batch []waiting
+		size := 0
+		for _, w := range s.waits {
+			if w.stream == s.waits[0].stream && len(batch) < atOnce && size < atOnceBytes {
+				batch = append(batch, w)
+				size += w.size
+			}
+		}
+		over := len(batch) == 0 && s.whole
+		s.mu.Unlock()
+		if ctx.Err() != nil {
+			return result, ctx.Err()
+		}
+		if over {
+			break
+		}
+		if err := s.send(ctx, batch); err != nil {
+			return result, err
+		}
+	}
+	if s.exit != nil {
+		for _, path := range s.files {
+			err := s.bringFile(ctx, path)
+			var no *refusal
+			for try := 0; try < 3 && errors.As(err, &no) && no.status == http.StatusNotFound; try++ {
+				err = s.bringFile(ctx, path) // the keeper gave the upload up meanwhile
+			}
+			if err != nil && !sealed(err) {
+				return result, err
+			}
+		}
+		s.opt.Step("seal")
+		body, err := json.Marshal(map[string]any{"exit": s.exit, "records": maps.Clone(s.next)})
+		if err != nil {
+			return result, err
+		}
+		a, err := s.call(ctx, "/seal", body)
+		if err != nil {
+			return result, err
+		}
+		result.Final = a.Final
+	}
+	s.opt.Step("remove spool")
+	return result, os.RemoveAll(s.dir)
+}
+
+// send brings records of one stream.
+func (s *spool) send(ctx context.Context, batch []waiting) error {
+	var records []keeper.Record
+	for _, w := range batch {
+		b, err := s.log.Read(w.at)
+		if err != nil {
+			return err
+		}
+		var e entry
+		if err := json.Unmarshal(b, &e); err != nil {
+			return err
+		}
+		records = append(records, *e.Record)
+	}
+	body, err := json.Marshal(records)
+	if err != nil {
+		return err
+	}
+	s.opt.Step("append")
+	if _, err = s.call(ctx, fmt.Sprintf("/streams/%s?first=%d", batch[0].stream, batch[0].number), body); err != nil && !sealed(err) {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sent := map[uint64]bool{}
+	for _, w := range batch {
+		sent[w.number] = true
+		s.bytes -= int64(w.size)
+	}
+	kept := s.waits[:0]
+	for _, w := range s.waits {
+		if w.stream != batch[0].stream || !sent[w.number] {
+			kept = append(kept, w)
+		}
+	}
+	s.waits = kept
+	return nil
+}
+
+// pieceBytes is how much of a file goes in one request.
+const pieceBytes = 1 << 20
+
+// bringFile uploads one file in pieces and attaches it.
+func (s *spool) bringFile(ctx context.Context, path string) error {
+	root, err := os.OpenRoot(s.task.Dir)
+	if err != nil {
+		return err
+	}
+	defer root.Close()
+	f, err := root.Open(filepath.FromSlash(path))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	sum := blob.NewSum()
+	size, err := io.Copy(sum, f)
+	if err != nil {
+		return err
+	}
+	d := blob.Digest{Hash: [32]byte(sum.Sum(nil)), Size: size}
+	s.opt.Step("upload")
+	a, err := s.call(ctx, "/uploads?blob="+d.String(), nil)
+	if err != nil {
+		return err
+	}
+	buf := make([]byte, pieceBytes)
+	for id := a.Upload; !a.Done; {
+		offset := int64(0)
+		if a.Offset != nil {
+			offset = *a.Offset
+		}
+		n, err := f.ReadAt(buf[:min(pieceBytes, size-offset)], offset)
+		if err != nil && err != io.EOF {
+			return err
+		}
+		if a, err = s.call(ctx, fmt.Sprintf("/uploads/%s?offset=%d", id, offset), buf[:n]); err != nil {
+			return err
+		}
+	}
+	segments := strings.Split(path, "/")
+	for i := range segments {
+		segments[i] = url.PathEscape(segments[i])
+	}
+	_, err = s.call(ctx, "/files/"+strings.Join(segments, "/")+"?blob="+d.String(), nil)
+	return err
+}
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,361 @@
+// Package runner is a worker's side of keeping output: it runs a task's command, takes
+// in what it puts out and the files that it leaves, and brings all of it to a keeper.
+// Between the two lies a spool on the worker's disk, so that neither a keeper that
+// can't be reached nor the end of the worker's own process loses what was put out. What
+// the spool has no room for is dropped and marked; the seal never is.
+package runner
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"topazhollow/internal/keeper"
+	"topazhollow/internal/wal"
+	"topazhollow/internal/wire"
+)
+
+// Task is one attempt to run.
+type Task struct {
+	Claim   keeper.Claim `json:"claim"`
+	Token   string       `json:"token"` // to write for the claim
+	Command []string     `json:"command"`
+	Env     []string     `json:"env"`
+	Dir     string       `json:"dir"`   // where it runs; its files are below it
+	Files   []string     `json:"files"` // paths that it should leave; a directory stands for all below it
+}
+
+// Options are a runner's choices.
+type Options struct {
+	Spool  string // directory
+	Keeper string // its address
+	Room   int64  // bytes of output of one attempt that may wait in the spool; 64 MiB if 0
+	Line   int    // longest record; 32 KiB if 0
+	Pause  time.Duration
+	Log    *slog.Logger
+	Step   func(step string) // told of each durable step, for tests
+}
+
+// entry is a record of an attempt's spool.
+type entry struct {
+	Task   *Task          `json:"task,omitempty"`
+	Stream string         `json:"s,omitempty"`
+	Record *keeper.Record `json:"r,omitempty"`
+	Files  []string       `json:"f,omitempty"` // to be brought, relative to the task's directory
+	Exit   *keeper.Exit   `json:"x,omitempty"`
+}
+
+// spool is an attempt's way to the keeper.
+type spool struct {
+	opt  Options
+	dir  string
+	task Task
+	log  *wal.Log
+
+	mu      sync.Mutex
+	more    sync.Cond
+	waits   []waiting // not brought yet
+	next    map[string]uint64
+	bytes   int64
+	holes   map[string]*keeper.Hole // by stream, open
+	files   []string
+	exit    *keeper.Exit
+	whole   bool // nothing more comes
+	dropped int64
+}
+
+// waiting is a record that is still to be brought.
+type waiting struct {
+	stream string
+	number uint64
+	at     wal.Pos
+	size   int
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Exit  keeper.Exit
+	Final bool  // it is its task's result
+	Lost  int64 // bytes of output that the spool had no room for
+}
+
+func (o *Options) defaults() {
+	if o.Room <= 0 {
+		o.Room = 64 << 20
+	}
+	if o.Line <= 0 {
+		o.Line = 32 << 10
+	}
+	if o.Pause <= 0 {
+		o.Pause = 500 * time.Millisecond
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Step == nil {
+		o.Step = func(string) {}
+	}
+}
+
+func spoolDir(root string, at keeper.Attempt) string {
+	return filepath.Join(root, fmt.Sprintf("%s-%d-%d", at.Job, at.Task, at.Number))
+}
+
+// open opens an attempt's spool and takes up what it holds.
+func open(opt Options, dir string) (*spool, error) {
+	s := &spool{opt: opt, dir: dir, next: map[string]uint64{}, holes: map[string]*keeper.Hole{}}
+	s.more.L = &s.mu
+	log, err := wal.Open(dir, wal.Options{Step: opt.Step}, wal.Pos{}, func(at wal.Pos, b []byte) error {
+		var e entry
+		if err := json.Unmarshal(b, &e); err != nil {
+			return fmt.Errorf("runner: spool %s at %v: %w", dir, at, err)
+		}
+		s.apply(&e, at)
+		return nil
+	})
+	s.log = log
+	return s, err
+}
+
+func (s *spool) apply(e *entry, at wal.Pos) {
+	switch {
+	case e.Task != nil:
+		s.task = *e.Task
+	case e.Record != nil:
+		s.waits = append(s.waits, waiting{e.Stream, s.next[e.Stream], at, len(e.Record.Data)})
+		s.next[e.Stream]++
+		s.bytes += int64(len(e.Record.Data))
+	case e.Exit != nil:
+		s.files, s.exit, s.whole = e.Files, e.Exit, true
+	}
+}
+
+// write makes an entry durable in the spool.
+func (s *spool) write(ctx context.Context, e *entry) error {
+	at, err := s.log.Append(context.WithoutCancel(ctx), wire.Encode(e))
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.apply(e, at[0])
+	s.mu.Unlock()
+	s.more.Broadcast()
+	return nil
+}
+
+// put takes a record in; if the spool is full, or its disk is, it becomes part of a
+// hole. One stream is put by one goroutine.
+func (s *spool) put(ctx context.Context, stream string, data []byte) {
+	now := time.Now().UTC()
+	s.mu.Lock()
+	full := s.bytes+int64(len(data)) > s.opt.Room
+	h := s.holes[stream]
+	s.mu.Unlock()
+	if !full && h != nil {
+		// There is room again: the hole takes its place first.
+		if s.write(ctx, &entry{Stream: stream, Record: &keeper.Record{At: now, Hole: h}}) != nil {
+			full = true
+		} else {
+			s.mu.Lock()
+			delete(s.holes, stream)
+			s.mu.Unlock()
+		}
+	}
+	if !full && s.write(ctx, &entry{Stream: stream, Record: &keeper.Record{At: now, Data: data}}) == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropped += int64(len(data))
+	if h = s.holes[stream]; h == nil {
+		h = &keeper.Hole{From: now}
+		s.holes[stream] = h
+	}
+	h.Bytes, h.To = h.Bytes+int64(len(data)), now
+}
+
+// Run runs a task's command to its end and brings what it put out to a keeper. The
+// context's end kills the command's whole process group; what it had put out until
+// then is still brought and sealed as not completed, for as long as grace allows.
+func Run(ctx context.Context, opt Options, t Task, grace time.Duration) (Result, error) {
+	opt.defaults()
+	if len(t.Command) == 0 {
+		return Result{}, errors.New("runner: a task without a command")
+	}
+	dir := spoolDir(opt.Spool, t.Claim.Attempt)
+	s, err := open(opt, dir)
+	if err != nil {
+		return Result{}, err
+	}
+	defer s.log.Close()
+	if s.task.Command != nil {
+		return Result{}, fmt.Errorf("runner: attempt %s has a spool already: %w", t.Claim.Attempt, fs.ErrExist)
+	}
+	if err := s.write(ctx, &entry{Task: &t}); err != nil {
+		return Result{}, err
+	}
+	late, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := context.AfterFunc(ctx, func() { time.AfterFunc(grace, stop) })
+	defer ended()
+	brought := make(chan error, 1)
+	var result Result
+	go func() {
+		var err error
+		result, err = s.bring(late)
+		brought <- err
+	}()
+	exit := s.execute(ctx, t)
+	files, err := collect(t)
+	if err != nil { // what it should have left is not there, or is no plain file
+		exit.Completed, exit.Reason = false, err.Error()
+	}
+	for stream, h := range s.holes { // what was dropped last has its mark before the end
+		if err := s.write(late, &entry{Stream: stream, Record: &keeper.Record{At: h.To, Hole: h}}); err != nil {
+			return Result{}, err
+		}
+	}
+	if err := s.write(late, &entry{Files: files, Exit: &exit}); err != nil {
+		return Result{}, err
+	}
+	err = <-brought
+	result.Exit, result.Lost = exit, s.dropped
+	return result, err
+}
+
+// execute runs the command.
+func (s *spool) execute(ctx context.Context, t Task) keeper.Exit {
+	cmd := exec.Command(t.Command[0], t.Command[1:]...)
+	cmd.Dir, cmd.Env = t.Dir, t.Env
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	out, err := cmd.StdoutPipe()
+	errs, err2 := cmd.StderrPipe()
+	if err = errors.Join(err, err2); err == nil {
+		err = cmd.Start()
+	}
+	if err != nil {
+		return keeper.Exit{Code: -1, Reason: err.Error()}
+	}
+	kill := context.AfterFunc(ctx, func() { _ = syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL) }) // it may have ended just now
+	defer kill()
+	var wg sync.WaitGroup
+	for stream, r := range map[string]io.Reader{"stdout": out, "stderr": errs} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			s.take(ctx, stream, r)
+		}()
+	}
+	wg.Wait()
+	err = cmd.Wait()
+	exit := keeper.Exit{Completed: err == nil, Code: cmd.ProcessState.ExitCode()}
+	switch {
+	case ctx.Err() != nil:
+		exit.Completed, exit.Reason = false, "stopped"
+	case err != nil:
+		exit.Reason = err.Error()
+	}
+	return exit
+}
+
+// take splits a stream into lines, or pieces of long ones.
+func (s *spool) take(ctx context.Context, stream string, r io.Reader) {
+	in := bufio.NewReaderSize(r, s.opt.Line)
+	for {
+		line, err := in.ReadSlice('\n')
+		if len(line) > 0 {
+			s.put(ctx, stream, bytes.Clone(bytes.TrimSuffix(line, []byte("\n"))))
+		}
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return // the process ended, or closed it
+		}
+	}
+}
+
+// collect lists the plain files that a task was to leave, as paths below its
+// directory. Links are not followed: they could lead anywhere.
+func collect(t Task) (files []string, err error) {
+	root, err := os.OpenRoot(t.Dir)
+	if err != nil {
+		return nil, err
+	}
+	defer root.Close()
+	for _, want := range t.Files {
+		if err := keeper.CheckPath(want); err != nil {
+			return nil, err
+		}
+		if st, err := root.Lstat(want); err != nil {
+			return nil, err
+		} else if !st.IsDir() && !st.Mode().IsRegular() {
+			return nil, fmt.Errorf("runner: %s is no plain file", want)
+		}
+		err := fs.WalkDir(root.FS(), want, func(path string, d fs.DirEntry, err error) error {
+			switch {
+			case err != nil:
+				return err
+			case d.IsDir():
+				return nil
+			case !d.Type().IsRegular():
+				return fmt.Errorf("runner: %s is no plain file", path)
+			}
+			files = append(files, path)
+			return keeper.CheckPath(path)
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	slices.Sort(files)
+	return slices.Compact(files), nil
+}
+
+// Recover takes up the spools that a worker's earlier process left: what is whole is
+// brought and sealed, and of what is not, the output that is there is brought; its
+// attempt stays partial, since nobody knows how it ended. It gives how many were taken
+// up. Spools that could not be brought within the context's time stay.
+func Recover(ctx context.Context, opt Options) (count int, err error) {
+	opt.defaults()
+	entries, err := os.ReadDir(opt.Spool)
+	if errors.Is(err, fs.ErrNotExist) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	for _, e := range entries {
+		s, err := open(opt, filepath.Join(opt.Spool, e.Name()))
+		if err != nil {
+			return count, err
+		}
+		if s.task.Command == nil { // it ended before anything was in it
+			s.log.Close()
+			if err := os.RemoveAll(s.dir); err != nil {
+				return count, err
+			}
+			continue
+		}
+		partial := !s.whole
+		s.whole = true
+		_, err = s.bring(ctx)
+		s.log.Close()
+		if err != nil {
+			return count, fmt.Errorf("runner: spool %s: %w", e.Name(), err)
+		}
+		count++
+		opt.Log.Info("spool of an earlier process brought", "job", s.task.Claim.Job, "task", s.task.Claim.Task, "attempt", s.task.Claim.Number, "partial", partial)
+	}
+	return count, nil
+}
--- /dev/null
+++ b/internal/runner/runner_test.go
@@ -0,0 +1,280 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"topazhollow/internal/blob"
+	"topazhollow/internal/keeper"
+)
+
+var (
+	ctx = context.Background()
+	key = []byte("0123456789abcdef")
+)
+
+// site is a keeper that can be away.
+type site struct {
+	t    *testing.T
+	k    *keeper.Keeper
+	b    *blob.Store
+	url  string
+	away atomic.Bool
+}
+
+func newSite(t *testing.T) *site {
+	x := &site{t: t}
+	dir := t.TempDir()
+	var err error
+	if x.b, err = blob.Open(blob.Options{Dir: filepath.Join(dir, "blobs")}); err != nil {
+		t.Fatal(err)
+	}
+	if x.k, err = keeper.Open(keeper.Options{Dir: filepath.Join(dir, "log"), Blobs: x.b, Key: key}); err != nil {
+		t.Fatal(err)
+	}
+	h := (&keeper.Server{Keeper: x.k, Blobs: x.b, Key: key, Log: slog.New(slog.DiscardHandler)}).Handler()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if x.away.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	}))
+	t.Cleanup(func() { srv.Close(); x.k.Close(); x.b.Close() })
+	x.url = srv.URL
+	return x
+}
+
+func (x *site) options(spool string) Options {
+	return Options{Spool: spool, Keeper: x.url, Pause: 5 * time.Millisecond}
+}
+
+func task(dir string, number uint64, command string, files ...string) Task {
+	c := keeper.Claim{Attempt: keeper.Attempt{Job: "job-000001", Task: 0, Number: number}, Tenant: "red", Machine: "m1", Session: 1}
+	g := keeper.Grant{Right: keeper.Write, Tenant: c.Tenant, Job: c.Job, Task: &c.Task, Number: number, Machine: c.Machine, Session: 1, Until: time.Now().Add(time.Hour)}
+	return Task{Claim: c, Token: g.Token(key), Command: []string{"/bin/sh", "-c", command}, Env: []string{"PATH=/usr/bin:/bin"}, Dir: dir, Files: files}
+}
+
+func (x *site) text(at keeper.Attempt, stream string) (list []string, lost int64) {
+	x.t.Helper()
+	if _, _, err := x.k.Read(at, stream, 0, func(r keeper.Record) error {
+		if r.Hole != nil {
+			lost += r.Hole.Bytes
+			list = append(list, "[hole]")
+			return nil
+		}
+		list = append(list, string(r.Data))
+		return nil
+	}); err != nil {
+		x.t.Fatalf("%s: %v", at, err)
+	}
+	return list, lost
+}
+
+// TestRun: output by stream, files, the exit; what is no plain file, climbs out or is
+// missing makes the attempt fail with a reason; a stopped one is killed with its children.
+func TestRun(t *testing.T) {
+	x := newSite(t)
+	spool := t.TempDir()
+	for i, c := range []struct {
+		command   string
+		files     []string
+		completed bool
+		code      int
+		reason    string
+		stdout    int
+		kept      int
+	}{
+		{"echo one; echo two >&2; mkdir -p out; printf grades > out/a; printf more > out/b", []string{"out"}, true, 0, "", 1, 2},
+		{"echo x; exit 3", nil, false, 3, "exit status 3", 1, 0},
+		{"true", []string{"missing"}, false, 0, "missing", 0, 0},
+		{"ln -s /etc/passwd link", []string{"link"}, false, 0, "no plain file", 0, 0},
+		{"echo x > a; ln -s a link", []string{"link"}, false, 0, "no plain file", 0, 0},
+		{"mkdir d && ln -s /etc d/etc", []string{"d"}, false, 0, "no plain file", 0, 0},
+		{"mkfifo pipe", []string{"pipe"}, false, 0, "no plain file", 0, 0},
+		{"true", []string{"../up"}, false, 0, "not allowed", 0, 0},
+		{"head -c 100000 /dev/zero | tr '\\0' x", nil, true, 0, "", 4, 0},
+	} {
+		tk := task(t.TempDir(), uint64(i+1), c.command, c.files...)
+		got, err := Run(ctx, x.options(spool), tk, time.Minute)
+		if err != nil {
+			t.Fatalf("%q: %v", c.command, err)
+		}
+		if got.Exit.Completed != c.completed || got.Exit.Code != c.code || !strings.Contains(got.Exit.Reason, c.reason) {
+			t.Errorf("%q: %+v", c.command, got)
+		}
+		m, _, err := x.k.Sealed(tk.Claim.Attempt)
+		if err != nil || len(m.Files) != c.kept || m.Exit != got.Exit {
+			t.Errorf("%q: %+v %v", c.command, m, err)
+		}
+		if list, _ := x.text(tk.Claim.Attempt, "stdout"); len(list) != c.stdout {
+			t.Errorf("%q put out %d records", c.command, len(list))
+		}
+	}
+	if m, err := x.k.Final("job-000001", 0); err != nil || m.Number != 1 {
+		t.Errorf("the result is %+v, %v", m, err)
+	}
+	stopped, stop := context.WithCancel(ctx)
+	time.AfterFunc(100*time.Millisecond, stop)
+	tk := task(t.TempDir(), 99, "echo begun; sleep 1000 & sleep 1000")
+	if got, err := Run(stopped, x.options(spool), tk, time.Minute); err != nil || got.Exit.Completed || got.Exit.Reason != "stopped" {
+		t.Errorf("stopped: %+v %v", got, err)
+	}
+	if left, err := os.ReadDir(spool); err != nil || len(left) != 0 {
+		t.Errorf("spools left: %v %v", left, err)
+	}
+}
+
+// TestKeeperAway: while the keeper can't be reached output waits in the spool up to a
+// bound; beyond it what is dropped is marked with how much it was, and the attempt is
+// sealed all the same.
+func TestKeeperAway(t *testing.T) {
+	x := newSite(t)
+	x.away.Store(true)
+	opt := x.options(t.TempDir())
+	opt.Room = 2000
+	opt.defaults()
+	tk := task(t.TempDir(), 1, "true")
+	s, err := open(opt, spoolDir(opt.Spool, tk.Claim.Attempt))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.write(ctx, &entry{Task: &tk}); err != nil {
+		t.Fatal(err)
+	}
+	brought := make(chan error, 1)
+	var got Result
+	go func() {
+		var err error
+		got, err = s.bring(ctx)
+		brought <- err
+	}()
+	for i := 1000; i < 2000; i++ {
+		s.put(ctx, "stdout", []byte(strconv.Itoa(i)))
+	}
+	x.away.Store(false)
+	for { // until the spool is empty
+		s.mu.Lock()
+		left := s.bytes
+		s.mu.Unlock()
+		if left == 0 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	s.put(ctx, "stdout", []byte("last"))
+	if err := s.write(ctx, &entry{Exit: &keeper.Exit{Completed: true}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-brought; err != nil || !got.Final {
+		t.Fatalf("%+v %v", got, err)
+	}
+	got.Lost = s.dropped
+	list, lost := x.text(tk.Claim.Attempt, "stdout")
+	if lost != got.Lost || lost != 4*(1000-500) {
+		t.Errorf("%d bytes marked as lost, %d were, %d should be", lost, got.Lost, 4*(1000-500))
+	}
+	for i, s := range list[:500] {
+		if s != strconv.Itoa(1000+i) {
+			t.Fatalf("record %d is %q", i, s)
+		}
+	}
+	if rest := list[500:]; len(rest) != 2 || rest[0] != "[hole]" || rest[1] != "last" {
+		t.Errorf("behind that %q", rest)
+	}
+}
+
+// TestKilled ends the runner's process for good at each of its steps, takes its spool
+// up in another, and runs the task again as its next attempt. Every line that survives is
+// once there, in order, under the attempt that put it out; an attempt that was not whole
+// stays partial, and is never the result; one that was whole is sealed.
+func TestKilled(t *testing.T) {
+	const command = "echo attempt $A; for i in 1 2 3 4 5; do echo line $i of $A; done; printf 'file of %s' $A > out"
+	if spec := os.Getenv("RUNNER_KILL"); spec != "" {
+		parts := strings.Split(spec, "|")
+		left, _ := strconv.Atoi(parts[3])
+		var mu sync.Mutex
+		tk := task(parts[2], 1, command, "out")
+		tk.Env = append(tk.Env, "A=1")
+		_, err := Run(ctx, Options{Spool: parts[0], Keeper: parts[1], Pause: 5 * time.Millisecond, Step: func(string) {
+			mu.Lock()
+			defer mu.Unlock()
+			if left--; left < 0 {
+				_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+				select {}
+			}
+		}}, tk, time.Minute)
+		if err != nil {
+			fmt.Println(err)
+			os.Exit(3)
+		}
+		os.Exit(0)
+	}
+	for at := 0; ; at++ {
+		x := newSite(t)
+		spool, dir := t.TempDir(), t.TempDir()
+		cmd := exec.Command(os.Args[0], "-test.run=^TestKilled$")
+		cmd.Env = append(os.Environ(), fmt.Sprintf("RUNNER_KILL=%s|%s|%s|%d", spool, x.url, dir, at))
+		out, err := cmd.Output()
+		var ended *exec.ExitError
+		killed := errors.As(err, &ended) && ended.Sys().(syscall.WaitStatus).Signal() == syscall.SIGKILL
+		if err != nil && !killed {
+			t.Fatalf("step %d: %v\n%s", at, err, out)
+		}
+		if _, err := Recover(ctx, x.options(spool)); err != nil {
+			t.Fatalf("step %d: %v", at, err)
+		}
+		if left, err := os.ReadDir(spool); err != nil || len(left) != 0 {
+			t.Fatalf("step %d: spools left: %v %v", at, left, err)
+		}
+		first := keeper.Attempt{Job: "job-000001", Task: 0, Number: 1}
+		list, err := x.k.Attempts("job-000001", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		whole := []string{"attempt 1", "line 1 of 1", "line 2 of 1", "line 3 of 1", "line 4 of 1", "line 5 of 1"}
+		if len(list) > 0 {
+			got, _ := x.text(first, "stdout")
+			if len(got) > len(whole) || strings.Join(got, "|") != strings.Join(whole[:len(got)], "|") || (list[0].Sealed && len(got) != len(whole)) {
+				t.Fatalf("step %d: sealed %v with %q", at, list[0].Sealed, got)
+			}
+		}
+		sealed := len(list) > 0 && list[0].Sealed
+		tk := task(t.TempDir(), 2, command, "out")
+		tk.Env = append(tk.Env, "A=2")
+		got, err := Run(ctx, x.options(spool), tk, time.Minute)
+		if err != nil || got.Final == sealed {
+			t.Fatalf("step %d: first sealed %v, second %+v, %v", at, sealed, got, err)
+		}
+		m, err := x.k.Final("job-000001", 0)
+		if err != nil || (m.Number == 1) != sealed {
+			t.Fatalf("step %d: the result is %+v, %v", at, m, err)
+		}
+		d, err := blob.Parse(m.Files[0].Digest)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if content, err := x.b.Get("red", d, 100); err != nil || string(content) != fmt.Sprint("file of ", m.Number) {
+			t.Fatalf("step %d: attempt %d has %q, %v", at, m.Number, content, err)
+		}
+		if !killed {
+			if at < 15 {
+				t.Fatalf("only %d steps", at)
+			}
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/topaz/topaz_test.go
@@ -0,0 +1,141 @@
+package topaz
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"topazhollow/internal/keeper"
+)
+
+// TestMain lets the tests' program be the command topaz for the processes that demo
+// starts.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "controller" {
+		os.Exit(Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+func topaz(args ...string) (int, string, string) {
+	var out, errs bytes.Buffer
+	code := Main(context.Background(), args, &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+// TestDemo: one command runs a region with three controllers as processes, a job whose
+// output is followed, and leaves nothing behind.
+func TestDemo(t *testing.T) {
+	tmp := t.TempDir()
+	t.Setenv("TMPDIR", tmp)
+	code, out, errs := topaz("demo", "--job", "../../examples/grades.toml", "--most", "5m")
+	if code != 0 {
+		t.Fatalf("%d\n%s%s", code, out, errs)
+	}
+	for _, want := range []string{"job-000001/0 | route 0: grade 3 of 3\n", "is final", "job-000001 is done", "profiles/route-2.txt: 2 6.4%"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("no %q in\n%s", want, out)
+		}
+	}
+	if left, err := os.ReadDir(tmp); err != nil || len(left) != 0 {
+		t.Errorf("left behind: %v %v", left, err)
+	}
+}
+
+// TestExitCodes: what a script decides by.
+func TestExitCodes(t *testing.T) {
+	dir := t.TempDir()
+	key := bytes.Repeat([]byte{7}, 16)
+	set := keeper.DefaultConfig()
+	set.Listen, set.Dir = "127.0.0.1:0", filepath.Join(dir, "keep")
+	ctx, cancel := context.WithCancel(context.Background())
+	ended, ready := make(chan error, 1), make(chan string, 1)
+	go func() { ended <- Keep(ctx, set, key, &bytes.Buffer{}, func(addr string) { ready <- addr }) }()
+	t.Setenv("TOPAZ_KEEPER", "http://"+<-ready)
+	t.Setenv(keeper.KeyVariable, strings.Repeat("07", 16))
+	code, token, errs := topaz("token", "job-000001")
+	if code != 0 {
+		t.Fatal(errs)
+	}
+	t.Setenv("TOPAZ_TOKEN", strings.TrimSpace(token))
+	task := 0
+	write := keeper.Grant{Right: keeper.Write, Tenant: "red", Job: "job-000001", Task: &task, Number: 4, Machine: "m", Session: 1, Until: time.Now().Add(time.Hour)}.Token(key)
+	post := func(path, body string) {
+		t.Helper()
+		if err := postTo(os.Getenv("TOPAZ_KEEPER")+path, write, body); err != nil {
+			t.Fatal(err)
+		}
+	}
+	post("/attempt", "")
+	post("/streams/stdout?first=0", `[{"at":"2026-01-01T00:00:00Z","data":"aGVsbG8="}]`)
+	for _, x := range []struct {
+		args []string
+		code int
+		out  string
+	}{
+		{[]string{"logs", "job-000001/0"}, ExitPartial, "hello\n"},
+		{[]string{"attempts", "job-000001/0"}, 0, "partial"},
+		{[]string{"logs", "job-000001/9"}, ExitUnknown, ""},
+		{[]string{"fetch", "job-000001/0", dir}, ExitUnknown, ""},
+		{[]string{"logs", "job-000002/0"}, ExitRefused, ""},
+		{[]string{"logs", "job-000001"}, ExitUsage, ""},
+		{[]string{"nothing"}, ExitUsage, ""},
+		{[]string{"keep", "--config", "../../deploy/keep.toml", "--check"}, 0, "ok"},
+		{[]string{"keep", "--config", "../../deploy/keep.toml", "--print-config"}, 0, "quota_gb = 10"},
+		{[]string{"keep", "--config", filepath.Join(dir, "none.toml")}, ExitUsage, ""},
+		{[]string{"--help"}, 0, "Exit codes"},
+	} {
+		if code, out, errs := topaz(x.args...); code != x.code || !strings.Contains(out, x.out) {
+			t.Errorf("%q: %d, %q, %q", x.args, code, out, errs)
+		}
+	}
+	post("/seal", `{"exit":{"completed":true},"records":{"stdout":1}}`)
+	if code, out, errs := topaz("--output", "json", "logs", "job-000001/0"); code != 0 || !strings.Contains(out, `"state":"final"`) {
+		t.Errorf("sealed: %d %s %s", code, out, errs)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestLinksOfTheController: the platform's program must stay as small as it was
+// measured: it links nothing of the keeper and what that needs.
+func TestLinksOfTheController(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", "topazhollow/cmd/topazhollow").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(out), "topazhollow/internal/tenure\n") {
+		t.Fatal("the list of what the controller links is not to be trusted")
+	}
+	for _, no := range []string{"bbolt", "klauspost", "BurntSushi", "grpc", "prometheus", "topazhollow/internal/keeper", "topazhollow/internal/blob", "topazhollow/internal/rehearse"} {
+		if strings.Contains(string(out), no) {
+			t.Errorf("the controller links %s", no)
+		}
+	}
+}
+
+func postTo(url, token, body string) error {
+	req, err := http.NewRequest("POST", url, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != 200 {
+		return fmt.Errorf("%s: %s", url, resp.Status)
+	}
+	return nil
+}
