The lay-out expects what keeps coming; own machines known under a raised term at once

Change: a start is expected later by the share of the CPUs that work of higher rank kept busy as it came in the last minute; adopting a term brings own views up to date; nothing is retired within a minute of a rental.

--- a/control.go
+++ b/control.go
@@ -219,9 +219,11 @@
 		n.bumped = now
 		n.log.Info("control record", "term", r.Term, "members", r.Members(), "items", r.Items)
 		n.home.SetTerm(r.Term, func(m string) bool { return r.Home(m) == n.name })
-		for name := range n.home.All() {
-			n.fresh[name] = true
-		}
+		defer func() { // once the items are those of this record
+			for _, name := range slices.Sorted(maps.Keys(n.home.All())) {
+				n.noteView(name)
+			}
+		}()
 		for name, d := range n.doers {
 			if n.home.Get(name) == nil {
 				delete(n.doers, name)
--- a/grown_test.go
+++ b/grown_test.go
@@ -239,7 +239,7 @@
 			demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count, Late: g.n.due(j, g.now)})
 		}
 		f.Forget()
-		f.Decide(g.n.types, machines, demands, g.now, g.now)
+		f.Decide(g.n.types, machines, demands, nil, g.now, g.now)
 	}
 }
 
--- a/internal/blob/upload.go
+++ b/internal/blob/upload.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/klauspost/compress/zstd"
+
+	"topazhollow/internal/wal"
 )
 
 // Upload is a blob on its way in. What was written is kept across a restart of the
@@ -328,21 +330,12 @@
 		return fmt.Errorf("blob: %w", err)
 	}
 	s.opt.Step("sync directory")
-	if err := errors.Join(syncDir(filepath.Dir(to)), syncDir(filepath.Join(s.opt.Dir, "objects"))); err != nil {
+	if err := errors.Join(wal.SyncDir(filepath.Dir(to)), wal.SyncDir(filepath.Join(s.opt.Dir, "objects"))); err != nil {
 		return fmt.Errorf("blob: %w", err)
 	}
 	return s.commit(ctx, r)
 }
 
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	defer d.Close()
-	return d.Sync()
-}
-
 var encoder = sync.OnceValue(func() *zstd.Encoder {
 	e, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(2))
 	if err != nil {
--- a/internal/fleet/bin.go
+++ b/internal/fleet/bin.go
@@ -18,11 +18,12 @@
 // bin is a machine's free room over time, there or on its way.
 type bin struct {
 	pool pool
-	free []room // in order of time
+	all  float64 // CPUs
+	free []room  // in order of time
 }
 
 func newBin(p pool, t *wire.MachineType, at float64) *bin {
-	return &bin{pool: p, free: []room{{at, t.CPUs, t.GPUs, t.Memory}}}
+	return &bin{pool: p, all: t.CPUs, free: []room{{at, t.CPUs, t.GPUs, t.Memory}}}
 }
 
 func (b *bin) add(r room) {
--- a/internal/fleet/boot_test.go
+++ b/internal/fleet/boot_test.go
@@ -30,7 +30,7 @@
 				m.Slots = []Slot{{CPUs: 8, Left: 1000}}
 			}
 		}
-		plan := d.f.Decide(d.types, d.machines, demand(d.now), d.now, d.now.Add(-time.Hour))
+		plan := d.f.Decide(d.types, d.machines, demand(d.now), nil, d.now, d.now.Add(-time.Hour))
 		d.late = d.late || len(plan.Late) > 0
 		for _, name := range plan.Return {
 			for i := range d.machines {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -70,6 +70,22 @@
 // maxRents is how many requests go out for one pool at a time.
 const maxRents = 2
 
+// Inflow is how many CPUs the work that comes keeps busy, by rank of priority: what came
+// a second of late, times how long it runs.
+type Inflow map[int]float64
+
+// slower is by what factor work of a rank starts later than a layout says that knows
+// only of what is there: what comes with a higher rank goes before it.
+func (in Inflow) slower(rank int, room float64) float64 {
+	before := 0.0
+	for r, cpus := range in {
+		if r > rank {
+			before += cpus
+		}
+	}
+	return 1 / (1 - min(before/max(room, 1), 0.9))
+}
+
 // Plan is what to do now.
 type Plan struct {
 	Rent   []wire.Rent
@@ -94,6 +110,7 @@
 	boots   map[pool]*boots
 	booting map[string]bool      // machines not heard yet when last looked at
 	retired map[string]bool      // machines that get no more tasks
+	asked   time.Time            // when machines were last asked for
 	plans   map[string]time.Time // by when all of a job should have started, as first laid out
 }
 
@@ -130,7 +147,7 @@
 
 // Decide plans with what is known. settled is when the members last changed:
 // silence counts only from then.
-func (f *Fleet) Decide(types []wire.MachineType, machines []Machine, demands []Demand, now, settled time.Time) Plan {
+func (f *Fleet) Decide(types []wire.MachineType, machines []Machine, demands []Demand, inflow Inflow, now, settled time.Time) Plan {
 	var plan Plan
 	byType := map[string]*wire.MachineType{}
 	for i := range types {
@@ -170,7 +187,7 @@
 		}
 		live = append(live, m)
 	}
-	f.retire(live, byType, demands)
+	f.retire(live, byType, demands, now)
 	var idleMachines []*Machine
 	for _, m := range live {
 		if !m.Idle.IsZero() {
@@ -180,7 +197,7 @@
 			plan.Retire = append(plan.Retire, m.Name)
 			continue
 		}
-		b := &bin{pool: pool{m.Type, m.Zone, m.Spot}, free: []room{{0, m.CPUs, m.GPUs, m.Mem}}}
+		b := &bin{pool: pool{m.Type, m.Zone, m.Spot}, all: byType[m.Type].CPUs, free: []room{{0, m.CPUs, m.GPUs, m.Mem}}}
 		for _, x := range m.Slots {
 			b.add(room{max(x.Left, 1), x.CPUs, x.GPUs, x.Mem})
 		}
@@ -193,7 +210,7 @@
 			}
 		}
 	}
-	f.rent(&plan, types, bins, demands, now)
+	f.rent(&plan, types, bins, demands, inflow, now)
 	if len(plan.Rent) == 0 {
 		f.giveBack(&plan, byType, idleMachines, len(bins)+len(plan.Retire), now)
 	}
@@ -280,10 +297,15 @@
 
 // rent lays out what waits on the machines there are, now and as running tasks
 // end, and rents for what would come too late so but in better time on a new
-// machine. What did not start as it was laid out before counts as late by that.
-func (f *Fleet) rent(plan *Plan, types []wire.MachineType, bins []*bin, demands []Demand, now time.Time) {
+// machine. What comes meanwhile with a higher rank is expected as it came of late; what
+// did not start as it was laid out before counts as late by that.
+func (f *Fleet) rent(plan *Plan, types []wire.MachineType, bins []*bin, demands []Demand, inflow Inflow, now time.Time) {
 	want := map[pool]int{}
 	waits := map[string]time.Time{}
+	room := 0.0
+	for _, b := range bins {
+		room += b.all
+	}
 	for _, d := range demands {
 		s := d.Spec
 		run := max(s.Estimate, 1)
@@ -298,7 +320,7 @@
 		line := queueFor(s, bins)
 		last := 0.0
 		for left := d.Count; left > 0; {
-			start := line.soonest() + behind
+			start := line.soonest()*inflow.slower(wire.Rank(s.Priority), room) + behind
 			if start <= max(allowance, 0) {
 				last = max(last, start)
 				left -= line.take(run, left)
@@ -318,6 +340,7 @@
 			boot := f.boot(p, t)
 			b := newBin(p, t, boot)
 			bins = append(bins, b)
+			room += b.all
 			last = max(last, boot)
 			left -= b.take(s, boot, run, left)
 			line.add(b)
@@ -337,6 +360,9 @@
 			plan.Rent = append(plan.Rent, wire.Rent{Request: fmt.Sprintf("%s-%d", f.prefix, f.counter), Type: p.Type, Zone: p.Zone, Spot: p.Spot, Count: count})
 		}
 	}
+	if len(plan.Rent) > 0 {
+		f.asked = now
+	}
 	slices.SortFunc(plan.Rent, func(a, b wire.Rent) int { return cmp.Compare(a.Request, b.Request) })
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -63,7 +63,7 @@
 	f, types, now := setup()
 	spec := &wire.Submission{CPUs: 8, Estimate: 10, Spot: true}
 	demand := []Demand{{Spec: spec, Count: 3, Late: now.Add(5 * time.Second)}}
-	p := f.Decide(types, nil, demand, now, now)
+	p := f.Decide(types, nil, demand, nil, now, now)
 	total := 0
 	seen := map[string]bool{}
 	for _, r := range p.Rent {
@@ -76,13 +76,13 @@
 	if total != 3 {
 		t.Fatalf("rents %+v for three machines' worth", p.Rent)
 	}
-	if again := f.Decide(types, nil, demand, now, now); len(again.Rent) != 0 {
+	if again := f.Decide(types, nil, demand, nil, now, now); len(again.Rent) != 0 {
 		t.Fatalf("rents again while the first is under way: %+v", again.Rent)
 	}
 	for _, r := range p.Rent {
 		f.Answered(r, 0, now, true)
 	}
-	p = f.Decide(types, nil, demand, now, now)
+	p = f.Decide(types, nil, demand, nil, now, now)
 	for _, r := range p.Rent {
 		if r.Spot || seen[r.Request] {
 			t.Fatalf("after refusals rents %+v", r)
@@ -109,7 +109,7 @@
 		{Name: "taken", Type: "m8", Zone: "a", Heard: now.Add(-3500 * time.Millisecond), Since: old, Kept: true},
 		{Name: "awaited", Type: "m8", Zone: "a", State: wire.HostRunning, Heard: now.Add(-5 * time.Second), Since: old, Kept: true, Awaited: true},
 	}
-	got := f.Decide(types, ms, nil, now, now.Add(-2*time.Minute)).Return
+	got := f.Decide(types, ms, nil, nil, now, now.Add(-2*time.Minute)).Return
 	if want := []string{"failed", "silent", "stuck", "taken", "awaited", "idle"}; !slices.Equal(got, want) {
 		t.Fatalf("returns %v, want %v", got, want)
 	}
@@ -117,7 +117,7 @@
 	gone := []Machine{{Name: "gone", Type: "m8", Zone: "a", Heard: now.Add(-2 * time.Second), Since: old, Kept: true, Awaited: true, Passed: true},
 		{Name: "heard", Type: "m8", Zone: "a", Heard: now, Since: old, Kept: true, Awaited: true, Passed: true},
 		{Name: "fresh", Type: "m8", Zone: "a", Heard: now.Add(-2 * time.Second), Since: old, Kept: true, Awaited: true}}
-	if got := f.Decide(types, gone, nil, now, now.Add(-2*time.Minute)).Return; !slices.Equal(got, []string{"gone"}) {
+	if got := f.Decide(types, gone, nil, nil, now, now.Add(-2*time.Minute)).Return; !slices.Equal(got, []string{"gone"}) {
 		t.Fatalf("returns %v of machines that the cloud does not list", got)
 	}
 	// One machine of many held up its owner for as long as a tenth of them would.
@@ -131,18 +131,18 @@
 		if late > 2 {
 			want = 0
 		}
-		if got := f.Decide(types, many, nil, now, now.Add(-2*time.Minute)).Return; len(got) != want {
+		if got := f.Decide(types, many, nil, nil, now, now.Add(-2*time.Minute)).Return; len(got) != want {
 			t.Fatalf("returns %d of %d machines that are late", len(got), late)
 		}
 	}
 	for i := range ms { // a cut of many machines must not cost all of them
 		ms[i].Awaited, ms[i].Heard, ms[i].State, ms[i].Idle = true, now.Add(-5*time.Second), wire.HostRunning, time.Time{}
 	}
-	if got := f.Decide(types, ms, nil, now, now.Add(-2*time.Minute)).Return; len(got) != 0 {
+	if got := f.Decide(types, ms, nil, nil, now, now.Add(-2*time.Minute)).Return; len(got) != 0 {
 		t.Fatalf("returns %v though most are silent", got)
 	}
 	ms[1].Heard = now.Add(-time.Minute)
-	if got := f.Decide(types, ms[1:2], nil, now, now).Return; len(got) != 0 {
+	if got := f.Decide(types, ms[1:2], nil, nil, now, now).Return; len(got) != 0 {
 		t.Fatalf("returns %v though nobody could hear it yet", got)
 	}
 }
@@ -210,7 +210,7 @@
 			}
 			ms = append(ms, m)
 		}
-		if got := f.Decide(types, ms, nil, now, now.Add(-time.Hour)).Return; len(got) != c.want {
+		if got := f.Decide(types, ms, nil, nil, now, now.Add(-time.Hour)).Return; len(got) != c.want {
 			t.Errorf("%d of 50 idle: returns %d, want %d", c.idle, len(got), c.want)
 		}
 	}
@@ -242,7 +242,7 @@
 		}
 		demand := []Demand{{Spec: &wire.Submission{CPUs: 8, Estimate: 10, Spot: true}, Count: 1, Late: now, Cheap: c.cheap}}
 		rented := 0
-		for _, r := range f.Decide(types, machines, demand, now, now).Rent {
+		for _, r := range f.Decide(types, machines, demand, nil, now, now).Rent {
 			rented += r.Count
 		}
 		if rented != c.want {
@@ -264,7 +264,7 @@
 		for i := range 2 {
 			ms = append(ms, Machine{Name: fmt.Sprintf("n-%02d", i), Type: "m8", Zone: "a", State: wire.HostRunning, Heard: now, Since: began, Slots: []Slot{{CPUs: 8, Left: 5}}})
 		}
-		p := f.Decide(types, ms, []Demand{{Spec: low, Count: 1, Late: now.Add(time.Minute)}}, now, began)
+		p := f.Decide(types, ms, []Demand{{Spec: low, Count: 1, Late: now.Add(time.Minute)}}, nil, now, began)
 		for _, r := range p.Rent {
 			rented += r.Count
 			f.Answered(r, 0, now, false)
@@ -277,3 +277,25 @@
 		t.Fatalf("%d machines rented after %v", rented, after)
 	}
 }
+
+// TestInflow: work of low priority that starts within its time on the machines there
+// are, if nothing else comes, must get machines where so much of higher priority keeps
+// coming that it would not.
+func TestInflow(t *testing.T) {
+	for cpus, want := range map[float64]int{0: 0, 4: 0, 12: 1} {
+		f, types, now := setup()
+		var ms []Machine
+		for i := range 2 {
+			ms = append(ms, Machine{Name: fmt.Sprintf("n-%02d", i), Type: "m8", Zone: "a", State: wire.HostRunning, Heard: now, Since: now, Slots: []Slot{{CPUs: 8, Left: 20}}})
+		}
+		low := &wire.Submission{UID: "low", Priority: "standard", CPUs: 8, Estimate: 10, Spot: true}
+		p := f.Decide(types, ms, []Demand{{Spec: low, Count: 1, Late: now.Add(time.Minute)}}, Inflow{wire.Rank("high"): cpus, wire.Rank("low"): 100}, now, now)
+		got := 0
+		for _, r := range p.Rent {
+			got += r.Count
+		}
+		if got != want {
+			t.Errorf("with %g CPUs of higher priority to come: %d machines rented, not %d", cpus, got, want)
+		}
+	}
+}
--- a/internal/fleet/retire.go
+++ b/internal/fleet/retire.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"topazhollow/internal/wire"
 )
@@ -12,6 +13,10 @@
 // machines are let go: what comes next should not have to wait for a boot.
 const reserve = 0.04
 
+// calm is for how long after a rental no machine is retired: one that is given back
+// and rented again costs a boot and a minute at least.
+const calm = time.Minute
+
 // share is what part of a machine of a type an amount takes: its scarcest kind.
 func share(t *wire.MachineType, cpus, gpus, mem float64) float64 {
 	most := 0.0
@@ -45,7 +50,7 @@
 // over all there are. A machine is retired once the others have room for its work
 // and the reserve, and taken back into use as soon as that is no longer so. What a
 // retired machine still runs is counted as work that the others are about to get.
-func (f *Fleet) retire(live []*Machine, types map[string]*wire.MachineType, demands []Demand) {
+func (f *Fleet) retire(live []*Machine, types map[string]*wire.MachineType, demands []Demand, now time.Time) {
 	waiting, pinned := map[string]float64{}, false
 	for _, d := range demands {
 		pinned = pinned || !d.Spec.Spot
@@ -90,9 +95,10 @@
 				kept++
 			}
 		}
-		// Twice the reserve before the next goes, so that none goes back and forth.
+		// Twice the reserve before the next goes, and none for a while after machines were
+		// asked for, so that none goes back and forth.
 		for _, m := range list {
-			if room-1 < 2*reserve*(kept-1) || kept <= math.Max(1, float64(f.opt.Warm)) {
+			if now.Sub(f.asked) < calm || room-1 < 2*reserve*(kept-1) || kept <= math.Max(1, float64(f.opt.Warm)) {
 				break
 			}
 			if !f.retired[m.Name] && f.dear(m, t) && !m.pinned() {
--- a/internal/fleet/retire_test.go
+++ b/internal/fleet/retire_test.go
@@ -42,7 +42,7 @@
 				demands = []Demand{{Spec: &wire.Submission{CPUs: 2, Spot: true}, Count: int(wait), Late: now}}
 			}
 			before := len(f.retired)
-			f.retire(ms, byType, demands)
+			f.retire(ms, byType, demands, now)
 			room, kept := -wait/4, 0.0
 			for _, m := range ms {
 				switch {
@@ -86,14 +86,23 @@
 			Since: now.Add(-time.Hour), CPUs: 4, Mem: 32, Slots: []Slot{{CPUs: 4, Mem: 32, Left: 30}}})
 	}
 	pinned := []Demand{{Spec: &wire.Submission{CPUs: 1, Estimate: 5}, Count: 1, Late: now.Add(time.Hour)}}
-	if p := f.Decide(types, ms, pinned, now, now); len(p.Retire) != 0 {
+	if p := f.Decide(types, ms, pinned, nil, now, now); len(p.Retire) != 0 {
 		t.Fatalf("retires %v while work waits that may use nothing else", p.Retire)
 	}
-	if p := f.Decide(types, ms, nil, now, now); !slices.Equal(p.Retire, []string{"n-00"}) || len(p.Return) != 0 {
+	if p := f.Decide(types, ms, nil, nil, now, now); !slices.Equal(p.Retire, []string{"n-00"}) || len(p.Return) != 0 {
 		t.Fatalf("retires %v, returns %v", p.Retire, p.Return)
 	}
+	f.asked = now // what was just rented is not given back
+	delete(f.retired, "n-00")
+	if p := f.Decide(types, ms, nil, nil, now, now); len(p.Retire) != 0 {
+		t.Fatalf("retires %v right after a rental", p.Retire)
+	}
+	f.asked = time.Time{}
+	if p := f.Decide(types, ms, nil, nil, now, now); len(p.Retire) != 1 {
+		t.Fatalf("retires %v later", p.Retire)
+	}
 	ms[0].CPUs, ms[0].Mem, ms[0].Slots, ms[0].Idle = 8, 64, nil, now.Add(-time.Second)
-	if p := f.Decide(types, ms, nil, now, now); !slices.Equal(p.Return, []string{"n-00"}) {
+	if p := f.Decide(types, ms, nil, nil, now, now); !slices.Equal(p.Return, []string{"n-00"}) {
 		t.Fatalf("returns %v of an idle retired machine", p.Return)
 	}
 }
@@ -113,7 +122,7 @@
 			}
 			ms = append(ms, m)
 		}
-		return len(f.Decide(types, ms, nil, now, now.Add(-time.Hour)).Return)
+		return len(f.Decide(types, ms, nil, nil, now, now.Add(-time.Hour)).Return)
 	}
 	for _, x := range []struct {
 		count    int
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -186,7 +186,7 @@
 			return nil, err
 		}
 	}
-	if err := syncDir(dir); err != nil {
+	if err := SyncDir(dir); err != nil {
 		l.closeFiles()
 		return nil, fmt.Errorf("wal: %w", err)
 	}
@@ -249,7 +249,8 @@
 	return p, nil
 }
 
-func syncDir(dir string) error {
+// SyncDir makes durable what was made, moved or removed in a directory.
+func SyncDir(dir string) error {
 	d, err := os.Open(dir)
 	if err != nil {
 		return err
@@ -394,7 +395,7 @@
 	if err != nil {
 		return err
 	}
-	if err := syncDir(l.dir); err != nil {
+	if err := SyncDir(l.dir); err != nil {
 		f.Close()
 		return err
 	}
--- a/placing_test.go
+++ b/placing_test.go
@@ -30,3 +30,30 @@
 		n.mu.Unlock()
 	}
 }
+
+// TestNewTermKeepsPlaces: a raised term is told of to peers with every homed machine's
+// view; a controller must know its own machines under it as well, or it places nothing
+// on them until each has reported again.
+func TestNewTermKeepsPlaces(t *testing.T) {
+	g := newGrown(0, 1)
+	n := g.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.home.SetTerm(1, func(string) bool { return true })
+	n.roster.Learn("x", 1, []string{"n-1", "n-2"})
+	for _, name := range []string{"n-1", "n-2"} {
+		n.hear(&wire.Report{Machine: name, Addr: "127.0.0.1:1", Type: "m32", Zone: "east", Session: 1, Seq: 1, Token: 1, Tasks: []wire.TaskStatus{}}, g.now)
+	}
+	if got := len(n.hosts(g.now)); got != 2 {
+		t.Fatalf("%d of 2 machines take tasks", got)
+	}
+	next := n.record.Clone()
+	next.Term++
+	n.adopt(next, n.version+1)
+	if got := len(n.hosts(g.now)); got != 2 {
+		t.Errorf("%d of 2 machines take tasks after the term was raised", got)
+	}
+	if len(n.fresh) != 2 {
+		t.Errorf("%d of 2 machines are to be told of", len(n.fresh))
+	}
+}
--- a/rent.go
+++ b/rent.go
@@ -160,7 +160,7 @@
 			return a.Late.Compare(b.Late)
 		})
 		settled := later(n.settled, r.started)
-		plan := r.f.Decide(n.types, machines, demands, now, settled)
+		plan := r.f.Decide(n.types, machines, demands, n.inflow(now), now, settled)
 		if !slices.Equal(plan.Late, n.late) {
 			n.log.Info("places where machines come up late", "before", n.late, "now", plan.Late)
 			n.late = plan.Late
@@ -190,6 +190,20 @@
 	return nil
 }
 
+// inflowOver is the time over which what comes is counted.
+const inflowOver = time.Minute
+
+// inflow is how many CPUs the jobs that came of late keep busy.
+func (n *Node) inflow(now time.Time) fleet.Inflow {
+	in := fleet.Inflow{}
+	for _, j := range n.jobs {
+		if j.spec.Kind != wire.Service && !j.at.IsZero() && now.Sub(j.at) < inflowOver {
+			in[wire.Rank(j.spec.Priority)] += float64(j.spec.Tasks) * j.spec.CPUs * j.spec.Estimate / inflowOver.Seconds()
+		}
+	}
+	return in
+}
+
 // due is when a job should be complete for what the fleet rents. What is late
 // anyway is not worth more machines at once than a new one takes to come up.
 func (n *Node) due(j *job, now time.Time) time.Time {
