--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -74,6 +74,10 @@
 // a second of late, times how long it runs.
 type Inflow map[int]float64
 
+// most is what part of the room work that is still to come takes at most: what came in
+// the last minute says only so much.
+const most = 0.33
+
 // slower is by what factor work of a rank starts later than a layout says that knows
 // only of what is there: what comes with a higher rank goes before it.
 func (in Inflow) slower(rank int, room float64) float64 {
@@ -83,7 +87,7 @@
 			before += cpus
 		}
 	}
-	return 1 / (1 - min(before/max(room, 1), 0.9))
+	return 1 / (1 - min(before/max(room, 1), most))
 }
 
 // Plan is what to do now.
