One piece where the keeper's packages had two: compaction, sums, names, paths, TOML

Need: reading the whole change again found copies in wal, blob, keeper, runner and topaz. Change: wal.Log.Compact serves blob's compact and keeper's Trim; blob.File is wal.File; uploads use blob.Sum; an upload's end calls unpin; keeper.EscapePath, keeper.Answer and the state words serve keeper, runner and topaz; package tomlfile reads both TOML files; an attempt's state is looked up instead of reading every attempt's manifest, so that a rotten manifest of another attempt no longer keeps a log from being read; unused metrics went.

--- a/internal/blob/collect.go
+++ b/internal/blob/collect.go
@@ -184,43 +184,14 @@
 // compact moves what lives on in the log's first segments to its end while that
 // gives back at least half of them.
 func (s *Store) compact(ctx context.Context) error {
-	for ctx.Err() == nil {
-		first, last := s.log.Segments()
-		if first >= last {
-			return nil
+	return s.log.Compact(ctx, func(at wal.Pos, b []byte) (func() error, error) {
+		r, err := decodeRecord(b)
+		if err != nil || !s.lives(r, at) {
+			return nil, err
 		}
-		live, all := int64(0), int64(0)
-		var moved [][]byte
-		var was []wal.Pos
-		err := s.log.Scan(first, func(at wal.Pos, b []byte) error {
-			r, err := decodeRecord(b)
-			if err != nil {
-				return err
-			}
-			all += int64(len(b))
-			if s.lives(r, at) {
-				live += int64(len(b))
-				moved, was = append(moved, slices.Clone(b)), append(was, at)
-			}
-			return nil
-		})
-		if err != nil || 2*live > all {
-			return err
-		}
-		for i, b := range moved {
-			if err := s.move(ctx, b, was[i]); err != nil {
-				return err
-			}
-		}
-		// The index must know the new places before the old ones go.
-		if err := s.checkpoint(); err != nil {
-			return err
-		}
-		if err := s.log.Drop(first + 1); err != nil {
-			return err
-		}
-	}
-	return ctx.Err()
+		r.data = slices.Clone(r.data)
+		return func() error { return s.move(ctx, r, at) }, nil
+	}, s.checkpoint) // the index must know the new places before the old ones go
 }
 
 // lives says whether a record is still needed to make the index again. A tenant's
@@ -243,10 +214,9 @@
 }
 
 // move writes a record again at the end of the log, unless it died meanwhile.
-func (s *Store) move(ctx context.Context, b []byte, was wal.Pos) error {
-	r, err := decodeRecord(b)
-	if err != nil || !s.lives(r, was) {
-		return err
+func (s *Store) move(ctx context.Context, r *record, was wal.Pos) error {
+	if !s.lives(r, was) {
+		return nil
 	}
 	rs := []*record{r}
 	if r.kind == recSmall || r.kind == recFile {
@@ -315,7 +285,7 @@
 
 // verify reads a blob and says whether it is what it should be.
 func (s *Store) verify(d Digest) bool {
-	r, err := s.open(d, 0, func(key string) *entry { return s.find(key) })
+	r, err := s.open(d, 0, s.find)
 	if err != nil {
 		return errors.Is(err, ErrNotFound) // collected meanwhile
 	}
--- a/internal/blob/digest.go
+++ b/internal/blob/digest.go
@@ -69,5 +69,8 @@
 // NewSum is the sum of nothing yet.
 func NewSum() Sum { return Sum{sha256.New()} }
 
+// Digest is what was written, so many bytes, as a digest.
+func (s Sum) Digest(size int64) Digest { return Digest{[sha256.Size]byte(s.Sum(nil)), size} }
+
 // Is says whether what was written has the hash of a digest.
 func (s Sum) Is(d Digest) bool { return [sha256.Size]byte(s.Sum(nil)) == d.Hash }
--- a/internal/blob/store.go
+++ b/internal/blob/store.go
@@ -71,14 +71,8 @@
 	Repair func(ctx context.Context, d Digest) (io.ReadCloser, error)
 }
 
-// File is an open upload file. *os.File is one.
-type File interface {
-	io.ReaderAt
-	io.WriterAt
-	Sync() error
-	Truncate(int64) error
-	Close() error
-}
+// File is an open upload file, as the log's files are.
+type File = wal.File
 
 // Store is an open store. Its methods may be called at the same time.
 type Store struct {
@@ -144,7 +138,7 @@
 		opt.Step = func(string) {}
 	}
 	if opt.OpenFile == nil {
-		opt.OpenFile = func(p string) (File, error) { return os.OpenFile(p, os.O_RDWR|os.O_CREATE, 0o600) }
+		opt.OpenFile = wal.OpenFile
 	}
 	for _, dir := range []string{"objects", "uploads", "rotten"} {
 		if err := os.MkdirAll(filepath.Join(opt.Dir, dir), 0o700); err != nil {
@@ -674,7 +668,6 @@
 	Bytes   int64            // on disk, by the quotas' count
 	Tenants map[string]int64 // the same by tenant; what several have counts for each
 	Uploads int
-	Waiting int // bytes of records that wait for the disk
 }
 
 // Stats counts what is here. Blobs are those of the last checkpoint.
--- a/internal/blob/upload.go
+++ b/internal/blob/upload.go
@@ -4,11 +4,9 @@
 	"bytes"
 	"context"
 	"crypto/rand"
-	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"hash"
 	"io"
 	"os"
 	"path/filepath"
@@ -31,7 +29,7 @@
 	file   File
 
 	mu    sync.Mutex
-	sum   hash.Hash // of the first bytes; nil: to be read again
+	sum   Sum // of the first bytes; the zero Sum: to be read again
 	at    int64
 	used  time.Time
 	ended bool
@@ -57,7 +55,7 @@
 	urgent := len(choices) > 0
 	var id [16]byte
 	_, _ = rand.Read(id[:]) // never fails
-	u = &Upload{s: s, id: hex.EncodeToString(id[:]), tenant: tenant, d: d, urgent: urgent, sum: sha256.New(), used: s.opt.Now()}
+	u = &Upload{s: s, id: hex.EncodeToString(id[:]), tenant: tenant, d: d, urgent: urgent, sum: NewSum(), used: s.opt.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.uploads) >= s.opt.Uploads {
@@ -208,7 +206,7 @@
 		// What went out is passed over by the next try.
 		return fmt.Errorf("blob: %w", err)
 	}
-	if u.sum != nil {
+	if u.sum.Hash != nil {
 		u.sum.Write(p)
 	}
 	u.at += int64(len(p))
@@ -232,12 +230,10 @@
 	_ = os.Remove(u.s.uploadPath(u)) // moved away, or dropped at the next start
 	s := u.s
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	delete(s.uploads, u.id)
 	s.release(u.tenant, u.d.Size)
-	if s.pins[u.d.key()]--; s.pins[u.d.key()] <= 0 {
-		delete(s.pins, u.d.key())
-	}
+	s.mu.Unlock()
+	s.unpin(u.d.key())
 }
 
 // Commit verifies what was written and makes it visible. When it returns without an
@@ -253,14 +249,14 @@
 	case u.at < u.d.Size:
 		return fmt.Errorf("%w: %d of %d bytes are here", ErrGap, u.at, u.d.Size)
 	}
-	if u.sum == nil { // taken up after a restart
-		sum := sha256.New()
+	if u.sum.Hash == nil { // taken up after a restart
+		sum := NewSum()
 		if _, err := io.Copy(sum, io.NewSectionReader(u.file, 0, u.d.Size)); err != nil {
 			return fmt.Errorf("blob: %w", err)
 		}
 		u.sum = sum
 	}
-	if [sha256.Size]byte(u.sum.Sum(nil)) != u.d.Hash {
+	if !u.sum.Is(u.d) {
 		u.end()
 		return fmt.Errorf("%w: %s", ErrMismatch, u.d)
 	}
@@ -294,7 +290,7 @@
 	}
 	if d.Size <= s.opt.Inline {
 		r := &record{kind: recSmall, digest: d, tenant: tenant, data: make([]byte, d.Size)}
-		if _, err := file.ReadAt(r.data, 0); err != nil && !(err == io.EOF) {
+		if _, err := file.ReadAt(r.data, 0); err != nil && err != io.EOF {
 			return fmt.Errorf("blob: %w", err)
 		}
 		if packed := pack(r.data); packed != nil {
--- a/internal/keeper/client.go
+++ b/internal/keeper/client.go
@@ -62,7 +62,7 @@
 		if resp.StatusCode == http.StatusOK {
 			return resp, nil
 		}
-		var a answer
+		var a Answer
 		_ = json.NewDecoder(io.LimitReader(resp.Body, 64<<10)).Decode(&a) // its status says the most of it
 		resp.Body.Close()
 		last = fmt.Errorf("%s %s", resp.Status, a.Error)
@@ -117,7 +117,7 @@
 		switch {
 		case err != nil && !errors.Is(err, io.ErrUnexpectedEOF):
 			return Line{}, err
-		case err == nil && (last.State != "goes on" || !q.Follow):
+		case err == nil && (last.State != StateGoesOn || !q.Follow):
 			return last, nil
 		case ctx.Err() != nil:
 			return last, ctx.Err()
@@ -166,7 +166,7 @@
 		return nil, false, err
 	}
 	defer resp.Body.Close()
-	var a answer
+	var a Answer
 	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil || a.Sealed == nil {
 		return nil, false, fmt.Errorf("%w: %v", errBody, err)
 	}
@@ -180,7 +180,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	var a answer
+	var a Answer
 	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
 		return nil, fmt.Errorf("%w: %v", errBody, err)
 	}
@@ -209,13 +209,9 @@
 	}
 	defer os.Remove(f.Name()) // gone already if it went well
 	defer f.Close()
-	segments := strings.Split(file.Path, "/")
-	for i := range segments {
-		segments[i] = url.PathEscape(segments[i])
-	}
 	done, sum := int64(0), blob.NewSum()
 	for failures := 0; done < d.Size; {
-		resp, err := r.get(ctx, fmt.Sprintf("/files/%s/%d/%s", url.PathEscape(m.Job), m.Task, strings.Join(segments, "/")),
+		resp, err := r.get(ctx, fmt.Sprintf("/files/%s/%d/%s", url.PathEscape(m.Job), m.Task, EscapePath(file.Path)),
 			url.Values{"attempt": {strconv.FormatUint(m.Number, 10)}, "offset": {strconv.FormatInt(done, 10)}})
 		if err != nil {
 			return err
--- a/internal/keeper/config.go
+++ b/internal/keeper/config.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/BurntSushi/toml"
+
+	"topazhollow/internal/tomlfile"
 )
 
 // KeyVariable is the environment variable with the keeper's key, in hexadecimal. Secrets
@@ -46,16 +48,8 @@
 // names file, field and what was expected.
 func LoadConfig(path string) (Config, error) {
 	c := DefaultConfig()
-	meta, err := toml.DecodeFile(path, &c)
-	var bad toml.ParseError
-	if errors.As(err, &bad) {
-		return c, fmt.Errorf("%s: line %d: %s", path, bad.Position.Line, bad.Message)
-	}
-	if err != nil {
-		return c, fmt.Errorf("%s: %w", path, err)
-	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return c, fmt.Errorf("%s: field %s: no such field", path, unknown[0])
+	if err := tomlfile.Load(path, &c); err != nil {
+		return c, err
 	}
 	if err := c.check(); err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -92,7 +92,7 @@
 				if !m.Sealed.Before(limit) {
 					continue
 				}
-				final := "final/" + m.Attempt.task()
+				final := finalName(m.Attempt)
 				if _, f, ok := k.opt.Blobs.Ref(final); ok && f[0] == ds[0] {
 					if err := k.opt.Blobs.DropRef(ctx, final); err != nil {
 						return count, err
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -246,6 +246,10 @@
 // A shelved one is kept like a sealed one, but can't be sealed any more.
 func sealedName(a Attempt) string  { return "sealed/" + a.String() }
 func shelvedName(a Attempt) string { return "partial/" + a.String() }
+func finalName(a Attempt) string   { return "final/" + a.task() }
+
+// openName is the reference that keeps a file of an attempt until its seal.
+func openName(a Attempt, path string) string { return "open/" + a.String() + "/" + path }
 
 // Begin opens an attempt for its machine. Repeated by the same it has no effect.
 // The files and streams of an earlier attempt stay that attempt's.
@@ -367,7 +371,7 @@
 		return fmt.Errorf("%w: %d files", ErrTooMuch, count)
 	}
 	// Until the seal a reference of its own keeps the content.
-	if err := k.opt.Blobs.SetRef(ctx, c.Tenant, "open/"+c.Attempt.String()+"/"+path, d); err != nil {
+	if err := k.opt.Blobs.SetRef(ctx, c.Tenant, openName(c.Attempt, path), d); err != nil {
 		return err
 	}
 	return k.write(ctx, &entry{Kind: kindFile, Attempt: c.Attempt, Path: path, Digest: d.String()})
@@ -405,12 +409,12 @@
 			return nil, false, fmt.Errorf("%w: nothing was said of stream %s", ErrNotWhole, name)
 		}
 	}
-	d, keep, err := k.gather(ctx, a, exit)
+	keep, err := k.gather(ctx, a, exit)
 	if err != nil {
 		return nil, false, err
 	}
 	k.opt.Step("seal")
-	if err := k.opt.Blobs.SetRef(ctx, c.Tenant, sealedName(c.Attempt), append([]blob.Digest{d}, keep...)...); err != nil {
+	if err := k.opt.Blobs.SetRef(ctx, c.Tenant, sealedName(c.Attempt), keep...); err != nil {
 		return nil, false, err
 	}
 	if err := k.conclude(ctx, a); err != nil {
@@ -419,18 +423,20 @@
 	return k.Sealed(c.Attempt)
 }
 
-// gather puts an attempt's streams and its manifest among the blobs. a.mu is held.
-func (k *Keeper) gather(ctx context.Context, a *attempt, exit Exit) (manifest blob.Digest, keep []blob.Digest, err error) {
+// gather puts an attempt's streams and its manifest among the blobs. It gives what is
+// to be kept of it, the manifest first. a.mu is held.
+func (k *Keeper) gather(ctx context.Context, a *attempt, exit Exit) (keep []blob.Digest, err error) {
+	keep = make([]blob.Digest, 1)
 	tenant := a.claim.Tenant
 	m := &Manifest{Claim: a.claim, Sealed: k.opt.Now().UTC(), Exit: exit, Streams: []StreamInfo{}, Files: []FileInfo{}}
 	for _, name := range slices.Sorted(maps.Keys(a.streams)) {
 		content, err := k.content(a, name)
 		if err != nil {
-			return manifest, nil, err
+			return nil, err
 		}
 		d, err := k.opt.Blobs.Put(ctx, tenant, content, blob.Urgent)
 		if err != nil {
-			return manifest, nil, err
+			return nil, err
 		}
 		s := a.streams[name]
 		m.Streams = append(m.Streams, StreamInfo{Name: name, Records: s.next, Bytes: s.bytes, Lost: s.lost, Blob: d, Digest: d.String()})
@@ -440,8 +446,8 @@
 		m.Files = append(m.Files, FileInfo{Path: path, Digest: a.files[path].String()})
 		keep = append(keep, a.files[path])
 	}
-	manifest, err = k.opt.Blobs.Put(ctx, tenant, m.sign(k.opt.Key), blob.Urgent)
-	return manifest, keep, err
+	keep[0], err = k.opt.Blobs.Put(ctx, tenant, m.sign(k.opt.Key), blob.Urgent)
+	return keep, err
 }
 
 // Shelve moves partial attempts that nothing came for in an age out of the way: their
@@ -453,10 +459,9 @@
 	for _, a := range list {
 		a.mu.Lock()
 		if !a.sealed && k.opt.Now().Sub(a.touched) > age {
-			var d blob.Digest
 			var keep []blob.Digest
-			if d, keep, err = k.gather(ctx, a, Exit{Reason: "never sealed"}); err == nil {
-				err = k.opt.Blobs.SetRef(ctx, a.claim.Tenant, shelvedName(a.claim.Attempt), append([]blob.Digest{d}, keep...)...)
+			if keep, err = k.gather(ctx, a, Exit{Reason: "never sealed"}); err == nil {
+				err = k.opt.Blobs.SetRef(ctx, a.claim.Tenant, shelvedName(a.claim.Attempt), keep...)
 			}
 			if err == nil {
 				err = k.close(ctx, a)
@@ -479,7 +484,7 @@
 	}
 	a.sealed = true
 	for path := range a.files {
-		if err := k.opt.Blobs.DropRef(ctx, "open/"+at.String()+"/"+path); err != nil {
+		if err := k.opt.Blobs.DropRef(ctx, openName(at, path)); err != nil {
 			return err
 		}
 	}
@@ -489,40 +494,18 @@
 // Trim gives back the log's space that closed attempts took: first segments of which
 // at most half lives on, which is written again at the end.
 func (k *Keeper) Trim(ctx context.Context) error {
-	for ctx.Err() == nil {
-		first, last := k.log.Segments()
-		if first >= last {
-			return nil
-		}
-		live, all := 0, 0
-		var again []*entry
-		err := k.log.Scan(first, func(_ wal.Pos, b []byte) error {
-			var e entry
-			if err := json.Unmarshal(b, &e); err != nil {
-				return err
-			}
-			all += len(b)
-			k.mu.Lock()
-			defer k.mu.Unlock()
-			if k.open[e.Attempt] != nil && e.Kind != kindClosed {
-				live += len(b)
-				again = append(again, &e)
-			}
-			return nil
-		})
-		if err != nil || 2*live > all {
-			return err
-		}
-		for _, e := range again {
-			if err := k.write(ctx, e); err != nil {
-				return err
-			}
+	return k.log.Compact(ctx, func(_ wal.Pos, b []byte) (func() error, error) {
+		var e entry
+		if err := json.Unmarshal(b, &e); err != nil {
+			return nil, err
 		}
-		if err := k.log.Drop(first + 1); err != nil {
-			return err
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if k.open[e.Attempt] == nil || e.Kind == kindClosed {
+			return nil, nil
 		}
-	}
-	return ctx.Err()
+		return func() error { return k.write(ctx, &e) }, nil
+	}, nil)
 }
 
 // conclude does what follows from a seal. It is begun anew after a restart, so each
@@ -555,7 +538,7 @@
 	k.mu.Lock()
 	latest := k.latest[at.task()]
 	k.mu.Unlock()
-	name := "final/" + at.task()
+	name := finalName(at)
 	if _, _, there := k.opt.Blobs.Ref(name); there || latest > at.Number {
 		return nil
 	}
@@ -585,7 +568,7 @@
 	if m, err = k.manifest(tenant, ds[0]); err != nil {
 		return nil, false, err
 	}
-	_, f, ok := k.opt.Blobs.Ref("final/" + at.task())
+	_, f, ok := k.opt.Blobs.Ref(finalName(at))
 	return m, ok && f[0] == ds[0], nil
 }
 
@@ -598,9 +581,20 @@
 	return k.manifest(tenant, ds[0])
 }
 
+// ended gives the manifest of an attempt that is over, whether it was sealed, and
+// whether it is its task's result.
+func (k *Keeper) ended(at Attempt) (m *Manifest, sealed, final bool, err error) {
+	m, final, err = k.Sealed(at)
+	if errors.Is(err, ErrUnknown) {
+		m, err = k.shelved(at)
+		return m, false, false, err
+	}
+	return m, err == nil, final, err
+}
+
 // Final gives the result of a task, if it has one.
 func (k *Keeper) Final(job string, task int) (*Manifest, error) {
-	tenant, ds, ok := k.opt.Blobs.Ref("final/" + Attempt{Job: job, Task: task}.task())
+	tenant, ds, ok := k.opt.Blobs.Ref(finalName(Attempt{Job: job, Task: task}))
 	if !ok {
 		return nil, ErrUnknown
 	}
@@ -615,6 +609,34 @@
 	Final   bool
 }
 
+// State is what an attempt is, as Line has it.
+func (x Known) State() string {
+	switch {
+	case x.Final:
+		return StateFinal
+	case x.Sealed:
+		return StateSealed
+	}
+	return StatePartial
+}
+
+// state is what an attempt is, as Line has it; "" if it is not known.
+func (k *Keeper) state(at Attempt) (string, error) {
+	k.mu.Lock()
+	open := k.open[at] != nil // before the rest: it may be sealed meanwhile
+	k.mu.Unlock()
+	_, sealed, final, err := k.ended(at)
+	switch {
+	case errors.Is(err, ErrUnknown) && open:
+		return StateGoesOn, nil
+	case errors.Is(err, ErrUnknown):
+		return "", nil
+	case err != nil:
+		return "", err
+	}
+	return Known{Sealed: sealed, Final: final}.State(), nil
+}
+
 // Attempts lists a task's attempts in their order.
 func (k *Keeper) Attempts(job string, task int) ([]Known, error) {
 	prefix := Attempt{Job: job, Task: task}.task()
@@ -629,11 +651,7 @@
 			if at.Number, err = strconv.ParseUint(strings.TrimPrefix(name, kind+prefix), 10, 64); err != nil {
 				return nil, fmt.Errorf("%w: %s", ErrName, name)
 			}
-			m, final, err := k.Sealed(at)
-			sealed := err == nil
-			if errors.Is(err, ErrUnknown) {
-				m, err = k.shelved(at)
-			}
+			m, sealed, final, err := k.ended(at)
 			if err != nil {
 				return nil, err
 			}
@@ -720,12 +738,10 @@
 	a := k.open[at]
 	k.mu.Unlock()
 	if a != nil {
-		return next, false, errors.Join(k.pieces(a, name, from, count))
-	}
-	m, _, err := k.Sealed(at)
-	if errors.Is(err, ErrUnknown) {
-		m, err = k.shelved(at)
+		err = k.pieces(a, name, from, count)
+		return next, false, err
 	}
+	m, _, _, err := k.ended(at)
 	if err != nil {
 		return next, false, err
 	}
--- a/internal/keeper/manifest.go
+++ b/internal/keeper/manifest.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -156,6 +157,15 @@
 	return nil
 }
 
+// EscapePath is a path of a task's files as part of a URL.
+func EscapePath(path string) string {
+	segments := strings.Split(path, "/")
+	for i := range segments {
+		segments[i] = url.PathEscape(segments[i])
+	}
+	return strings.Join(segments, "/")
+}
+
 // CheckPath allows relative paths of a task's files that stay below its directory:
 // segments parted by single slashes, none of them empty, "." or "..", no
 // backslash and no control character.
--- a/internal/keeper/serve.go
+++ b/internal/keeper/serve.go
@@ -31,17 +31,16 @@
 // maxBody bounds a request's body: some records, or a piece of a blob.
 const maxBody = 4 << 20
 
-// answer is the JSON of everything that is not output itself.
-type answer struct {
-	Error   string    `json:"error,omitempty"`
-	Next    *uint64   `json:"next,omitempty"`   // record wanted next
-	Offset  *int64    `json:"offset,omitempty"` // of an upload
-	Upload  string    `json:"upload,omitempty"`
-	Done    bool      `json:"done,omitempty"`
-	Final   bool      `json:"final,omitempty"`
-	Sealed  *Manifest `json:"manifest,omitempty"`
-	List    []Known   `json:"attempts,omitempty"`
-	Streams []string  `json:"streams,omitempty"`
+// Answer is the JSON of everything that is not output itself.
+type Answer struct {
+	Error  string    `json:"error,omitempty"`
+	Next   *uint64   `json:"next,omitempty"`   // record wanted next
+	Offset *int64    `json:"offset,omitempty"` // of an upload
+	Upload string    `json:"upload,omitempty"`
+	Done   bool      `json:"done,omitempty"`
+	Final  bool      `json:"final,omitempty"`
+	Sealed *Manifest `json:"manifest,omitempty"`
+	List   []Known   `json:"attempts,omitempty"`
 }
 
 // status maps the errors of keeper and store to HTTP, in this one place.
@@ -82,7 +81,7 @@
 		s.Follow = time.Hour
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { send(w, 200, answer{}) })
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { send(w, 200, Answer{}) })
 	write := func(pattern string, f func(w http.ResponseWriter, r *http.Request, c Claim) error) {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 			r.Body = http.MaxBytesReader(w, r.Body, maxBody)
@@ -101,7 +100,7 @@
 		if err := s.Keeper.Begin(r.Context(), c); err != nil {
 			return err
 		}
-		send(w, 200, answer{})
+		send(w, 200, Answer{})
 		return nil
 	})
 	write("POST /streams/{name}", s.append)
@@ -113,7 +112,7 @@
 		if err := s.Keeper.Attach(r.Context(), c, r.PathValue("path"), d); err != nil {
 			return err
 		}
-		send(w, 200, answer{})
+		send(w, 200, Answer{})
 		return nil
 	})
 	write("POST /seal", func(w http.ResponseWriter, r *http.Request, c Claim) error {
@@ -129,7 +128,7 @@
 			return err
 		}
 		s.Log.Info("attempt sealed", "job", c.Job, "task", c.Task, "attempt", c.Number, "machine", c.Machine, "completed", m.Exit.Completed, "final", final)
-		send(w, 200, answer{Sealed: m, Final: final})
+		send(w, 200, Answer{Sealed: m, Final: final})
 		return nil
 	})
 	write("POST /uploads", s.begin)
@@ -157,7 +156,7 @@
 		if err != nil {
 			return err
 		}
-		send(w, 200, answer{List: list})
+		send(w, 200, Answer{List: list})
 		return nil
 	})
 	read("GET /manifest/{job}/{task}", func(w http.ResponseWriter, r *http.Request, job string, task int) error {
@@ -169,7 +168,7 @@
 		if err != nil {
 			return err
 		}
-		send(w, 200, answer{Sealed: m, Final: final})
+		send(w, 200, Answer{Sealed: m, Final: final})
 		return nil
 	})
 	read("GET /logs/{job}/{task}", s.logs)
@@ -202,7 +201,7 @@
 	if retry > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(retry.Seconds())))
 	}
-	a := answer{Error: err.Error()}
+	a := Answer{Error: err.Error()}
 	var gap *GapError
 	if errors.As(err, &gap) {
 		a.Next = &gap.Want
@@ -244,7 +243,7 @@
 	if err != nil {
 		return err
 	}
-	send(w, 200, answer{Next: &next})
+	send(w, 200, Answer{Next: &next})
 	return nil
 }
 
@@ -258,11 +257,11 @@
 		return err
 	}
 	if done {
-		send(w, 200, answer{Done: true})
+		send(w, 200, Answer{Done: true})
 		return nil
 	}
 	offset := u.Offset()
-	send(w, 200, answer{Upload: u.ID(), Offset: &offset})
+	send(w, 200, Answer{Upload: u.ID(), Offset: &offset})
 	return nil
 }
 
@@ -283,7 +282,7 @@
 	if len(body) > 0 {
 		if err := u.Write(int64(at), body); err != nil {
 			if errors.Is(err, blob.ErrGap) {
-				send(w, http.StatusConflict, answer{Error: err.Error(), Offset: &offset})
+				send(w, http.StatusConflict, Answer{Error: err.Error(), Offset: &offset})
 				return nil
 			}
 			return err
@@ -291,13 +290,13 @@
 		offset = u.Offset()
 	}
 	if offset < u.Digest().Size {
-		send(w, 200, answer{Upload: u.ID(), Offset: &offset})
+		send(w, 200, Answer{Upload: u.ID(), Offset: &offset})
 		return nil
 	}
 	if err := u.Commit(r.Context()); err != nil {
 		return err
 	}
-	send(w, 200, answer{Done: true})
+	send(w, 200, Answer{Done: true})
 	return nil
 }
 
@@ -321,8 +320,16 @@
 	return list[len(list)-1].Attempt, nil
 }
 
+// States of attempts.
+const (
+	StateFinal   = "final"   // its task's result
+	StateSealed  = "sealed"  // ended, but another is the result, or none
+	StatePartial = "partial" // never sealed, and never will be
+	StateGoesOn  = "goes on" // may get more
+)
+
 // Line is one line of a log as it is read over HTTP. The last one has State instead of
-// output: "final", "sealed" or "partial", or "goes on" if the attempt may get more.
+// output.
 type Line struct {
 	Number  uint64  `json:"n"`
 	Record  *Record `json:"record,omitempty"`
@@ -353,7 +360,7 @@
 	if err := checkStream(name); err != nil {
 		return err
 	}
-	if known, err := s.state(at); err != nil || known == "" {
+	if known, err := s.Keeper.state(at); err != nil || known == "" {
 		return errors.Join(err, ErrUnknown)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), s.Follow)
@@ -383,35 +390,13 @@
 			break
 		}
 	}
-	state, err := s.state(at)
+	state, err := s.Keeper.state(at)
 	if err == nil {
 		_ = enc.Encode(&Line{Number: next, State: state, Attempt: at.Number})
 	}
 	return nil
 }
 
-// state is what an attempt is, in words; "" if it is not known.
-func (s *Server) state(at Attempt) (string, error) {
-	list, err := s.Keeper.Attempts(at.Job, at.Task)
-	if err != nil {
-		return "", err
-	}
-	for _, x := range list {
-		switch {
-		case x.Attempt != at:
-		case x.Final:
-			return "final", nil
-		case x.Sealed:
-			return "sealed", nil
-		case s.Keeper.over(at):
-			return "partial", nil
-		default:
-			return "goes on", nil
-		}
-	}
-	return "", nil
-}
-
 // file answers with a file of a sealed attempt, with what kind of attempt it is in a
 // header.
 func (s *Server) file(w http.ResponseWriter, r *http.Request, job string, task int) error {
--- a/internal/keeper/serve_test.go
+++ b/internal/keeper/serve_test.go
@@ -38,7 +38,7 @@
 	return Grant{Right: Read, Job: job, Until: x.now.Add(time.Hour)}.Token(key)
 }
 
-func (x *site) call(token, method, path string, body []byte) (int, answer, string) {
+func (x *site) call(token, method, path string, body []byte) (int, Answer, string) {
 	x.t.Helper()
 	req, err := http.NewRequest(method, x.url+path, bytes.NewReader(body))
 	if err != nil {
@@ -54,7 +54,7 @@
 	if err != nil {
 		x.t.Fatal(err)
 	}
-	var a answer
+	var a Answer
 	_ = json.Unmarshal(text, &a) // not all answers are of this kind
 	return resp.StatusCode, a, string(text)
 }
@@ -65,7 +65,7 @@
 	x := newSite(t)
 	c := claim(1, 3, 7)
 	w, r := x.writer(c), x.reader(c.Job)
-	must := func(code int, a answer, text string) answer {
+	must := func(code int, a Answer, text string) Answer {
 		t.Helper()
 		if code != 200 {
 			t.Fatalf("%d %s", code, text)
--- a/internal/runner/bring.go
+++ b/internal/runner/bring.go
@@ -10,7 +10,6 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -31,19 +30,9 @@
 
 func (r *refusal) Error() string { return fmt.Sprintf("runner: keeper says %d %s", r.status, r.reason) }
 
-// reply is what of a keeper's answers a worker looks at.
-type reply struct {
-	Error  string  `json:"error"`
-	Next   *uint64 `json:"next"`
-	Offset *int64  `json:"offset"`
-	Upload string  `json:"upload"`
-	Done   bool    `json:"done"`
-	Final  bool    `json:"final"`
-}
-
 // call makes a request until it is answered, with jittered pauses that grow, for as
 // long as the context allows.
-func (s *spool) call(ctx context.Context, path string, body []byte) (*reply, error) {
+func (s *spool) call(ctx context.Context, path string, body []byte) (*keeper.Answer, error) {
 	for pause := s.opt.Pause; ; pause = min(2*pause, 30*time.Second) {
 		a, wait, err := s.once(ctx, s.opt.Keeper, path, body)
 		var no *refusal
@@ -60,7 +49,7 @@
 	}
 }
 
-func (s *spool) once(ctx context.Context, at, path string, body []byte) (a *reply, wait time.Duration, err error) {
+func (s *spool) once(ctx context.Context, at, path string, body []byte) (a *keeper.Answer, wait time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Minute)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, "POST", strings.TrimSuffix(at, "/")+path, bytes.NewReader(body))
@@ -73,7 +62,7 @@
 		return nil, 0, err
 	}
 	defer resp.Body.Close()
-	a = &reply{}
+	a = &keeper.Answer{}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(a); err != nil {
 		return nil, 0, err
 	}
@@ -223,7 +212,7 @@
 	if err != nil {
 		return err
 	}
-	d := blob.Digest{Hash: [32]byte(sum.Sum(nil)), Size: size}
+	d := sum.Digest(size)
 	s.opt.Step("upload")
 	a, err := s.call(ctx, "/uploads?blob="+d.String(), nil)
 	if err != nil {
@@ -243,10 +232,6 @@
 			return err
 		}
 	}
-	segments := strings.Split(path, "/")
-	for i := range segments {
-		segments[i] = url.PathEscape(segments[i])
-	}
-	_, err = s.call(ctx, "/files/"+strings.Join(segments, "/")+"?blob="+d.String(), nil)
+	_, err = s.call(ctx, "/files/"+keeper.EscapePath(path)+"?blob="+d.String(), nil)
 	return err
 }
--- a/internal/topaz/demo.go
+++ b/internal/topaz/demo.go
@@ -18,13 +18,12 @@
 	"sync"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"topazhollow"
 	"topazhollow/internal/keeper"
 	"topazhollow/internal/rehearse"
 	"topazhollow/internal/runner"
 	"topazhollow/internal/settings"
+	"topazhollow/internal/tomlfile"
 	"topazhollow/internal/wire"
 )
 
@@ -61,15 +60,10 @@
 
 func loadExample(path string) (*example, error) {
 	e := &example{Tasks: 1, CPUs: 1, Memory: 1, Estimate: 10}
-	meta, err := toml.DecodeFile(path, e)
-	var bad toml.ParseError
-	switch {
-	case errors.As(err, &bad):
-		return nil, fmt.Errorf("%w: %s: line %d: %s", errUsage, path, bad.Position.Line, bad.Message)
-	case err != nil:
+	if err := tomlfile.Load(path, e); err != nil {
 		return nil, fmt.Errorf("%w: %w", errUsage, err)
-	case len(meta.Undecoded()) > 0:
-		return nil, fmt.Errorf("%w: %s: field %s: no such field", errUsage, path, meta.Undecoded()[0])
+	}
+	switch {
 	case len(e.Command) == 0:
 		return nil, fmt.Errorf("%w: %s: field command: a program and its arguments are expected", errUsage, path)
 	case e.Tasks < 1 || e.Tasks > 100 || !(e.CPUs > 0 && e.CPUs <= 8) || !(e.Memory > 0 && e.Memory <= 64):
--- a/internal/topaz/keep.go
+++ b/internal/topaz/keep.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -43,7 +44,7 @@
 
 // Keep runs a keeper until the context ends. ready is told the address once it
 // answers.
-func Keep(ctx context.Context, set keeper.Config, key []byte, log interface{ Write([]byte) (int, error) }, ready func(addr string)) error {
+func Keep(ctx context.Context, set keeper.Config, key []byte, log io.Writer, ready func(addr string)) error {
 	l := logger(log)
 	gb := func(x float64) int64 { return int64(x * 1e9) }
 	blobs, err := blob.Open(blob.Options{Dir: filepath.Join(set.Dir, "blobs"), Quota: gb(set.QuotaGB), Reserve: gb(set.ReserveGB),
--- a/internal/topaz/topaz.go
+++ b/internal/topaz/topaz.go
@@ -161,12 +161,7 @@
 		return err
 	}
 	for _, a := range list {
-		state := "partial"
-		if a.Final {
-			state = "final"
-		} else if a.Sealed {
-			state = "sealed"
-		}
+		state := a.State()
 		r.print(map[string]any{"job": a.Job, "task": a.Task, "attempt": a.Number, "machine": a.Machine, "state": state},
 			"%-22d %-8s %s", a.Number, state, a.Machine)
 	}
@@ -205,7 +200,7 @@
 	if r.json {
 		_ = json.NewEncoder(r.out).Encode(&end)
 	}
-	if end.State == "partial" || end.State == "goes on" {
+	if end.State == keeper.StatePartial || end.State == keeper.StateGoesOn {
 		return fmt.Errorf("%w: attempt %d of %s/%d", keeper.ErrPartial, end.Attempt, c.Of.Job, c.Of.Task)
 	}
 	return nil
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -57,12 +57,15 @@
 	Close() error
 }
 
+// OpenFile opens a file of the system's for reading and writing, making it if need be.
+func OpenFile(path string) (File, error) { return os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600) }
+
 // Options are a log's choices; the zero value is usable.
 type Options struct {
 	SegmentBytes int64 // a segment that has grown so far is followed by the next; 64 MiB if 0
 	MaxWaiting   int   // bytes that may wait for the disk; 32 MiB if 0
-	// OpenFile opens a segment for reading and writing, making it if need be; nil
-	// means the system's. Tests put failing disks here.
+	// OpenFile opens a segment; OpenFile of this package if nil. Tests put failing
+	// disks here.
 	OpenFile func(path string) (File, error)
 	// Step is told each durable step before ("write", "sync") and after ("synced")
 	// it is taken. Tests end the process here.
@@ -131,7 +134,7 @@
 		opt.MaxWaiting = 32 << 20
 	}
 	if opt.OpenFile == nil {
-		opt.OpenFile = func(path string) (File, error) { return os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600) }
+		opt.OpenFile = OpenFile
 	}
 	if opt.Step == nil {
 		opt.Step = func(string) {}
@@ -477,6 +480,49 @@
 	return nil
 }
 
+// Compact gives back the space of the first segments, one after the other, as long as
+// at most half of the next one lives on. live is handed each record, valid until it
+// returns, and gives how to write it again at the end, or nil if it is needed no more.
+// settle, if given, is called before a segment goes: whoever keeps positions must have
+// the new ones by then.
+func (l *Log) Compact(ctx context.Context, live func(at Pos, record []byte) (again func() error, err error), settle func() error) error {
+	for ctx.Err() == nil {
+		first, last := l.Segments()
+		if first >= last {
+			return nil
+		}
+		kept, all := 0, 0
+		var moves []func() error
+		err := l.Scan(first, func(at Pos, record []byte) error {
+			again, err := live(at, record)
+			if err != nil {
+				return err
+			}
+			all += len(record)
+			if again != nil {
+				kept += len(record)
+				moves = append(moves, again)
+			}
+			return nil
+		})
+		if err != nil || 2*kept > all {
+			return err
+		}
+		if settle != nil {
+			moves = append(moves, settle)
+		}
+		for _, move := range moves {
+			if err := move(); err != nil {
+				return err
+			}
+		}
+		if err := l.Drop(first + 1); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
 // Close ends the log after what waits was written.
 func (l *Log) Close() error {
 	l.mu.Lock()
@@ -500,10 +546,3 @@
 	}
 	l.files = map[uint32]File{}
 }
-
-// waiting is how many bytes wait for the disk, for metrics.
-func (l *Log) waiting() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.bytes
-}
