--- a/internal/blob/store.go
+++ b/internal/blob/store.go
@@ -561,6 +561,19 @@
 	return s.open(d, offset, func(key string) *entry { return s.touch(tenant, key) })
 }
 
+// OpenAny is Open for whoever may read all tenants' blobs.
+func (s *Store) OpenAny(d Digest, offset int64) (*Reader, error) {
+	if offset < 0 || offset > d.Size {
+		return nil, fmt.Errorf("%w: offset %d of %d", ErrNotFound, offset, d.Size)
+	}
+	return s.open(d, offset, func(key string) *entry {
+		if e := s.find(key); e != nil && !e.rotten && !s.deleting[key] {
+			return e
+		}
+		return nil
+	})
+}
+
 func (s *Store) open(d Digest, offset int64, find func(key string) *entry) (*Reader, error) {
 	key := d.key()
 	for range 3 { // a small blob may move on in the log meanwhile
--- a/internal/blob/upload.go
+++ b/internal/blob/upload.go
@@ -96,6 +96,29 @@
 	return nil
 }
 
+// Hold keeps room for bytes that are written elsewhere on the same disk, as to the log
+// of what is not sealed yet; Release gives it back. It is a FullError if there is none.
+func (s *Store) Hold(tenant string, bytes int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hold(tenant, bytes, false)
+}
+
+// Held is Hold for what is on the disk already: it can't be refused.
+func (s *Store) Held(tenant string, bytes int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held[""] += bytes
+	s.held[tenant] += bytes
+}
+
+// Release gives back what Hold or Held kept.
+func (s *Store) Release(tenant string, bytes int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.release(tenant, bytes)
+}
+
 func (s *Store) release(tenant string, bytes int64) {
 	s.held[""] -= bytes
 	if s.held[tenant] -= bytes; s.held[tenant] <= 0 {
@@ -416,6 +439,29 @@
 	return d, nil
 }
 
+// Take uploads a whole blob from a reader.
+func (s *Store) Take(ctx context.Context, tenant string, d Digest, r io.Reader, choices ...Choice) error {
+	u, done, err := s.Begin(tenant, d, choices...)
+	if err != nil || done {
+		return err
+	}
+	buf := make([]byte, min(d.Size+1, 256<<10))
+	for err == nil {
+		var n int
+		n, err = r.Read(buf)
+		if n > 0 {
+			err = errors.Join(u.Write(u.Offset(), buf[:n]), err)
+		}
+	}
+	if err == io.EOF || errors.Is(err, io.EOF) && u.Offset() == d.Size {
+		err = u.Commit(ctx)
+	}
+	if err != nil {
+		u.Abort()
+	}
+	return err
+}
+
 // memory is a small blob's content, read like a file.
 type memory struct{ *bytes.Reader }
 
--- a/internal/keeper/client.go
+++ b/internal/keeper/client.go
@@ -21,9 +21,14 @@
 // ErrPartial says that what was read is no sealed attempt's.
 var ErrPartial = errors.New("keeper: partial, its worker never sealed it")
 
+// ErrUnsure says that too few keepers answered to tell whether more was kept.
+var ErrUnsure = errors.New("keeper: too few keepers answered to be sure")
+
+var errAnswer = errors.New("keeper: malformed answer")
+
 // Reader reads from a keeper.
 type Reader struct {
-	URL   string // of the keeper
+	URL   string // of a keeper, or of several with commas between: another is asked when one fails
 	Token string
 	HTTP  *http.Client // http.DefaultClient if nil
 	Tries int          // of a request that got no answer; 5 if 0
@@ -40,7 +45,8 @@
 		tries = 5
 	}
 	var last error
-	for try := range tries {
+	urls := strings.Split(r.URL, ",")
+	for try := range max(tries, 2*len(urls)) {
 		if try > 0 {
 			pause := time.Duration(rand.Int64N(int64(200*time.Millisecond) << try))
 			select {
@@ -49,7 +55,7 @@
 				return nil, errors.Join(ctx.Err(), last)
 			}
 		}
-		req, err := http.NewRequestWithContext(ctx, "GET", strings.TrimSuffix(r.URL, "/")+path+"?"+q.Encode(), nil)
+		req, err := http.NewRequestWithContext(ctx, "GET", strings.TrimSuffix(strings.TrimSpace(urls[try%len(urls)]), "/")+path+"?"+q.Encode(), nil)
 		if err != nil {
 			return nil, err
 		}
@@ -117,7 +123,7 @@
 		switch {
 		case err != nil && !errors.Is(err, io.ErrUnexpectedEOF):
 			return Line{}, err
-		case err == nil && (last.State != StateGoesOn || !q.Follow):
+		case err == nil && ((last.State != StateGoesOn && last.State != StateUnsure) || !q.Follow):
 			return last, nil
 		case ctx.Err() != nil:
 			return last, ctx.Err()
@@ -168,7 +174,7 @@
 	defer resp.Body.Close()
 	var a Answer
 	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil || a.Sealed == nil {
-		return nil, false, fmt.Errorf("%w: %v", errBody, err)
+		return nil, false, fmt.Errorf("%w: %v", errAnswer, err)
 	}
 	return a.Sealed, a.Final, nil
 }
@@ -182,14 +188,38 @@
 	defer resp.Body.Close()
 	var a Answer
 	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
-		return nil, fmt.Errorf("%w: %v", errBody, err)
+		return nil, fmt.Errorf("%w: %v", errAnswer, err)
 	}
-	if len(a.List) == 0 {
+	switch {
+	case a.Unsure:
+		return a.List, ErrUnsure
+	case len(a.List) == 0:
 		return nil, ErrUnknown
 	}
 	return a.List, nil
 }
 
+// Tasks lists the tasks of a job of which something is kept. With ErrUnsure some may be
+// missing.
+func (r *Reader) Tasks(ctx context.Context, job string) ([]int, error) {
+	resp, err := r.get(ctx, "/tasks/"+url.PathEscape(job), nil)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var t TaskList
+	if err := json.NewDecoder(resp.Body).Decode(&t); err != nil {
+		return nil, fmt.Errorf("%w: %v", errAnswer, err)
+	}
+	switch {
+	case t.Unsure:
+		return t.Tasks, ErrUnsure
+	case len(t.Tasks) == 0:
+		return nil, ErrUnknown
+	}
+	return t.Tasks, nil
+}
+
 // Fetch copies a file of an attempt to a path, which appears only once all of it is
 // there and verified. A transfer that breaks off is gone on with.
 func (r *Reader) Fetch(ctx context.Context, m *Manifest, file FileInfo, to string, progress func(done, all int64)) error {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/binary"
@@ -11,8 +10,6 @@
 	"io/fs"
 	"maps"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -36,29 +33,58 @@
 	Step      func(step string) // told of each durable step, for tests
 }
 
-// Keeper is an open keeper. Its methods may be called at the same time.
+// Keeper is one keeper's own part: what it holds on its disk, and its votes. Its
+// methods may be called at the same time. What several keepers promise together is
+// package keepers' matter.
 type Keeper struct {
 	opt Options
 	log *wal.Log
 
-	settling sync.Mutex // one result is decided at a time
+	mu        sync.Mutex
+	changed   sync.Cond
+	open      map[Attempt]*attempt
+	votes     map[Attempt]*Vote // of what is not decided; Number 0 stands for the task's result
+	latest    map[string]uint64 // highest attempt begun, of tasks with open attempts
+	unsettled map[Attempt]bool  // sealed and completed, and not known whether they are the result
+	gates     map[Attempt]*gate
+	closed    bool
+}
 
-	mu      sync.Mutex
-	changed sync.Cond
-	open    map[Attempt]*attempt
-	latest  map[string]uint64 // highest attempt begun, of tasks with open attempts
-	closed  bool
+// gate is held while something is written for an attempt, so that order is kept.
+type gate struct {
+	sync.Mutex
+	users int
 }
 
-// attempt is one that is not sealed.
+// enter takes an attempt's gate; leave gives it back.
+func (k *Keeper) enter(at Attempt) (leave func()) {
+	k.mu.Lock()
+	g := k.gates[at]
+	if g == nil {
+		g = &gate{}
+		k.gates[at] = g
+	}
+	g.users++
+	k.mu.Unlock()
+	g.Lock()
+	return func() {
+		g.Unlock()
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if g.users--; g.users == 0 {
+			delete(k.gates, at)
+		}
+	}
+}
+
+// attempt is one that has not ended.
 type attempt struct {
-	mu      sync.Mutex // held while something is written for it, so that order is kept
 	claim   Claim
 	began   time.Time
 	streams map[string]*stream
 	files   map[string]blob.Digest
 	touched time.Time // when something last came for it
-	sealed  bool
+	held    int64     // room kept for it in the store of blobs
 }
 
 // stream is what is known of an open attempt's stream.
@@ -100,6 +126,8 @@
 	Records []Record `json:"r,omitempty"`
 	Path    string   `json:"p,omitempty"`
 	Digest  string   `json:"d,omitempty"`
+	Vote    *Vote    `json:"v,omitempty"`
+	Settle  bool     `json:"u,omitempty"` // of a closed one: whether it is the result is open
 }
 
 // Kinds of entries.
@@ -107,7 +135,9 @@
 	kindBegin  = "begin"
 	kindAppend = "append"
 	kindFile   = "file"
-	kindClosed = "closed" // sealed, and all that follows from it is durable
+	kindVote   = "vote"
+	kindClosed = "closed"  // ended, and that is durable
+	kindSettle = "settled" // it is known whether a closed one is the result
 )
 
 // Open opens a keeper's directory. What a process that ended had begun to seal is
@@ -134,7 +164,7 @@
 	if opt.Step == nil {
 		opt.Step = func(string) {}
 	}
-	k := &Keeper{opt: opt, open: map[Attempt]*attempt{}, latest: map[string]uint64{}}
+	k := &Keeper{opt: opt, open: map[Attempt]*attempt{}, votes: map[Attempt]*Vote{}, latest: map[string]uint64{}, unsettled: map[Attempt]bool{}, gates: map[Attempt]*gate{}}
 	k.changed.L = &k.mu
 	// An open attempt's beginning may have been written again behind entries that
 	// belong to it.
@@ -147,7 +177,7 @@
 		switch {
 		case e.Kind == kindClosed:
 			delete(early, e.Attempt)
-		case e.Kind != kindBegin && k.open[e.Attempt] == nil:
+		case (e.Kind == kindAppend || e.Kind == kindFile) && k.open[e.Attempt] == nil:
 			early[e.Attempt] = append(early[e.Attempt], func() { k.apply(&e, at) })
 			return nil
 		}
@@ -162,21 +192,42 @@
 		return nil, err
 	}
 	k.log = log
-	for _, a := range slices.Collect(maps.Values(k.open)) {
-		var err error
-		if _, _, ok := opt.Blobs.Ref(sealedName(a.claim.Attempt)); ok {
-			err = k.conclude(context.Background(), a)
-		} else if _, _, ok := opt.Blobs.Ref(shelvedName(a.claim.Attempt)); ok {
-			err = k.close(context.Background(), a)
-		}
-		if err != nil {
-			log.Close()
-			return nil, err
-		}
+	if err := k.tidy(context.Background()); err != nil {
+		log.Close()
+		return nil, err
 	}
 	return k, nil
 }
 
+// tidy sees through what a process that ended had begun.
+func (k *Keeper) tidy(ctx context.Context) error {
+	for at := range k.votes {
+		if _, there, err := k.decided(at); err != nil {
+			return err
+		} else if there && at.Number == 0 {
+			delete(k.votes, at)
+		} else if there && k.open[at] == nil {
+			if err := k.close(ctx, at); err != nil {
+				return err
+			}
+		}
+	}
+	for _, at := range slices.Collect(maps.Keys(k.open)) {
+		if k.over(at) {
+			if err := k.close(ctx, at); err != nil {
+				return err
+			}
+			continue
+		}
+		a := k.open[at]
+		for _, s := range a.streams {
+			a.held += s.bytes
+		}
+		k.opt.Blobs.Held(a.claim.Tenant, a.held)
+	}
+	return nil
+}
+
 // Close ends the keeper.
 func (k *Keeper) Close() error {
 	k.mu.Lock()
@@ -223,8 +274,21 @@
 		if d, err := blob.Parse(e.Digest); a != nil && err == nil {
 			a.files[e.Path] = d
 		}
+	case kindVote:
+		if e.Vote != nil {
+			k.votes[e.Attempt] = k.votes[e.Attempt].add(e.Vote)
+		}
 	case kindClosed:
+		if a != nil {
+			k.opt.Blobs.Release(a.claim.Tenant, a.held)
+		}
 		delete(k.open, e.Attempt)
+		delete(k.votes, e.Attempt)
+		if e.Settle {
+			k.unsettled[e.Attempt] = true
+		}
+	case kindSettle:
+		delete(k.unsettled, e.Attempt)
 	}
 }
 
@@ -260,6 +324,7 @@
 	if c.Tenant == "" || c.Machine == "" || len(c.Tenant)+len(c.Machine) > 400 {
 		return fmt.Errorf("%w: tenant %.100q, machine %.100q", ErrName, c.Tenant, c.Machine)
 	}
+	defer k.enter(c.Attempt)()
 	k.mu.Lock()
 	a, n := k.open[c.Attempt], len(k.open)
 	k.mu.Unlock()
@@ -278,24 +343,22 @@
 	return k.write(ctx, &entry{Kind: kindBegin, Claim: &c, Attempt: c.Attempt, Began: k.opt.Now().UnixMilli()})
 }
 
-// mine finds an open attempt and holds it, for the machine and session that began it.
+// mine finds an open attempt, for the machine and session that began it. Its gate is
+// held.
 func (k *Keeper) mine(c Claim) (*attempt, error) {
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	a := k.open[c.Attempt]
-	k.mu.Unlock()
-	if a == nil {
+	switch v := k.votes[c.Attempt]; {
+	case a == nil:
 		if k.over(c.Attempt) {
 			return nil, ErrSealed
 		}
 		return nil, ErrUnknown
-	}
-	if a.claim != c {
+	case a.claim != c:
 		return nil, ErrClaim
-	}
-	a.mu.Lock()
-	if a.sealed {
-		a.mu.Unlock()
-		return nil, ErrSealed
+	case v.frozen():
+		return nil, ErrFrozen
 	}
 	a.touched = k.opt.Now()
 	return a, nil
@@ -312,14 +375,14 @@
 // are there already have no second effect; a number behind the end is a GapError.
 // next is the number of the record wanted next; all before it are durable.
 func (k *Keeper) Append(ctx context.Context, c Claim, name string, first uint64, records []Record) (next uint64, err error) {
-	if err := checkStream(name); err != nil {
+	if err := CheckStream(name); err != nil {
 		return 0, err
 	}
+	defer k.enter(c.Attempt)()
 	a, err := k.mine(c)
 	if err != nil {
 		return 0, err
 	}
-	defer a.mu.Unlock()
 	k.mu.Lock()
 	s := a.streams[name]
 	count, size := len(a.streams), int64(0)
@@ -337,18 +400,24 @@
 		return next, nil
 	}
 	records = records[next-first:]
+	more := int64(0)
 	for _, r := range records {
-		size += int64(len(r.Data))
+		more += int64(len(r.Data))
 		if len(r.Data) > k.opt.Record || (r.Hole != nil && (r.Hole.Bytes < 0 || len(r.Data) > 0)) {
 			return next, fmt.Errorf("%w: a record of %d bytes", ErrTooMuch, len(r.Data))
 		}
 	}
-	if size > k.opt.StreamMax {
-		return next, fmt.Errorf("%w: stream %s of %d bytes", ErrTooMuch, name, size)
+	if size+more > k.opt.StreamMax {
+		return next, fmt.Errorf("%w: stream %s of %d bytes", ErrTooMuch, name, size+more)
+	}
+	if err := k.opt.Blobs.Hold(c.Tenant, more); err != nil {
+		return next, err
 	}
 	if err := k.write(ctx, &entry{Kind: kindAppend, Attempt: c.Attempt, Stream: name, First: next, Records: records}); err != nil {
+		k.opt.Blobs.Release(c.Tenant, more)
 		return next, err
 	}
+	a.held += more
 	return next + uint64(len(records)), nil
 }
 
@@ -358,11 +427,11 @@
 	if err := CheckPath(path); err != nil {
 		return err
 	}
+	defer k.enter(c.Attempt)()
 	a, err := k.mine(c)
 	if err != nil {
 		return err
 	}
-	defer a.mu.Unlock()
 	k.mu.Lock()
 	_, again := a.files[path]
 	count := len(a.files)
@@ -377,120 +446,6 @@
 	return k.write(ctx, &entry{Kind: kindFile, Attempt: c.Attempt, Path: path, Digest: d.String()})
 }
 
-// Seal closes an attempt with what its worker says of its end and of how many
-// records it put out in each stream; if they are not all here, it is refused with
-// what is wanted. A repeated seal gives the manifest again. When it returns without
-// an error the manifest is durable, and final says whether it is the task's result:
-// the first of the completed ones, unless a later attempt had begun by then.
-func (k *Keeper) Seal(ctx context.Context, c Claim, exit Exit, records map[string]uint64) (m *Manifest, final bool, err error) {
-	a, err := k.mine(c)
-	if errors.Is(err, ErrSealed) {
-		return k.Sealed(c.Attempt)
-	}
-	if err != nil {
-		return nil, false, err
-	}
-	defer a.mu.Unlock()
-	k.mu.Lock()
-	names := slices.Sorted(maps.Keys(a.streams))
-	for name, want := range records {
-		if s := a.streams[name]; (s == nil && want > 0) || (s != nil && s.next != want) {
-			k.mu.Unlock()
-			var have uint64
-			if s != nil {
-				have = s.next
-			}
-			return nil, false, fmt.Errorf("%w: %w", ErrNotWhole, &GapError{Stream: name, Want: have, Have: want})
-		}
-	}
-	k.mu.Unlock()
-	for _, name := range names {
-		if _, said := records[name]; !said {
-			return nil, false, fmt.Errorf("%w: nothing was said of stream %s", ErrNotWhole, name)
-		}
-	}
-	keep, err := k.gather(ctx, a, exit)
-	if err != nil {
-		return nil, false, err
-	}
-	k.opt.Step("seal")
-	if err := k.opt.Blobs.SetRef(ctx, c.Tenant, sealedName(c.Attempt), keep...); err != nil {
-		return nil, false, err
-	}
-	if err := k.conclude(ctx, a); err != nil {
-		return nil, false, err
-	}
-	return k.Sealed(c.Attempt)
-}
-
-// gather puts an attempt's streams and its manifest among the blobs. It gives what is
-// to be kept of it, the manifest first. a.mu is held.
-func (k *Keeper) gather(ctx context.Context, a *attempt, exit Exit) (keep []blob.Digest, err error) {
-	keep = make([]blob.Digest, 1)
-	tenant := a.claim.Tenant
-	m := &Manifest{Claim: a.claim, Sealed: k.opt.Now().UTC(), Exit: exit, Streams: []StreamInfo{}, Files: []FileInfo{}}
-	for _, name := range slices.Sorted(maps.Keys(a.streams)) {
-		content, err := k.content(a, name)
-		if err != nil {
-			return nil, err
-		}
-		d, err := k.opt.Blobs.Put(ctx, tenant, content, blob.Urgent)
-		if err != nil {
-			return nil, err
-		}
-		s := a.streams[name]
-		m.Streams = append(m.Streams, StreamInfo{Name: name, Records: s.next, Bytes: s.bytes, Lost: s.lost, Blob: d, Digest: d.String()})
-		keep = append(keep, d)
-	}
-	for _, path := range slices.Sorted(maps.Keys(a.files)) {
-		m.Files = append(m.Files, FileInfo{Path: path, Digest: a.files[path].String()})
-		keep = append(keep, a.files[path])
-	}
-	keep[0], err = k.opt.Blobs.Put(ctx, tenant, m.sign(k.opt.Key), blob.Urgent)
-	return keep, err
-}
-
-// Shelve moves partial attempts that nothing came for in an age out of the way: their
-// output stays readable, and they can never be sealed any more. It gives how many.
-func (k *Keeper) Shelve(ctx context.Context, age time.Duration) (count int, err error) {
-	k.mu.Lock()
-	list := slices.Collect(maps.Values(k.open))
-	k.mu.Unlock()
-	for _, a := range list {
-		a.mu.Lock()
-		if !a.sealed && k.opt.Now().Sub(a.touched) > age {
-			var keep []blob.Digest
-			if keep, err = k.gather(ctx, a, Exit{Reason: "never sealed"}); err == nil {
-				err = k.opt.Blobs.SetRef(ctx, a.claim.Tenant, shelvedName(a.claim.Attempt), keep...)
-			}
-			if err == nil {
-				err = k.close(ctx, a)
-			}
-			count++
-		}
-		a.mu.Unlock()
-		if err != nil {
-			return count, err
-		}
-	}
-	return count, nil
-}
-
-// close takes an attempt out of what is open. a.mu is held.
-func (k *Keeper) close(ctx context.Context, a *attempt) error {
-	at := a.claim.Attempt
-	if err := k.write(ctx, &entry{Kind: kindClosed, Attempt: at}); err != nil {
-		return err
-	}
-	a.sealed = true
-	for path := range a.files {
-		if err := k.opt.Blobs.DropRef(ctx, openName(at, path)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Trim gives back the log's space that closed attempts took: first segments of which
 // at most half lives on, which is written again at the end.
 func (k *Keeper) Trim(ctx context.Context) error {
@@ -501,185 +456,68 @@
 		}
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		if k.open[e.Attempt] == nil || e.Kind == kindClosed {
+		alive := k.open[e.Attempt] != nil
+		switch e.Kind {
+		case kindClosed:
+			alive = k.unsettled[e.Attempt]
+		case kindVote:
+			alive = k.votes[e.Attempt].needs(e.Vote)
+		case kindSettle:
+			alive = false
+		}
+		if !alive {
 			return nil, nil
 		}
 		return func() error { return k.write(ctx, &e) }, nil
 	}, nil)
 }
 
-// conclude does what follows from a seal. It is begun anew after a restart, so each
-// step may be taken twice.
-func (k *Keeper) conclude(ctx context.Context, a *attempt) error {
-	at := a.claim.Attempt
-	tenant, ds, ok := k.opt.Blobs.Ref(sealedName(at))
-	if !ok {
-		return ErrUnknown
-	}
-	m, err := k.manifest(tenant, ds[0])
-	if err != nil {
-		return err
-	}
-	k.opt.Step("final")
-	if m.Exit.Completed {
-		if err := k.settle(ctx, tenant, at, ds[0]); err != nil {
-			return err
-		}
-	}
-	k.opt.Step("close")
-	return k.close(ctx, a)
-}
-
-// settle makes an attempt its task's result if there is none and no later attempt
-// has begun. One settles at a time.
-func (k *Keeper) settle(ctx context.Context, tenant string, at Attempt, d blob.Digest) error {
-	k.settling.Lock()
-	defer k.settling.Unlock()
-	k.mu.Lock()
-	latest := k.latest[at.task()]
-	k.mu.Unlock()
-	name := finalName(at)
-	if _, _, there := k.opt.Blobs.Ref(name); there || latest > at.Number {
-		return nil
-	}
-	for _, over := range []func(Attempt) string{sealedName, shelvedName} {
-		prefix := strings.TrimSuffix(over(at), fmt.Sprintf("%020d", at.Number))
-		if later, err := k.opt.Blobs.Refs(prefix, over(at), 1); err != nil || len(later) > 0 {
-			return err
-		}
-	}
-	return k.opt.Blobs.SetRef(ctx, tenant, name, d)
-}
-
 func (k *Keeper) manifest(tenant string, d blob.Digest) (*Manifest, error) {
-	data, err := k.opt.Blobs.Get(tenant, d, 64<<20)
+	data, err := k.opt.Blobs.Get(tenant, d, maxManifest)
 	if err != nil {
 		return nil, err
 	}
 	return Verify(k.opt.Key, data)
 }
 
-// Sealed gives the manifest of a sealed attempt, and whether it is its task's result.
-func (k *Keeper) Sealed(at Attempt) (m *Manifest, final bool, err error) {
-	tenant, ds, ok := k.opt.Blobs.Ref(sealedName(at))
-	if !ok {
-		return nil, false, ErrUnknown
-	}
-	if m, err = k.manifest(tenant, ds[0]); err != nil {
-		return nil, false, err
-	}
-	_, f, ok := k.opt.Blobs.Ref(finalName(at))
-	return m, ok && f[0] == ds[0], nil
-}
-
-// shelved gives the manifest of an attempt that was never sealed.
-func (k *Keeper) shelved(at Attempt) (*Manifest, error) {
-	tenant, ds, ok := k.opt.Blobs.Ref(shelvedName(at))
-	if !ok {
-		return nil, ErrUnknown
-	}
-	return k.manifest(tenant, ds[0])
-}
-
-// ended gives the manifest of an attempt that is over, whether it was sealed, and
-// whether it is its task's result.
-func (k *Keeper) ended(at Attempt) (m *Manifest, sealed, final bool, err error) {
-	m, final, err = k.Sealed(at)
-	if errors.Is(err, ErrUnknown) {
-		m, err = k.shelved(at)
-		return m, false, false, err
-	}
-	return m, err == nil, final, err
-}
-
-// Final gives the result of a task, if it has one.
-func (k *Keeper) Final(job string, task int) (*Manifest, error) {
-	tenant, ds, ok := k.opt.Blobs.Ref(finalName(Attempt{Job: job, Task: task}))
-	if !ok {
-		return nil, ErrUnknown
+// ended gives the manifest of an attempt that is over, its digest, and whether it was
+// sealed.
+func (k *Keeper) ended(at Attempt) (m *Manifest, sealed bool, d blob.Digest, err error) {
+	for _, name := range []string{sealedName(at), shelvedName(at)} {
+		if tenant, ds, ok := k.opt.Blobs.Ref(name); ok {
+			m, err = k.manifest(tenant, ds[0])
+			return m, err == nil && !m.Partial, ds[0], err
+		}
 	}
-	return k.manifest(tenant, ds[0])
-}
-
-// Known is an attempt as a list of a task's attempts has it.
-type Known struct {
-	Attempt
-	Machine string
-	Sealed  bool // else it is partial, and stays so unless its worker seals it
-	Final   bool
+	return nil, false, d, ErrUnknown
 }
 
-// State is what an attempt is, as Line has it.
-func (x Known) State() string {
-	switch {
-	case x.Final:
-		return StateFinal
-	case x.Sealed:
-		return StateSealed
-	}
-	return StatePartial
+// Ended gives the manifest of an attempt that is over.
+func (k *Keeper) Ended(at Attempt) (*Manifest, error) {
+	m, _, _, err := k.ended(at)
+	return m, err
 }
 
-// state is what an attempt is, as Line has it; "" if it is not known.
-func (k *Keeper) state(at Attempt) (string, error) {
+// Content gives what is here of a stream of an open attempt as it is kept once the
+// attempt has ended: see AppendRecord.
+func (k *Keeper) Content(at Attempt, name string) (content []byte, err error) {
 	k.mu.Lock()
-	open := k.open[at] != nil // before the rest: it may be sealed meanwhile
+	a := k.open[at]
 	k.mu.Unlock()
-	_, sealed, final, err := k.ended(at)
-	switch {
-	case errors.Is(err, ErrUnknown) && open:
-		return StateGoesOn, nil
-	case errors.Is(err, ErrUnknown):
-		return "", nil
-	case err != nil:
-		return "", err
-	}
-	return Known{Sealed: sealed, Final: final}.State(), nil
-}
-
-// Attempts lists a task's attempts in their order.
-func (k *Keeper) Attempts(job string, task int) ([]Known, error) {
-	prefix := Attempt{Job: job, Task: task}.task()
-	var list []Known
-	for _, kind := range []string{"sealed/", "partial/"} {
-		names, err := k.opt.Blobs.Refs(kind+prefix, "", 1000)
-		if err != nil {
-			return nil, err
-		}
-		for _, name := range names {
-			at := Attempt{Job: job, Task: task}
-			if at.Number, err = strconv.ParseUint(strings.TrimPrefix(name, kind+prefix), 10, 64); err != nil {
-				return nil, fmt.Errorf("%w: %s", ErrName, name)
-			}
-			m, sealed, final, err := k.ended(at)
-			if err != nil {
-				return nil, err
-			}
-			list = append(list, Known{at, m.Machine, sealed, final})
-		}
-	}
-	k.mu.Lock()
-	for at, a := range k.open {
-		if at.Job == job && at.Task == task && !slices.ContainsFunc(list, func(x Known) bool { return x.Attempt == at }) {
-			list = append(list, Known{Attempt: at, Machine: a.claim.Machine})
-		}
+	if a == nil {
+		return nil, ErrUnknown
 	}
-	k.mu.Unlock()
-	slices.SortFunc(list, func(a, b Known) int { return strings.Compare(a.String(), b.String()) })
-	return list, nil
-}
-
-// content gives a stream of an open attempt as it is kept once sealed: each record's
-// JSON behind its length.
-func (k *Keeper) content(a *attempt, name string) ([]byte, error) {
-	var out bytes.Buffer
-	err := k.pieces(a, name, 0, func(r Record) error {
-		b := wire.Encode(&r)
-		out.Write(binary.AppendUvarint(nil, uint64(len(b))))
-		out.Write(b)
+	err = k.pieces(a, name, 0, func(r Record) error {
+		content = AppendRecord(content, r)
 		return nil
 	})
-	return out.Bytes(), err
+	return content, err
+}
+
+// AppendRecord adds a record to a stream's content: its JSON behind its length.
+func AppendRecord(content []byte, r Record) []byte {
+	b := wire.Encode(&r)
+	return append(binary.AppendUvarint(content, uint64(len(b))), b...)
 }
 
 // pieces hands over the records of an open attempt's stream from a number on.
@@ -741,7 +579,7 @@
 		err = k.pieces(a, name, from, count)
 		return next, false, err
 	}
-	m, _, _, err := k.ended(at)
+	m, err := k.Ended(at)
 	if err != nil {
 		return next, false, err
 	}
--- a/internal/keeper/manifest.go
+++ b/internal/keeper/manifest.go
@@ -69,6 +69,7 @@
 	Tenant  string `json:"tenant"`
 	Machine string `json:"machine"`
 	Session uint64 `json:"session"`
+	Class   string `json:"class,omitempty"` // of the job; how long it is kept may go by it
 }
 
 // StreamInfo is a stream in a manifest.
@@ -99,14 +100,34 @@
 type Manifest struct {
 	Claim
 	Sealed  time.Time    `json:"sealed"`
+	Partial bool         `json:"partial,omitempty"` // never sealed by its worker, and never will be
 	Exit    Exit         `json:"exit"`
 	Streams []StreamInfo `json:"streams"`
 	Files   []FileInfo   `json:"files"`
 	Code    string       `json:"hmac_sha256"`
 }
 
-// sign gives a manifest its code: HMAC-SHA256 (RFC 2104) over its JSON without one.
-func (m *Manifest) sign(key []byte) []byte {
+// maxManifest bounds a manifest, in bytes.
+const maxManifest = 8 << 20
+
+// keeps lists the blobs that must be kept for a signed manifest, itself first.
+func (m *Manifest) keeps(signed []byte) ([]blob.Digest, error) {
+	keep := []blob.Digest{blob.Of(signed)}
+	for _, s := range m.Streams {
+		keep = append(keep, s.Blob)
+	}
+	for _, f := range m.Files {
+		d, err := blob.Parse(f.Digest)
+		if err != nil {
+			return nil, err
+		}
+		keep = append(keep, d)
+	}
+	return keep, nil
+}
+
+// Sign gives a manifest its code: HMAC-SHA256 (RFC 2104) over its JSON without one.
+func (m *Manifest) Sign(key []byte) []byte {
 	m.Code = ""
 	m.Code = hex.EncodeToString(mac(key, wire.Encode(m)))
 	return wire.Encode(m)
@@ -147,8 +168,8 @@
 	maxPath   = 1024
 )
 
-// checkStream allows short printable names without a slash.
-func checkStream(name string) error {
+// CheckStream allows short printable names without a slash.
+func CheckStream(name string) error {
 	if name == "" || len(name) > maxStream || strings.ContainsFunc(name, func(r rune) bool {
 		return !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_' || r == '.')
 	}) || strings.HasPrefix(name, ".") {
--- a/internal/keeper/token.go
+++ b/internal/keeper/token.go
@@ -24,6 +24,10 @@
 	Write Right = "write"
 	// Read lets its bearer read a job's output and files, or one task's.
 	Read Right = "read"
+	// Peer lets one keeper ask another.
+	Peer Right = "peer"
+	// Operate lets its bearer read metrics and status.
+	Operate Right = "operate"
 )
 
 // Grant is what a token stands for. It holds until its time is over, to the second,
@@ -36,6 +40,7 @@
 	Number  uint64    `json:"a,omitempty"` // of the attempt, to write
 	Machine string    `json:"m,omitempty"` // to write
 	Session uint64    `json:"s,omitempty"`
+	Class   string    `json:"c,omitempty"` // of the job, to write
 	Until   time.Time `json:"u"`
 }
 
@@ -75,15 +80,15 @@
 	return &g, nil
 }
 
-// allows says whether the grant is for reading a task, or -1 for all of a job.
-func (g *Grant) allows(job string, task int) bool {
+// Allows says whether the grant is for reading a task, or -1 for all of a job.
+func (g *Grant) Allows(job string, task int) bool {
 	return g.Right == Read && g.Job == job && (g.Task == nil || *g.Task == task)
 }
 
-// claim is whose output a grant to write lets in.
-func (g *Grant) claim() (Claim, error) {
+// Claim is whose output a grant to write lets in.
+func (g *Grant) Claim() (Claim, error) {
 	if g.Right != Write || g.Task == nil {
 		return Claim{}, fmt.Errorf("%w: not for writing", ErrToken)
 	}
-	return Claim{Attempt: Attempt{g.Job, *g.Task, g.Number}, Tenant: g.Tenant, Machine: g.Machine, Session: g.Session}, nil
+	return Claim{Attempt: Attempt{g.Job, *g.Task, g.Number}, Tenant: g.Tenant, Machine: g.Machine, Session: g.Session, Class: g.Class}, nil
 }
--- a/internal/keeper/config_test.go
+++ b/internal/keepers/config_test.go
@@ -1,4 +1,4 @@
-package keeper
+package keepers
 
 import (
 	"crypto/ecdsa"
@@ -12,6 +12,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -43,14 +44,18 @@
 		}
 	}
 	c, err := LoadConfig("../../deploy/keep.toml")
-	if err != nil || c != DefaultConfig() {
+	want := DefaultConfig()
+	want.Policy = "../../deploy/retention.star"
+	want.Fill()
+	if err != nil || !reflect.DeepEqual(c, want) {
 		t.Errorf("%+v, %v", c, err)
 	}
+	c.Policy = "" // lies elsewhere
 	path := filepath.Join(dir, "again.toml")
 	if err := os.WriteFile(path, []byte(c.String()), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if again, err := LoadConfig(path); err != nil || again != c {
+	if again, err := LoadConfig(path); err != nil || !reflect.DeepEqual(again, c) {
 		t.Errorf("printed and read again: %+v, %v", again, err)
 	}
 }
--- /dev/null
+++ b/internal/keepers/replica.go
@@ -0,0 +1,363 @@
+package keepers
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"topazhollow/internal/blob"
+	"topazhollow/internal/keeper"
+	"topazhollow/internal/wire"
+)
+
+// Errors between keepers.
+var (
+	// ErrJoining says that a keeper does not have all yet that it should, and so
+	// can't vote or be counted.
+	ErrJoining = errors.New("keepers: still joining")
+	// ErrEpoch says that two keepers go by different lists.
+	ErrEpoch = errors.New("keepers: another list of keepers is in force there")
+	// ErrTooFew says that too few of a task's keepers answered.
+	ErrTooFew = errors.New("keepers: too few of the task's keepers answered")
+)
+
+// call is what one keeper asks another; answer what it gets. Each operation uses a few
+// of the fields.
+type call struct {
+	Op       string          `json:"op"`
+	Claim    keeper.Claim    `json:"claim"`
+	Attempt  keeper.Attempt  `json:"at"`
+	Stream   string          `json:"stream,omitempty"`
+	First    uint64          `json:"first,omitempty"`
+	Records  []keeper.Record `json:"records,omitempty"`
+	Path     string          `json:"path,omitempty"`
+	Digest   string          `json:"digest,omitempty"`
+	Ballot   keeper.Ballot   `json:"ballot"`
+	Freeze   bool            `json:"freeze,omitempty"`
+	Value    []byte          `json:"value,omitempty"`
+	Bucket   int             `json:"bucket,omitempty"`
+	After    string          `json:"after,omitempty"`
+	Count    bool            `json:"count,omitempty"` // the answer counts, so it must come from a keeper that has all
+	From     string          `json:"from"`
+	Identity string          `json:"identity"` // list in force
+}
+
+type answer struct {
+	Next    uint64           `json:"next,omitempty"`
+	Promise *keeper.Promise  `json:"promise,omitempty"`
+	Task    *keeper.TaskView `json:"task,omitempty"`
+	Tasks   []int            `json:"tasks,omitempty"`
+	Sums    []string         `json:"sums,omitempty"`
+	Names   []string         `json:"names,omitempty"`
+	Votes   []boundTo        `json:"votes,omitempty"`
+	Status  *Status          `json:"status,omitempty"`
+}
+
+type boundTo struct {
+	At   keeper.Attempt `json:"at"`
+	Vote keeper.Vote    `json:"vote"`
+}
+
+// replica is a keeper as another sees it; the own one is called like the others.
+type replica interface {
+	do(ctx context.Context, c *call) (*answer, error)
+	// read hands over records from a number on, for as long as the context allows if it
+	// follows. ended says that no more can come.
+	read(ctx context.Context, at keeper.Attempt, stream string, from uint64, follow bool, each func(keeper.Record) error) (next uint64, ended bool, err error)
+	blob(ctx context.Context, tenant string, d blob.Digest, offset int64) (io.ReadCloser, error)
+	put(ctx context.Context, tenant string, d blob.Digest, content io.Reader) error
+}
+
+// codes names the errors that are told apart across a connection, and maps them to
+// HTTP, in this one place.
+var codes = []struct {
+	code   string
+	err    error
+	status int
+	retry  time.Duration
+}{
+	{"token", keeper.ErrToken, http.StatusUnauthorized, 0},
+	{"claim", keeper.ErrClaim, http.StatusForbidden, 0},
+	{"tenant", blob.ErrTenant, http.StatusForbidden, 0},
+	{"sealed", keeper.ErrSealed, http.StatusConflict, 0},
+	{"not whole", keeper.ErrNotWhole, http.StatusConflict, 0},
+	{"unknown", keeper.ErrUnknown, http.StatusNotFound, 0},
+	{"no blob", blob.ErrNotFound, http.StatusNotFound, 0},
+	{"no upload", blob.ErrUpload, http.StatusNotFound, 0},
+	{"offset", blob.ErrGap, http.StatusConflict, 0},
+	{"too much", keeper.ErrTooMuch, http.StatusRequestEntityTooLarge, 0},
+	{"name", keeper.ErrName, http.StatusBadRequest, 0},
+	{"digest", blob.ErrDigest, http.StatusBadRequest, 0},
+	{"mismatch", blob.ErrMismatch, http.StatusBadRequest, 0},
+	{"body", errBody, http.StatusBadRequest, 0},
+	{"forged", keeper.ErrForged, http.StatusBadRequest, 0},
+	{"frozen", keeper.ErrFrozen, http.StatusServiceUnavailable, time.Second},
+	{"joining", ErrJoining, http.StatusServiceUnavailable, time.Second},
+	{"epoch", ErrEpoch, http.StatusServiceUnavailable, time.Second},
+	{"too few", ErrTooFew, http.StatusServiceUnavailable, time.Second},
+	{"busy", errBusy, http.StatusTooManyRequests, time.Second},
+	{"rotten", blob.ErrRotten, http.StatusServiceUnavailable, 10 * time.Second},
+}
+
+var (
+	errBody = errors.New("keepers: malformed request")
+	errBusy = errors.New("keepers: too much at a time")
+)
+
+// remote is another keeper, over HTTP.
+type remote struct {
+	n    *Node
+	name string
+	url  string
+	http *http.Client
+
+	mu    sync.Mutex
+	token string
+	until time.Time
+}
+
+func (r *remote) request(ctx context.Context, method, path string, body io.Reader) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(r.url, "/")+path, body)
+	if err != nil {
+		return nil, err
+	}
+	now := r.n.opt.Now()
+	r.mu.Lock()
+	if !now.Before(r.until.Add(-time.Minute)) {
+		r.until = now.Add(10 * time.Minute)
+		r.token = keeper.Grant{Right: keeper.Peer, Machine: r.n.opt.Name, Until: r.until}.Token(r.n.opt.Key)
+	}
+	req.Header.Set("Authorization", "Bearer "+r.token)
+	r.mu.Unlock()
+	resp, err := r.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return resp, nil
+	}
+	defer resp.Body.Close()
+	var a keeper.Answer
+	if err := json.NewDecoder(io.LimitReader(resp.Body, 64<<10)).Decode(&a); err != nil {
+		return nil, fmt.Errorf("keeper %s: %s", r.name, resp.Status)
+	}
+	return nil, fmt.Errorf("keeper %s: %w", r.name, errorOf(&a, resp))
+}
+
+// errorOf is the error that an answer stands for.
+func errorOf(a *keeper.Answer, resp *http.Response) error {
+	if a.Code == "gap" && a.Next != nil {
+		return &keeper.GapError{Want: *a.Next}
+	}
+	if a.Code == "full" {
+		seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
+		return &blob.FullError{Retry: time.Duration(seconds) * time.Second}
+	}
+	for _, c := range codes {
+		if c.code == a.Code {
+			return fmt.Errorf("%w (%s)", c.err, a.Error)
+		}
+	}
+	return fmt.Errorf("%s %s", resp.Status, a.Error)
+}
+
+func (r *remote) do(ctx context.Context, c *call) (*answer, error) {
+	cc := *c
+	cc.From, cc.Identity = r.n.opt.Name, r.n.opt.Members.digest()
+	resp, err := r.request(ctx, "POST", "/peer/call", bytes.NewReader(wire.Encode(&cc)))
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	a := &answer{}
+	return a, json.NewDecoder(resp.Body).Decode(a)
+}
+
+func (r *remote) read(ctx context.Context, at keeper.Attempt, stream string, from uint64, follow bool, each func(keeper.Record) error) (uint64, bool, error) {
+	q := url.Values{"job": {at.Job}, "task": {strconv.Itoa(at.Task)}, "attempt": {strconv.FormatUint(at.Number, 10)}, "stream": {stream}, "from": {strconv.FormatUint(from, 10)}}
+	if follow {
+		q.Set("follow", "1")
+	}
+	resp, err := r.request(ctx, "GET", "/peer/records?"+q.Encode(), nil)
+	if err != nil {
+		return from, false, err
+	}
+	defer resp.Body.Close()
+	d := json.NewDecoder(resp.Body)
+	for next := from; ; {
+		var l keeper.Line
+		if err := d.Decode(&l); err != nil {
+			return next, false, fmt.Errorf("keeper %s: records broke off: %w", r.name, err)
+		}
+		if l.State != "" {
+			return next, l.State == ended, nil
+		}
+		if l.Record == nil || l.Number != next {
+			return next, false, fmt.Errorf("keeper %s: record %d in place of %d", r.name, l.Number, next)
+		}
+		if err := each(*l.Record); err != nil {
+			return next, false, err
+		}
+		next++
+	}
+}
+
+// ended is the state of the last line among keepers where no more can come.
+const ended = "ended"
+
+func (r *remote) blob(ctx context.Context, tenant string, d blob.Digest, offset int64) (io.ReadCloser, error) {
+	q := url.Values{"tenant": {tenant}, "blob": {d.String()}, "offset": {strconv.FormatInt(offset, 10)}}
+	resp, err := r.request(ctx, "GET", "/peer/blob?"+q.Encode(), nil)
+	if err != nil {
+		return nil, err
+	}
+	return resp.Body, nil
+}
+
+func (r *remote) put(ctx context.Context, tenant string, d blob.Digest, content io.Reader) error {
+	q := url.Values{"tenant": {tenant}, "blob": {d.String()}}
+	resp, err := r.request(ctx, "PUT", "/peer/blob?"+q.Encode(), content)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// local is the own keeper.
+type local struct{ n *Node }
+
+func (l local) do(ctx context.Context, c *call) (*answer, error) { return l.n.serve(ctx, c) }
+
+func (l local) read(ctx context.Context, at keeper.Attempt, stream string, from uint64, follow bool, each func(keeper.Record) error) (next uint64, over bool, err error) {
+	for next = from; ; {
+		if next, over, err = l.n.keeper.Read(at, stream, next, each); err != nil || over || !follow {
+			return next, over, err
+		}
+		if l.n.keeper.Wait(ctx, at, stream, next) != nil {
+			return next, false, nil
+		}
+	}
+}
+
+func (l local) blob(_ context.Context, tenant string, d blob.Digest, offset int64) (io.ReadCloser, error) {
+	return l.n.blobs.Open(tenant, d, offset)
+}
+
+func (l local) put(ctx context.Context, tenant string, d blob.Digest, content io.Reader) error {
+	return l.n.blobs.Take(ctx, tenant, d, content)
+}
+
+// serve carries out what a keeper, this one or another, asks of this one alone.
+func (n *Node) serve(ctx context.Context, c *call) (*answer, error) {
+	k, a := n.keeper, &answer{}
+	var err error
+	if c.Count && !n.counts(c.Attempt.Job, c.Attempt.Task) {
+		return nil, ErrJoining
+	}
+	switch c.Op {
+	case "begin":
+		err = k.Begin(ctx, c.Claim)
+	case "append":
+		a.Next, err = k.Append(ctx, c.Claim, c.Stream, c.First, c.Records)
+		if errors.Is(err, keeper.ErrUnknown) { // it was not there when the attempt began
+			if err = k.Begin(ctx, c.Claim); err == nil {
+				a.Next, err = k.Append(ctx, c.Claim, c.Stream, c.First, c.Records)
+			}
+		}
+	case "attach":
+		var d blob.Digest
+		if d, err = blob.Parse(c.Digest); err != nil {
+			return nil, err
+		}
+		err = k.Attach(ctx, c.Claim, c.Path, d)
+		if errors.Is(err, keeper.ErrUnknown) {
+			if err = k.Begin(ctx, c.Claim); err == nil {
+				err = k.Attach(ctx, c.Claim, c.Path, d)
+			}
+		}
+	case "prepare":
+		a.Promise, err = k.Prepare(ctx, c.Attempt, c.Ballot, c.Freeze)
+	case "accept":
+		a.Promise, err = k.Accept(ctx, c.Attempt, c.Ballot, c.Value, n.fetch(c.Attempt, c.From))
+	case "learn":
+		err = k.Learn(ctx, c.Attempt, c.Value, n.fetch(c.Attempt, c.From))
+		if errors.Is(err, keeper.ErrSplit) {
+			n.opt.Log.Error("a register has two values", "job", c.Attempt.Job, "task", c.Attempt.Task, "attempt", c.Attempt.Number, "keeper", c.From)
+		}
+	case "task":
+		a.Task, err = k.Task(c.Attempt.Job, c.Attempt.Task)
+	case "tasks":
+		a.Tasks, err = k.Tasks(c.Attempt.Job)
+	case "sums":
+		a.Sums, err = n.sums(c.From)
+	case "names":
+		a.Names, err = n.names(c.From, c.Bucket)
+	case "votes":
+		for at, v := range k.Votes() {
+			if n.opt.Members.Here(c.From, at.Job, at.Task) {
+				a.Votes = append(a.Votes, boundTo{at, v})
+			}
+		}
+	case "status":
+		a.Status = n.Status()
+	default:
+		err = fmt.Errorf("%w: op %.40q", errBody, c.Op)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+// fetch gets a blob of an attempt from another keeper, the one first that asks for it
+// to be there.
+func (n *Node) fetch(at keeper.Attempt, first string) keeper.Fetch {
+	return func(ctx context.Context, tenant string, d blob.Digest) (io.ReadCloser, error) {
+		return n.open(ctx, append([]string{first}, n.sources(at.Job, at.Task)...), tenant, d, 0)
+	}
+}
+
+// sources lists whoever may have something of a task: its keepers first, then those
+// that were its keepers, perhaps.
+func (n *Node) sources(job string, task int) []string {
+	names := n.opt.Members.Place(job, task)
+	for _, m := range n.opt.Members.List {
+		if m.State == Draining {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// open reads a blob from the first keeper that has it, the own one before all others.
+func (n *Node) open(ctx context.Context, names []string, tenant string, d blob.Digest, offset int64) (io.ReadCloser, error) {
+	r, err := n.blobs.Open(tenant, d, offset)
+	if err == nil {
+		return r, nil
+	}
+	errs := []error{err}
+	for _, name := range names {
+		if p := n.peers[name]; p != nil && name != n.opt.Name {
+			r, err := p.blob(ctx, tenant, d, offset)
+			if err == nil {
+				return r, nil
+			}
+			errs = append(errs, err)
+		}
+	}
+	for _, err := range errs { // a keeper that answered says more than one that did not
+		if errors.Is(err, blob.ErrNotFound) {
+			return nil, err
+		}
+	}
+	return nil, errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/keepers/retain.go
@@ -0,0 +1,105 @@
+package keepers
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+
+	"topazhollow/internal/keeper"
+)
+
+// Retention says how long attempts are kept after their end: so many days, or what an
+// operators' script says of each class. The script defines
+//
+//	def keep_days(cls, team, completed, partial, mb):
+//
+// and gives a number of days; 0 is for ever. It can load nothing and reach nothing
+// outside itself, and each answer is bounded in steps.
+type Retention struct {
+	Days float64 // without a script, and where it fails; 0: for ever
+	mu   sync.Mutex
+	ask  starlark.Callable
+}
+
+const (
+	scriptBytes = 64 << 10
+	scriptSteps = 100_000
+	maxDays     = 36500
+)
+
+// LoadRetention reads and tries a script; no path means days for all.
+func LoadRetention(path string, days float64) (*Retention, error) {
+	r := &Retention{Days: days}
+	if path == "" {
+		return r, nil
+	}
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	if len(src) > scriptBytes {
+		return nil, fmt.Errorf("%s: longer than %d bytes", path, scriptBytes)
+	}
+	thread := &starlark.Thread{Name: path}
+	thread.SetMaxExecutionSteps(scriptSteps)
+	globals, err := starlark.ExecFileOptions(&syntax.FileOptions{}, thread, path, src, nil)
+	if err != nil {
+		return nil, err
+	}
+	globals.Freeze()
+	ask, ok := globals["keep_days"].(starlark.Callable)
+	if !ok {
+		return nil, fmt.Errorf("%s: a function keep_days(cls, team, completed, partial, mb) is expected", path)
+	}
+	r.ask = ask
+	for _, m := range []*keeper.Manifest{{}, {Exit: keeper.Exit{Completed: true}}, {Partial: true}} {
+		if _, err := r.days(m); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+// days asks the script.
+func (r *Retention) days(m *keeper.Manifest) (float64, error) {
+	if r.ask == nil {
+		return r.Days, nil
+	}
+	var size int64
+	for _, s := range m.Streams {
+		size += s.Bytes
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	thread := &starlark.Thread{Name: "keep_days"}
+	thread.SetMaxExecutionSteps(scriptSteps)
+	v, err := starlark.Call(thread, r.ask, starlark.Tuple{starlark.String(m.Class), starlark.String(m.Tenant), starlark.Bool(m.Exit.Completed),
+		starlark.Bool(m.Partial), starlark.Float(float64(size) / 1e6)}, nil)
+	if err != nil {
+		return r.Days, fmt.Errorf("keep_days: %w", err)
+	}
+	days, ok := starlark.AsFloat(v)
+	if !ok || !(days >= 0 && days <= maxDays) {
+		return r.Days, fmt.Errorf("keep_days: %s is not between 0 and %d", v, maxDays)
+	}
+	return days, nil
+}
+
+// Over says of an attempt that has ended whether it need not be kept any more. A script
+// that fails on one leaves it to Days.
+func (r *Retention) Over(now time.Time) func(*keeper.Manifest) bool {
+	return func(m *keeper.Manifest) bool {
+		if r == nil {
+			return false
+		}
+		days, err := r.days(m)
+		if err != nil {
+			days = r.Days
+		}
+		return days > 0 && now.Sub(m.Sealed) > time.Duration(days*24*float64(time.Hour))
+	}
+}
--- a/internal/keeper/serve_test.go
+++ b/internal/keepers/serve_test.go
@@ -1,10 +1,9 @@
-package keeper
+package keepers
 
 import (
 	"bytes"
 	"encoding/json"
 	"io"
-	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +11,7 @@
 	"time"
 
 	"topazhollow/internal/blob"
+	"topazhollow/internal/keeper"
 )
 
 // site is a keeper behind HTTP, and a caller.
@@ -22,23 +22,24 @@
 }
 
 func newSite(t *testing.T) *site {
-	k, b := open(t, t.TempDir(), nil)
+	n, _ := alone(t, t.TempDir(), nil)
 	x := &site{t: t, now: time.Unix(1e9, 0)}
-	srv := httptest.NewServer((&Server{Keeper: k, Blobs: b, Key: key, Log: slog.New(slog.DiscardHandler), Now: func() time.Time { return x.now }}).Handler())
+	n.opt.Now = func() time.Time { return x.now }
+	srv := httptest.NewServer((&Server{Node: n}).Handler())
 	t.Cleanup(srv.Close)
 	x.url = srv.URL
 	return x
 }
 
-func (x *site) writer(c Claim) string {
-	return Grant{Right: Write, Tenant: c.Tenant, Job: c.Job, Task: &c.Task, Number: c.Number, Machine: c.Machine, Session: c.Session, Until: x.now.Add(time.Hour)}.Token(key)
+func (x *site) writer(c keeper.Claim) string {
+	return keeper.Grant{Right: keeper.Write, Tenant: c.Tenant, Job: c.Job, Task: &c.Task, Number: c.Number, Machine: c.Machine, Session: c.Session, Until: x.now.Add(time.Hour)}.Token(key)
 }
 
 func (x *site) reader(job string) string {
-	return Grant{Right: Read, Job: job, Until: x.now.Add(time.Hour)}.Token(key)
+	return keeper.Grant{Right: keeper.Read, Job: job, Until: x.now.Add(time.Hour)}.Token(key)
 }
 
-func (x *site) call(token, method, path string, body []byte) (int, Answer, string) {
+func (x *site) call(token, method, path string, body []byte) (int, keeper.Answer, string) {
 	x.t.Helper()
 	req, err := http.NewRequest(method, x.url+path, bytes.NewReader(body))
 	if err != nil {
@@ -54,7 +55,7 @@
 	if err != nil {
 		x.t.Fatal(err)
 	}
-	var a Answer
+	var a keeper.Answer
 	_ = json.Unmarshal(text, &a) // not all answers are of this kind
 	return resp.StatusCode, a, string(text)
 }
@@ -65,7 +66,7 @@
 	x := newSite(t)
 	c := claim(1, 3, 7)
 	w, r := x.writer(c), x.reader(c.Job)
-	must := func(code int, a Answer, text string) Answer {
+	must := func(code int, a keeper.Answer, text string) keeper.Answer {
 		t.Helper()
 		if code != 200 {
 			t.Fatalf("%d %s", code, text)
@@ -95,7 +96,7 @@
 	if _, _, text := x.call(r, "GET", "/logs/job-000001/3", nil); !strings.Contains(text, `"goes on"`) || strings.Count(text, "\n") != 4 {
 		t.Fatalf("log of an open attempt: %s", text)
 	}
-	if a := must(x.call(w, "POST", "/seal", []byte(`{"exit":{"completed":true},"records":{"stdout":3}}`))); !a.Final {
+	if a := must(x.call(w, "POST", "/seal", []byte(`{"exit":{"completed":true},"records":{"stdout":3},"files":{"out/grades.bin":"`+d.String()+`"}}`))); !a.Final {
 		t.Fatal("not the result")
 	}
 	code, _, text := x.call(r, "GET", "/logs/job-000001/3?from=1&follow=1", nil)
@@ -106,7 +107,7 @@
 	if _, _, text := x.call(r, "GET", "/files/job-000001/3/out/grades.bin?offset=3500", nil); text != string(content[3500:]) {
 		t.Fatalf("%d bytes of the file", len(text))
 	}
-	if a := must(x.call(r, "GET", "/attempts/job-000001/3", nil)); len(a.List) != 1 || !a.List[0].Final {
+	if a := must(x.call(r, "GET", "/attempts/job-000001/3", nil)); len(a.List) != 1 || a.List[0].State != keeper.StateFinal {
 		t.Fatalf("%+v", a.List)
 	}
 	if a := must(x.call(r, "GET", "/manifest/job-000001/3", nil)); a.Sealed.Files[0].Digest != d.String() {
@@ -124,8 +125,8 @@
 		t.Fatal(text)
 	}
 	task := 1
-	other := Grant{Right: Read, Job: c.Job, Task: &task, Until: x.now.Add(time.Hour)}.Token(key)
-	forged := Grant{Right: Read, Job: c.Job, Until: x.now.Add(time.Hour)}.Token([]byte("another key 0000"))
+	other := keeper.Grant{Right: keeper.Read, Job: c.Job, Task: &task, Until: x.now.Add(time.Hour)}.Token(key)
+	forged := keeper.Grant{Right: keeper.Read, Job: c.Job, Until: x.now.Add(time.Hour)}.Token([]byte("another key 0000"))
 	body, _, _ := strings.Cut(r, ".")
 	for what, token := range map[string]string{"none": "", "a writer's": w, "another task's": other, "another job's": x.reader("job-000002"), "forged": forged,
 		"without a code": body, "with a short code": r[:len(r)-2], "of a wrong code": body + "." + strings.Repeat("A", 43), "long": strings.Repeat("A", 5000) + ".A"} {
@@ -159,11 +160,11 @@
 // FuzzToken: no text that was not given out is taken for a token.
 func FuzzToken(f *testing.F) {
 	now := time.Unix(1e9, 0)
-	good := Grant{Right: Read, Job: "job-000001", Until: now.Add(time.Hour)}.Token(key)
+	good := keeper.Grant{Right: keeper.Read, Job: "job-000001", Until: now.Add(time.Hour)}.Token(key)
 	f.Add(good)
 	f.Add("e30.AAAA")
 	f.Fuzz(func(t *testing.T, text string) {
-		if g, err := ParseToken(key, text, now); err == nil && text != good && g.Token(key) != text {
+		if g, err := keeper.ParseToken(key, text, now); err == nil && text != good && g.Token(key) != text {
 			t.Fatalf("%q is %+v", text, g)
 		}
 	})
--- /dev/null
+++ b/internal/keepers/status.go
@@ -0,0 +1,137 @@
+package keepers
+
+import (
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"topazhollow/internal/keeper"
+)
+
+// Status is what a keeper says of itself.
+type Status struct {
+	Name        string            `json:"name"`
+	Zone        string            `json:"zone"`
+	State       string            `json:"state"` // serving, joining or draining
+	Epoch       uint64            `json:"epoch"`
+	Disk        string            `json:"disk"`
+	Incarnation uint64            `json:"incarnation"`
+	Open        int               `json:"open_attempts"`
+	Bytes       int64             `json:"bytes"`
+	Blobs       int               `json:"blobs"`
+	Left        int               `json:"repair_left"`    // tasks of which something is missing here
+	Oldest      float64           `json:"repair_oldest"`  // seconds since the first of them was noticed
+	Mended      int               `json:"repaired"`       // tasks, since the start
+	Brought     int64             `json:"repaired_bytes"` // since the start
+	Short       int               `json:"replicas_short"` // attempts and results that another keeper lacks
+	Strays      int               `json:"to_hand_over"`   // tasks
+	Away        map[string]string `json:"away,omitempty"` // keepers that could not be asked, and why
+	Refused     map[string]int64  `json:"refused,omitempty"`
+}
+
+// Joining is the state of a keeper that does not have all yet that it should.
+const Joining State = "joining"
+
+// Status tells how this keeper is.
+func (n *Node) Status() *Status {
+	st := n.blobs.Stats()
+	s := &Status{Name: n.opt.Name, Epoch: n.opt.Members.Epoch, Open: n.keeper.Opened(), Bytes: st.Bytes, Blobs: st.Blobs, Refused: n.meters.reasons()}
+	for _, m := range n.opt.Members.List {
+		if m.Name == n.opt.Name {
+			s.Zone, s.State = m.Zone, string(m.State)
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if m := &n.opt.Members; s.State == string(Serving) && !n.id.full(m) {
+		s.State = string(Joining)
+	}
+	s.Disk, s.Incarnation = n.id.Disk, n.id.Incarnation
+	r := &n.repair
+	s.Left, s.Mended, s.Brought, s.Short, s.Strays, s.Away = r.left, r.mended, r.bytes, r.short, r.strays, r.away
+	for _, since := range r.noticed {
+		s.Oldest = max(s.Oldest, n.opt.Now().Sub(since).Seconds())
+	}
+	return s
+}
+
+// meters are a keeper's metrics.
+type meters struct {
+	handler  http.Handler
+	records  prometheus.Counter
+	bytes    prometheus.Counter
+	uploads  prometheus.Counter
+	seals    prometheus.Counter
+	appends  prometheus.Histogram
+	refusals *prometheus.CounterVec
+	mu       sync.Mutex
+	counts   map[string]int64 // the same for Status
+}
+
+func newMeters(n *Node) *meters {
+	reg := prometheus.NewRegistry()
+	counter := func(name, help string) prometheus.Counter {
+		c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: "topaz_keep", Name: name, Help: help})
+		reg.MustRegister(c)
+		return c
+	}
+	m := &meters{
+		records: counter("records_total", "Records acknowledged by this front."),
+		bytes:   counter("record_bytes_total", "Bytes of output acknowledged by this front."),
+		uploads: counter("upload_bytes_total", "Bytes of files taken in here."),
+		seals:   counter("seals_total", "Seals answered."),
+		appends: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "topaz_keep", Name: "append_seconds", Help: "Time until enough keepers had an append.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16)}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "topaz_keep", Name: "refusals_total", Help: "Requests refused, by reason."}, []string{"reason"}),
+		counts:   map[string]int64{},
+	}
+	reg.MustRegister(m.appends, m.refusals)
+	gauge := func(name, help string, f func(*Status) float64) {
+		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "topaz_keep", Name: name, Help: help}, func() float64 { return f(n.Status()) }))
+	}
+	gauge("open_attempts", "Attempts that have not ended.", func(s *Status) float64 { return float64(s.Open) })
+	gauge("bytes", "Disk in use, by the quotas' count.", func(s *Status) float64 { return float64(s.Bytes) })
+	gauge("repair_left", "Tasks of which something is missing here.", func(s *Status) float64 { return float64(s.Left) })
+	gauge("repair_oldest_seconds", "Since the first of them was noticed.", func(s *Status) float64 { return s.Oldest })
+	gauge("repaired_bytes", "Brought by repair since the start.", func(s *Status) float64 { return float64(s.Brought) })
+	gauge("replicas_short", "Attempts and results that another keeper lacks.", func(s *Status) float64 { return float64(s.Short) })
+	gauge("to_hand_over", "Tasks that do not belong here.", func(s *Status) float64 { return float64(s.Strays) })
+	gauge("keepers_away", "Keepers that could not be asked.", func(s *Status) float64 { return float64(len(s.Away)) })
+	m.handler = promhttp.HandlerFor(reg, promhttp.HandlerOpts{})
+	return m
+}
+
+func (m *meters) appended(records []keeper.Record, took time.Duration) {
+	m.records.Add(float64(len(records)))
+	for _, r := range records {
+		m.bytes.Add(float64(len(r.Data)))
+	}
+	m.appends.Observe(took.Seconds())
+}
+
+func (m *meters) uploaded(bytes int64) { m.uploads.Add(float64(bytes)) }
+
+// refused counts a refusal. What a reader or worker did wrong in its own words counts
+// by its status alone.
+func (m *meters) refused(code string, status int) {
+	if code == "" {
+		code = "internal"
+		if status < 500 {
+			code = "request"
+		}
+	}
+	m.refusals.WithLabelValues(code).Inc()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counts[code]++
+}
+
+func (m *meters) reasons() map[string]int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.counts)
+}
--- a/internal/runner/bring.go
+++ b/internal/runner/bring.go
@@ -23,6 +23,7 @@
 // refusal is an answer that trying again does not change.
 type refusal struct {
 	status int
+	code   string
 	reason string
 	next   *uint64
 	offset *int64
@@ -30,15 +31,16 @@
 
 func (r *refusal) Error() string { return fmt.Sprintf("runner: keeper says %d %s", r.status, r.reason) }
 
-// call makes a request until it is answered, with jittered pauses that grow, for as
-// long as the context allows.
+// call makes a request until it is answered, of one keeper after another, with jittered
+// pauses that grow, for as long as the context allows.
 func (s *spool) call(ctx context.Context, path string, body []byte) (*keeper.Answer, error) {
 	for pause := s.opt.Pause; ; pause = min(2*pause, 30*time.Second) {
-		a, wait, err := s.once(ctx, s.opt.Keeper, path, body)
+		a, wait, err := s.once(ctx, s.opt.Keepers[s.at], path, body)
 		var no *refusal
 		if err == nil || errors.As(err, &no) {
 			return a, err
 		}
+		s.at = (s.at + 1) % len(s.opt.Keepers)
 		t := time.NewTimer(max(wait, time.Duration(rand.Int64N(int64(pause)))))
 		select {
 		case <-t.C:
@@ -73,14 +75,14 @@
 		seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
 		return nil, time.Duration(min(seconds, 60)) * time.Second, fmt.Errorf("%s %s", resp.Status, a.Error)
 	}
-	return nil, 0, &refusal{resp.StatusCode, a.Error, a.Next, a.Offset}
+	return nil, 0, &refusal{resp.StatusCode, a.Code, a.Error, a.Next, a.Offset}
 }
 
 // sealed says that a keeper refused something since the attempt is sealed: an earlier
 // process ended before it removed the spool, and all of it is there.
 func sealed(err error) bool {
 	var no *refusal
-	return errors.As(err, &no) && no.status == http.StatusConflict && no.next == nil && no.offset == nil
+	return errors.As(err, &no) && no.code == "sealed"
 }
 
 // atOnce bounds the records of one request, in number and bytes.
@@ -128,18 +130,20 @@
 		}
 	}
 	if s.exit != nil {
+		end := keeper.End{Exit: *s.exit, Records: maps.Clone(s.next), Files: map[string]string{}}
 		for _, path := range s.files {
-			err := s.bringFile(ctx, path)
+			d, err := s.bringFile(ctx, path)
 			var no *refusal
 			for try := 0; try < 3 && errors.As(err, &no) && no.status == http.StatusNotFound; try++ {
-				err = s.bringFile(ctx, path) // the keeper gave the upload up meanwhile
+				d, err = s.bringFile(ctx, path) // the keeper gave the upload up meanwhile, or another is asked now
 			}
 			if err != nil && !sealed(err) {
 				return result, err
 			}
+			end.Files[path] = d.String()
 		}
 		s.opt.Step("seal")
-		body, err := json.Marshal(map[string]any{"exit": s.exit, "records": maps.Clone(s.next)})
+		body, err := json.Marshal(&end)
 		if err != nil {
 			return result, err
 		}
@@ -172,9 +176,13 @@
 		return err
 	}
 	s.opt.Step("append")
-	if _, err = s.call(ctx, fmt.Sprintf("/streams/%s?first=%d", batch[0].stream, batch[0].number), body); err != nil && !sealed(err) {
+	a, err := s.call(ctx, fmt.Sprintf("/streams/%s?first=%d", batch[0].stream, batch[0].number), body)
+	if err != nil && !sealed(err) {
 		return err
 	}
+	if err == nil && a.Next != nil {
+		s.opt.Acked(batch[0].stream, *a.Next)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sent := map[uint64]bool{}
@@ -196,27 +204,27 @@
 const pieceBytes = 1 << 20
 
 // bringFile uploads one file in pieces and attaches it.
-func (s *spool) bringFile(ctx context.Context, path string) error {
+func (s *spool) bringFile(ctx context.Context, path string) (d blob.Digest, err error) {
 	root, err := os.OpenRoot(s.task.Dir)
 	if err != nil {
-		return err
+		return d, err
 	}
 	defer root.Close()
 	f, err := root.Open(filepath.FromSlash(path))
 	if err != nil {
-		return err
+		return d, err
 	}
 	defer f.Close()
 	sum := blob.NewSum()
 	size, err := io.Copy(sum, f)
 	if err != nil {
-		return err
+		return d, err
 	}
-	d := sum.Digest(size)
+	d = sum.Digest(size)
 	s.opt.Step("upload")
 	a, err := s.call(ctx, "/uploads?blob="+d.String(), nil)
 	if err != nil {
-		return err
+		return d, err
 	}
 	buf := make([]byte, pieceBytes)
 	for id := a.Upload; !a.Done; {
@@ -226,12 +234,12 @@
 		}
 		n, err := f.ReadAt(buf[:min(pieceBytes, size-offset)], offset)
 		if err != nil && err != io.EOF {
-			return err
+			return d, err
 		}
 		if a, err = s.call(ctx, fmt.Sprintf("/uploads/%s?offset=%d", id, offset), buf[:n]); err != nil {
-			return err
+			return d, err
 		}
 	}
 	_, err = s.call(ctx, "/files/"+keeper.EscapePath(path)+"?blob="+d.String(), nil)
-	return err
+	return d, err
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -40,13 +40,15 @@
 
 // Options are a runner's choices.
 type Options struct {
-	Spool  string // directory
-	Keeper string // its address
-	Room   int64  // bytes of output of one attempt that may wait in the spool; 64 MiB if 0
-	Line   int    // longest record; 32 KiB if 0
-	Pause  time.Duration
-	Log    *slog.Logger
-	Step   func(step string) // told of each durable step, for tests
+	Spool   string   // directory
+	Keepers []string // addresses; another is tried when one fails
+	Room    int64    // bytes of output of one attempt that may wait in the spool; 64 MiB if 0
+	Line    int      // longest record; 32 KiB if 0
+	Pause   time.Duration
+	Log     *slog.Logger
+	Step    func(step string) // told of each durable step, for tests
+	// Acked is told what a keeper acknowledged: the number of the next record of a stream.
+	Acked func(stream string, next uint64)
 }
 
 // entry is a record of an attempt's spool.
@@ -75,6 +77,7 @@
 	exit    *keeper.Exit
 	whole   bool // nothing more comes
 	dropped int64
+	at      int // keeper in use
 }
 
 // waiting is a record that is still to be brought.
@@ -108,6 +111,9 @@
 	if o.Step == nil {
 		o.Step = func(string) {}
 	}
+	if o.Acked == nil {
+		o.Acked = func(string, uint64) {}
+	}
 }
 
 func spoolDir(root string, at keeper.Attempt) string {
@@ -192,8 +198,8 @@
 // then is still brought and sealed as not completed, for as long as grace allows.
 func Run(ctx context.Context, opt Options, t Task, grace time.Duration) (Result, error) {
 	opt.defaults()
-	if len(t.Command) == 0 {
-		return Result{}, errors.New("runner: a task without a command")
+	if len(t.Command) == 0 || len(opt.Keepers) == 0 {
+		return Result{}, errors.New("runner: a task without a command, or no keeper")
 	}
 	dir := spoolDir(opt.Spool, t.Claim.Attempt)
 	s, err := open(opt, dir)
@@ -328,6 +334,9 @@
 // up. Spools that could not be brought within the context's time stay.
 func Recover(ctx context.Context, opt Options) (count int, err error) {
 	opt.defaults()
+	if len(opt.Keepers) == 0 {
+		return 0, errors.New("runner: no keeper")
+	}
 	entries, err := os.ReadDir(opt.Spool)
 	if errors.Is(err, fs.ErrNotExist) {
 		return 0, nil
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -20,6 +19,7 @@
 
 	"topazhollow/internal/blob"
 	"topazhollow/internal/keeper"
+	"topazhollow/internal/keepers"
 )
 
 var (
@@ -30,7 +30,7 @@
 // site is a keeper that can be away.
 type site struct {
 	t    *testing.T
-	k    *keeper.Keeper
+	n    *keepers.Node
 	b    *blob.Store
 	url  string
 	away atomic.Bool
@@ -43,25 +43,36 @@
 	if x.b, err = blob.Open(blob.Options{Dir: filepath.Join(dir, "blobs")}); err != nil {
 		t.Fatal(err)
 	}
-	if x.k, err = keeper.Open(keeper.Options{Dir: filepath.Join(dir, "log"), Blobs: x.b, Key: key}); err != nil {
+	k, err := keeper.Open(keeper.Options{Dir: filepath.Join(dir, "log"), Blobs: x.b, Key: key})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := keepers.Members{Epoch: 1, Copies: 1, Acks: 1, List: []keepers.Member{{Name: "a", URL: "http://127.0.0.1:1", State: keepers.Serving}}}
+	if x.n, err = keepers.New(keepers.Options{Name: "a", Dir: dir, Members: m, Keeper: k, Blobs: x.b, Key: key}); err == nil {
+		err = x.n.Repair(ctx)
+	}
+	if err != nil {
 		t.Fatal(err)
 	}
-	h := (&keeper.Server{Keeper: x.k, Blobs: x.b, Key: key, Log: slog.New(slog.DiscardHandler)}).Handler()
+	h := (&keepers.Server{Node: x.n}).Handler()
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if x.away.Load() {
 			panic(http.ErrAbortHandler)
 		}
 		h.ServeHTTP(w, r)
 	}))
-	t.Cleanup(func() { srv.Close(); x.k.Close(); x.b.Close() })
+	t.Cleanup(func() { srv.Close(); k.Close(); x.b.Close() })
 	x.url = srv.URL
 	return x
 }
 
 func (x *site) options(spool string) Options {
-	return Options{Spool: spool, Keeper: x.url, Pause: 5 * time.Millisecond}
+	return Options{Spool: spool, Keepers: []string{x.url}, Pause: 5 * time.Millisecond}
 }
 
+// done says whether an attempt was sealed.
+func done(a keeper.Known) bool { return a.State == keeper.StateFinal || a.State == keeper.StateSealed }
+
 func task(dir string, number uint64, command string, files ...string) Task {
 	c := keeper.Claim{Attempt: keeper.Attempt{Job: "job-000001", Task: 0, Number: number}, Tenant: "red", Machine: "m1", Session: 1}
 	g := keeper.Grant{Right: keeper.Write, Tenant: c.Tenant, Job: c.Job, Task: &c.Task, Number: number, Machine: c.Machine, Session: 1, Until: time.Now().Add(time.Hour)}
@@ -70,7 +81,7 @@
 
 func (x *site) text(at keeper.Attempt, stream string) (list []string, lost int64) {
 	x.t.Helper()
-	if _, _, err := x.k.Read(at, stream, 0, func(r keeper.Record) error {
+	if _, _, err := x.n.Read(ctx, at, stream, 0, false, func(_ uint64, r keeper.Record) error {
 		if r.Hole != nil {
 			lost += r.Hole.Bytes
 			list = append(list, "[hole]")
@@ -116,7 +127,7 @@
 		if got.Exit.Completed != c.completed || got.Exit.Code != c.code || !strings.Contains(got.Exit.Reason, c.reason) {
 			t.Errorf("%q: %+v", c.command, got)
 		}
-		m, _, err := x.k.Sealed(tk.Claim.Attempt)
+		m, _, err := x.n.Manifest(ctx, tk.Claim.Job, tk.Claim.Task, tk.Claim.Number)
 		if err != nil || len(m.Files) != c.kept || m.Exit != got.Exit {
 			t.Errorf("%q: %+v %v", c.command, m, err)
 		}
@@ -124,7 +135,7 @@
 			t.Errorf("%q put out %d records", c.command, len(list))
 		}
 	}
-	if m, err := x.k.Final("job-000001", 0); err != nil || m.Number != 1 {
+	if m, state, err := x.n.Manifest(ctx, "job-000001", 0, 0); err != nil || state != keeper.StateFinal || m.Number != 1 {
 		t.Errorf("the result is %+v, %v", m, err)
 	}
 	stopped, stop := context.WithCancel(ctx)
@@ -209,7 +220,7 @@
 		var mu sync.Mutex
 		tk := task(parts[2], 1, command, "out")
 		tk.Env = append(tk.Env, "A=1")
-		_, err := Run(ctx, Options{Spool: parts[0], Keeper: parts[1], Pause: 5 * time.Millisecond, Step: func(string) {
+		_, err := Run(ctx, Options{Spool: parts[0], Keepers: []string{parts[1]}, Pause: 5 * time.Millisecond, Step: func(string) {
 			mu.Lock()
 			defer mu.Unlock()
 			if left--; left < 0 {
@@ -241,26 +252,26 @@
 			t.Fatalf("step %d: spools left: %v %v", at, left, err)
 		}
 		first := keeper.Attempt{Job: "job-000001", Task: 0, Number: 1}
-		list, err := x.k.Attempts("job-000001", 0)
+		list, _, err := x.n.Attempts(ctx, "job-000001", 0)
 		if err != nil {
 			t.Fatal(err)
 		}
 		whole := []string{"attempt 1", "line 1 of 1", "line 2 of 1", "line 3 of 1", "line 4 of 1", "line 5 of 1"}
 		if len(list) > 0 {
 			got, _ := x.text(first, "stdout")
-			if len(got) > len(whole) || strings.Join(got, "|") != strings.Join(whole[:len(got)], "|") || (list[0].Sealed && len(got) != len(whole)) {
-				t.Fatalf("step %d: sealed %v with %q", at, list[0].Sealed, got)
+			if len(got) > len(whole) || strings.Join(got, "|") != strings.Join(whole[:len(got)], "|") || (done(list[0]) && len(got) != len(whole)) {
+				t.Fatalf("step %d: sealed %v with %q", at, done(list[0]), got)
 			}
 		}
-		sealed := len(list) > 0 && list[0].Sealed
+		sealed := len(list) > 0 && done(list[0])
 		tk := task(t.TempDir(), 2, command, "out")
 		tk.Env = append(tk.Env, "A=2")
 		got, err := Run(ctx, x.options(spool), tk, time.Minute)
 		if err != nil || got.Final == sealed {
 			t.Fatalf("step %d: first sealed %v, second %+v, %v", at, sealed, got, err)
 		}
-		m, err := x.k.Final("job-000001", 0)
-		if err != nil || (m.Number == 1) != sealed {
+		m, state, err := x.n.Manifest(ctx, "job-000001", 0, 0)
+		if err != nil || state != keeper.StateFinal || (m.Number == 1) != sealed {
 			t.Fatalf("step %d: the result is %+v, %v", at, m, err)
 		}
 		d, err := blob.Parse(m.Files[0].Digest)
--- a/internal/topaz/demo.go
+++ b/internal/topaz/demo.go
@@ -20,6 +20,7 @@
 
 	"topazhollow"
 	"topazhollow/internal/keeper"
+	"topazhollow/internal/keepers"
 	"topazhollow/internal/rehearse"
 	"topazhollow/internal/runner"
 	"topazhollow/internal/settings"
@@ -187,7 +188,7 @@
 			err = errors.Join(err, g.close())
 		}
 	}()
-	set := keeper.DefaultConfig()
+	set := keepers.DefaultConfig()
 	set.Listen, set.Dir = "127.0.0.1:0", filepath.Join(g.dir, "keep")
 	keeping, stop := context.WithCancel(context.WithoutCancel(ctx))
 	g.stop = stop
@@ -274,7 +275,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return false
 	}
-	got, err := runner.Run(ctx, runner.Options{Spool: filepath.Join(g.dir, "spool", machine), Keeper: g.keeper, Log: g.log},
+	got, err := runner.Run(ctx, runner.Options{Spool: filepath.Join(g.dir, "spool", machine), Keepers: []string{g.keeper}, Log: g.log},
 		runner.Task{Claim: c, Token: token, Command: g.example.Command, Env: []string{"PATH=" + os.Getenv("PATH"), fmt.Sprint("TASK=", index)}, Dir: dir, Files: g.example.Files}, 2*time.Second)
 	return err == nil && got.Exit.Completed
 }
--- a/internal/topaz/keep.go
+++ b/internal/topaz/keep.go
@@ -1,29 +1,39 @@
 package topaz
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"path/filepath"
+	"strings"
+	"text/tabwriter"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"topazhollow/internal/blob"
 	"topazhollow/internal/keeper"
+	"topazhollow/internal/keepers"
 )
 
 type keepCmd struct {
+	Run    keepRunCmd    `cmd:"" default:"withargs" help:"Run a keeper until it is stopped."`
+	Status keepStatusCmd `cmd:"" help:"Tell how each keeper is: copies short, repair left, disk, refusals by reason."`
+}
+
+type keepRunCmd struct {
 	Config      string `default:"deploy/keep.toml" help:"Settings file (TOML)."`
 	Check       bool   `help:"Check the settings, then leave."`
 	PrintConfig bool   `help:"Print the settings in force, with defaults, then leave."`
 }
 
-func (c *keepCmd) Run(r *run) error {
-	set, err := keeper.LoadConfig(c.Config)
+func (c *keepRunCmd) Run(r *run) error {
+	set, err := keepers.LoadConfig(c.Config)
 	if err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
@@ -31,7 +41,7 @@
 		fmt.Fprint(r.out, set)
 		return nil
 	}
-	key, err := keeper.KeyFromEnvironment()
+	key, err := keepers.KeyFromEnvironment()
 	if err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
@@ -44,11 +54,22 @@
 
 // Keep runs a keeper until the context ends. ready is told the address once it
 // answers.
-func Keep(ctx context.Context, set keeper.Config, key []byte, log io.Writer, ready func(addr string)) error {
+func Keep(ctx context.Context, set keepers.Config, key []byte, log io.Writer, ready func(addr string)) error {
 	l := logger(log)
 	gb := func(x float64) int64 { return int64(x * 1e9) }
+	listener, err := net.Listen("tcp", set.Listen)
+	if err != nil {
+		return err
+	}
+	defer listener.Close()
+	if len(set.Members.List) == 0 { // alone, perhaps at an address that only now is known
+		set.Listen = listener.Addr().String()
+		set.Fill()
+	}
+	var node *keepers.Node
 	blobs, err := blob.Open(blob.Options{Dir: filepath.Join(set.Dir, "blobs"), Quota: gb(set.QuotaGB), Reserve: gb(set.ReserveGB),
-		Tenant: func(string) int64 { return gb(set.TenantGB) }})
+		Tenant: func(string) int64 { return gb(set.TenantGB) },
+		Repair: func(ctx context.Context, d blob.Digest) (io.ReadCloser, error) { return node.Good(ctx, d) }})
 	if err != nil {
 		return err
 	}
@@ -58,19 +79,30 @@
 		return err
 	}
 	defer k.Close()
-	listener, err := net.Listen("tcp", set.Listen)
+	retain, err := keepers.LoadRetention(set.Policy, set.KeepDays)
+	if err != nil {
+		return err
+	}
+	client, err := set.Client()
 	if err != nil {
 		return err
 	}
-	srv := &http.Server{Handler: (&keeper.Server{Keeper: k, Blobs: blobs, Key: key, Log: l}).Handler(),
-		ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10}
-	l.Info("keeping", "listen", listener.Addr().String(), "dir", set.Dir, "open_attempts", k.Opened(), "bytes", blobs.Stats().Bytes)
+	node, err = keepers.New(keepers.Options{Name: set.Name, Dir: set.Dir, Members: set.Members, Keeper: k, Blobs: blobs, Key: key,
+		Patience: time.Duration(set.PatienceSec * float64(time.Second)), Repair: set.RepairMB * 1e6, Retain: retain, HTTP: client, Log: l})
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: (&keepers.Server{Node: node}).Handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10}
+	st := node.Status()
+	l.Info("keeping", "keeper", st.Name, "listen", listener.Addr().String(), "dir", set.Dir, "epoch", st.Epoch, "disk", st.Disk, "incarnation", st.Incarnation,
+		"state", st.State, "open_attempts", st.Open, "bytes", st.Bytes)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return set.Duty().Run(ctx, k, blobs, l) })
+	group.Go(func() error { return set.Duty().Run(ctx, node) })
+	group.Go(func() error { return set.Duty().Mend(ctx, node) })
 	group.Go(func() error {
 		var err error
 		if set.TLS.Cert != "" {
-			srv.TLSConfig = keeper.Certificates(set.TLS.Cert, set.TLS.Key)
+			srv.TLSConfig = keepers.Certificates(set.TLS.Cert, set.TLS.Key)
 			err = srv.ServeTLS(listener, "", "")
 		} else {
 			err = srv.Serve(listener)
@@ -94,3 +126,82 @@
 	}
 	return group.Wait()
 }
+
+type keepStatusCmd struct {
+	Config string `default:"deploy/keep.toml" help:"Settings file (TOML) with the list of keepers."`
+}
+
+// Run asks every keeper of the settings' list. One that does not answer is told of, and
+// makes the exit code 1.
+func (c *keepStatusCmd) Run(r *run) error {
+	set, err := keepers.LoadConfig(c.Config)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	key, err := keepers.KeyFromEnvironment()
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	client, err := set.Client()
+	if err != nil {
+		return err
+	}
+	client.Timeout = 10 * time.Second
+	token := keeper.Grant{Right: keeper.Operate, Until: time.Now().Add(time.Minute)}.Token(key)
+	table := tabwriter.NewWriter(r.out, 0, 0, 2, ' ', 0)
+	if !r.json {
+		fmt.Fprintln(table, "KEEPER\tZONE\tSTATE\tEPOCH\tSTARTS\tGB\tOPEN\tSHORT\tREPAIR LEFT\tOLDEST\tHAND OVER\tAWAY\tREFUSED")
+	}
+	var silent []string
+	for _, m := range set.Members.List {
+		if m.State == keepers.Gone {
+			continue
+		}
+		st, err := ask(r.ctx, client, m.URL, token)
+		if err != nil {
+			silent = append(silent, m.Name)
+			r.row(table, map[string]any{"name": m.Name, "zone": m.Zone, "state": "no answer", "error": err.Error()}, "%s\t%s\tno answer: %v", m.Name, m.Zone, err)
+			continue
+		}
+		var refused []string
+		for reason, n := range st.Refused {
+			refused = append(refused, fmt.Sprintf("%s %d", reason, n))
+		}
+		r.row(table, st, "%s\t%s\t%s\t%d\t%d\t%.2f\t%d\t%d\t%d\t%.0f s\t%d\t%d\t%s", st.Name, st.Zone, st.State, st.Epoch, st.Incarnation, float64(st.Bytes)/1e9,
+			st.Open, st.Short, st.Left, st.Oldest, st.Strays, len(st.Away), cmp.Or(strings.Join(refused, ", "), "-"))
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	if len(silent) > 0 {
+		return fmt.Errorf("no answer from %s", strings.Join(silent, ", "))
+	}
+	return nil
+}
+
+// row prints a line of a table, or a JSON line.
+func (r *run) row(table io.Writer, v any, format string, args ...any) {
+	if r.json {
+		r.print(v, "")
+		return
+	}
+	fmt.Fprintf(table, format+"\n", args...)
+}
+
+func ask(ctx context.Context, client *http.Client, url, token string) (*keepers.Status, error) {
+	req, err := http.NewRequestWithContext(ctx, "GET", strings.TrimSuffix(url, "/")+"/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.New(resp.Status)
+	}
+	st := &keepers.Status{}
+	return st, json.NewDecoder(resp.Body).Decode(st)
+}
--- a/internal/topaz/topaz.go
+++ b/internal/topaz/topaz.go
@@ -16,6 +16,7 @@
 	"github.com/alecthomas/kong"
 
 	"topazhollow/internal/keeper"
+	"topazhollow/internal/keepers"
 )
 
 // Exit codes, as --help lists them.
@@ -25,11 +26,12 @@
 	ExitPartial = 3
 	ExitUnknown = 4
 	ExitRefused = 5
+	ExitUnsure  = 6
 )
 
 const about = `Operators' and users' command line of topazhollow.
 
-Exit codes: 0 done; 1 failed; 2 wrong arguments or settings; 3 what was read is partial, its worker never sealed it; 4 there is no such task, attempt or file; 5 the token was refused.`
+Exit codes: 0 done; 1 failed; 2 wrong arguments or settings; 3 what was read is partial, its worker never sealed it; 4 there is no such task, attempt or file; 5 the token was refused; 6 too few keepers answered to be sure.`
 
 type cli struct {
 	Output string `enum:"text,json" default:"text" help:"Print text or JSON lines."`
@@ -90,6 +92,8 @@
 		return ExitUnknown
 	case errors.Is(err, keeper.ErrToken):
 		return ExitRefused
+	case errors.Is(err, keeper.ErrUnsure):
+		return ExitUnsure
 	}
 	return ExitFailed
 }
@@ -125,9 +129,23 @@
 	return nil
 }
 
+// taskOrJob is JOB/TASK, or JOB, whose Task is -1.
+type taskOrJob struct{ taskName }
+
+// UnmarshalText reads JOB/TASK or JOB.
+func (t *taskOrJob) UnmarshalText(b []byte) error {
+	if strings.Contains(string(b), "/") {
+		return t.taskName.UnmarshalText(b)
+	}
+	if t.Job, t.Task = string(b), -1; t.Job == "" {
+		return errors.New("a job is expected")
+	}
+	return nil
+}
+
 // from says which keeper to ask, and with what right.
 type from struct {
-	Keeper string `env:"TOPAZ_KEEPER" default:"http://127.0.0.1:8800" placeholder:"URL" help:"The keeper's address (${env})."`
+	Keeper string `env:"TOPAZ_KEEPER" default:"http://127.0.0.1:8800" placeholder:"URL" help:"A keeper's address, or several with commas between (${env})."`
 	Token  string `env:"TOPAZ_TOKEN" required:"" help:"Token to read with (${env})."`
 }
 
@@ -140,7 +158,7 @@
 }
 
 func (c *tokenCmd) Run(r *run) error {
-	key, err := keeper.KeyFromEnvironment()
+	key, err := keepers.KeyFromEnvironment()
 	if err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
@@ -157,53 +175,105 @@
 
 func (c *triesCmd) Run(r *run) error {
 	list, err := c.reader().Attempts(r.ctx, c.Of.Job, c.Of.Task)
-	if err != nil {
+	if err != nil && !errors.Is(err, keeper.ErrUnsure) {
 		return err
 	}
 	for _, a := range list {
-		state := a.State()
-		r.print(map[string]any{"job": a.Job, "task": a.Task, "attempt": a.Number, "machine": a.Machine, "state": state},
-			"%-22d %-8s %s", a.Number, state, a.Machine)
+		how := ""
+		if a.Exit != nil {
+			how = fmt.Sprintf("exit %d %s", a.Exit.Code, a.Exit.Reason)
+		}
+		r.print(a, "%-22d %-8s %-16s %s", a.Number, a.State, a.Machine, how)
 	}
-	return nil
+	return err
 }
 
 type logsCmd struct {
-	Of      taskName      `arg:"" name:"task" help:"Task, as job-000412/3."`
+	Of      taskOrJob     `arg:"" name:"task" help:"Task, as job-000412/3; with --failed a job."`
 	Attempt uint64        `help:"Which attempt; the final one, else the latest, if not given."`
 	Stream  string        `default:"stdout" help:"Which of its streams."`
 	Since   time.Duration `help:"Only what was put out in this time until now, as 10m."`
 	Follow  bool          `help:"Go on while the attempt does."`
+	Failed  bool          `help:"Of each of a job's tasks without a result, the last attempt that is over."`
 	from
 }
 
+// Run prints one task's output, or that of a job's failed ones.
 func (c *logsCmd) Run(r *run) error {
-	q := keeper.Query{Attempt: c.Attempt, Stream: c.Stream, Follow: c.Follow}
+	if c.Failed != (c.Of.Task < 0) {
+		return fmt.Errorf("%w: JOB/TASK is expected, or JOB with --failed", errUsage)
+	}
+	if c.Failed {
+		return c.failed(r)
+	}
+	end, err := c.one(r, c.Of.Task, c.Attempt, "")
+	switch {
+	case err != nil:
+		return err
+	case end.State == keeper.StatePartial || end.State == keeper.StateGoesOn:
+		return fmt.Errorf("%w: attempt %d of %s/%d", keeper.ErrPartial, end.Attempt, c.Of.Job, c.Of.Task)
+	case end.State == keeper.StateUnsure:
+		return fmt.Errorf("%w: attempt %d of %s/%d", keeper.ErrUnsure, end.Attempt, c.Of.Job, c.Of.Task)
+	}
+	return nil
+}
+
+// failed prints why a job's tasks have no result.
+func (c *logsCmd) failed(r *run) error {
+	tasks, unsure := c.reader().Tasks(r.ctx, c.Of.Job)
+	if unsure != nil && !errors.Is(unsure, keeper.ErrUnsure) {
+		return unsure
+	}
+	for _, task := range tasks {
+		list, err := c.reader().Attempts(r.ctx, c.Of.Job, task)
+		if errors.Is(err, keeper.ErrUnsure) {
+			unsure = err
+		} else if err != nil {
+			return err
+		}
+		var last *keeper.Known
+		for i, a := range list {
+			if a.State == keeper.StateFinal {
+				last = nil
+				break
+			}
+			if a.State == keeper.StateSealed || a.State == keeper.StatePartial {
+				last = &list[i]
+			}
+		}
+		if last == nil {
+			continue
+		}
+		r.print(last, "== %s/%d attempt %d on %s: %s, exit %d %s", last.Job, last.Task, last.Number, last.Machine, last.State, last.Exit.Code, last.Exit.Reason)
+		if _, err := c.one(r, task, last.Number, "   "); err != nil {
+			return err
+		}
+	}
+	return unsure
+}
+
+// one prints an attempt's stream.
+func (c *logsCmd) one(r *run, task int, attempt uint64, indent string) (keeper.Line, error) {
+	q := keeper.Query{Attempt: attempt, Stream: c.Stream, Follow: c.Follow}
 	if c.Since > 0 {
 		q.Since = time.Now().Add(-c.Since)
 	}
-	end, err := c.reader().Logs(r.ctx, c.Of.Job, c.Of.Task, q, func(l keeper.Line) error {
+	end, err := c.reader().Logs(r.ctx, c.Of.Job, task, q, func(l keeper.Line) error {
 		switch {
 		case r.json:
 			return json.NewEncoder(r.out).Encode(&l)
 		case l.Record.Hole != nil:
 			h := l.Record.Hole
-			_, err := fmt.Fprintf(r.out, "[%d bytes lost from %s to %s]\n", h.Bytes, h.From.UTC().Format(time.TimeOnly), h.To.UTC().Format(time.TimeOnly))
+			_, err := fmt.Fprintf(r.out, "%s[%d bytes lost from %s to %s]\n", indent, h.Bytes, h.From.UTC().Format(time.TimeOnly), h.To.UTC().Format(time.TimeOnly))
 			return err
 		}
-		_, err := fmt.Fprintf(r.out, "%s\n", l.Record.Data)
+		_, err := fmt.Fprintf(r.out, "%s%s\n", indent, l.Record.Data)
 		return err
 	})
-	if err != nil {
-		return err
+	if err == nil && r.json {
+		err = json.NewEncoder(r.out).Encode(&end)
 	}
-	if r.json {
-		_ = json.NewEncoder(r.out).Encode(&end)
-	}
-	if end.State == keeper.StatePartial || end.State == keeper.StateGoesOn {
-		return fmt.Errorf("%w: attempt %d of %s/%d", keeper.ErrPartial, end.Attempt, c.Of.Job, c.Of.Task)
-	}
-	return nil
+	return end, err
 }
 
 type fetchCmd struct {
--- a/internal/topaz/topaz_test.go
+++ b/internal/topaz/topaz_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"topazhollow/internal/keeper"
+	"topazhollow/internal/keepers"
 )
 
 // TestMain lets the tests' program be the command topaz for the processes that demo
@@ -53,13 +54,13 @@
 func TestExitCodes(t *testing.T) {
 	dir := t.TempDir()
 	key := bytes.Repeat([]byte{7}, 16)
-	set := keeper.DefaultConfig()
+	set := keepers.DefaultConfig()
 	set.Listen, set.Dir = "127.0.0.1:0", filepath.Join(dir, "keep")
 	ctx, cancel := context.WithCancel(context.Background())
 	ended, ready := make(chan error, 1), make(chan string, 1)
 	go func() { ended <- Keep(ctx, set, key, &bytes.Buffer{}, func(addr string) { ready <- addr }) }()
 	t.Setenv("TOPAZ_KEEPER", "http://"+<-ready)
-	t.Setenv(keeper.KeyVariable, strings.Repeat("07", 16))
+	t.Setenv(keepers.KeyVariable, strings.Repeat("07", 16))
 	code, token, errs := topaz("token", "job-000001")
 	if code != 0 {
 		t.Fatal(errs)
@@ -81,7 +82,7 @@
 		out  string
 	}{
 		{[]string{"logs", "job-000001/0"}, ExitPartial, "hello\n"},
-		{[]string{"attempts", "job-000001/0"}, 0, "partial"},
+		{[]string{"attempts", "job-000001/0"}, 0, "goes on"},
 		{[]string{"logs", "job-000001/9"}, ExitUnknown, ""},
 		{[]string{"fetch", "job-000001/0", dir}, ExitUnknown, ""},
 		{[]string{"logs", "job-000002/0"}, ExitRefused, ""},
