Rehearse kills by one command; a lock order that stopped a keeper for good

Its first long run found a keeper that stood still: looking for abandoned uploads waited for an upload's lock with the store's held, a commit the other way round. Mended in blob.dropAbandoned, guarded by blob.TestDropWhileCommitting, which hangs without it.

Controllers untouched.

--- a/internal/blob/blob_test.go
+++ b/internal/blob/blob_test.go
@@ -623,6 +623,47 @@
 	})
 }
 
+// TestDropWhileCommitting: uploads are committed while abandoned ones are looked for. The
+// two once waited for each other's locks, and a keeper stood still for good.
+func TestDropWhileCommitting(t *testing.T) {
+	s, err := Open(Options{Dir: t.TempDir(), Inline: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for w := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range 25 {
+				if _, err := s.Put(ctx, "red", fmt.Appendf(nil, "%d of %d", i, w)); err != nil {
+					t.Error(err)
+				}
+			}
+		}()
+	}
+	dropped := make(chan struct{})
+	go func() {
+		defer close(dropped)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				s.dropAbandoned()
+			}
+		}
+	}()
+	wg.Wait()
+	close(stop)
+	<-dropped
+	if n := len(s.uploads); n > 0 {
+		t.Errorf("%d uploads are left open", n)
+	}
+}
+
 // BenchmarkPut sets the store beside a plain file each, synced and not; the store
 // verifies and indexes what it takes.
 func BenchmarkPut(b *testing.B) {
@@ -681,7 +722,7 @@
 
 // BenchmarkOpen opens a store that was closed in order, by its number of blobs.
 func BenchmarkOpen(b *testing.B) {
-	for _, n := range []int{1000, 20000} {
+	for _, n := range []int{10_000, 1_000_000} {
 		dir := b.TempDir()
 		s, err := Open(Options{Dir: dir})
 		if err != nil {
--- a/internal/blob/upload.go
+++ b/internal/blob/upload.go
@@ -8,8 +8,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -178,21 +180,20 @@
 	return u, nil
 }
 
-// dropAbandoned ends uploads that nobody touched for long.
+// dropAbandoned ends uploads that nobody touched for long. An upload's lock is never
+// waited for with the store's held: a commit takes them the other way round, and the two
+// would wait for each other for good.
 func (s *Store) dropAbandoned() {
 	s.mu.Lock()
-	var old []*Upload
-	for _, u := range s.uploads {
+	uploads := slices.Collect(maps.Values(s.uploads))
+	s.mu.Unlock()
+	for _, u := range uploads {
 		u.mu.Lock()
 		if s.opt.Now().Sub(u.used) > s.opt.Abandoned {
-			old = append(old, u)
+			u.end()
 		}
 		u.mu.Unlock()
 	}
-	s.mu.Unlock()
-	for _, u := range old {
-		u.Abort()
-	}
 }
 
 // ID names the upload, for Resume.
--- /dev/null
+++ b/internal/drill/drill_test.go
@@ -0,0 +1,75 @@
+package drill_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"topazhollow/internal/drill"
+	"topazhollow/internal/keeper"
+	"topazhollow/internal/topaz"
+)
+
+// TestMain lets the tests' program be the command topaz for the processes that a drill
+// starts.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && slices.Contains([]string{"keep", "drill-worker"}, os.Args[1]) {
+		os.Exit(topaz.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+func run(t *testing.T, kills int, spoil func(a *keeper.Known, lines []string, file string) ([]string, string)) *drill.Report {
+	t.Helper()
+	r, err := drill.Run(context.Background(), drill.Options{Program: os.Args[0], Dir: t.TempDir(), Seed: 3, Kills: kills, Key: []byte("0123456789abcdef"), Spoil: spoil})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestKills: workers and keepers are killed at drawn moments; all that is read afterwards
+// at each keeper is where it belongs, and the report shows it.
+func TestKills(t *testing.T) {
+	r := run(t, 40, nil)
+	if r.BrokenInTotal > 0 || len(r.Kills) < 40 || r.Lines == 0 || r.Files == 0 {
+		t.Fatalf("%d kills, %d lines, %d files, broken: %s", len(r.Kills), r.Lines, r.Files, strings.Join(r.Broken, "\n"))
+	}
+	var page bytes.Buffer
+	if err := r.HTML(&page); err != nil || !strings.Contains(page.String(), "<svg") || strings.Contains(page.String(), "broken") {
+		t.Errorf("%v\n%.2000s", err, page.String())
+	}
+}
+
+// TestCheckCatches: the check sees a build that loses, doubles or mixes up a line, gives
+// an attempt another's file, takes a result back or has two.
+func TestCheckCatches(t *testing.T) {
+	for what, spoil := range map[string]func(a *keeper.Known, lines []string, file string) ([]string, string){
+		"loses the last line": func(_ *keeper.Known, l []string, f string) ([]string, string) { return l[:max(0, len(l)-1)], f },
+		"doubles a line": func(_ *keeper.Known, l []string, f string) ([]string, string) {
+			return append(slices.Clone(l[:min(1, len(l))]), l...), f
+		},
+		"mixes up lines": func(_ *keeper.Known, l []string, f string) ([]string, string) { slices.Reverse(l); return l, f },
+		"gives another's file": func(_ *keeper.Known, l []string, f string) ([]string, string) {
+			return l, strings.Replace(f, "/", "/9", 1)
+		},
+		"takes a result back": func(a *keeper.Known, l []string, f string) ([]string, string) {
+			a.State = keeper.StateSealed
+			return l, f
+		},
+		"has more than a result": func(a *keeper.Known, l []string, f string) ([]string, string) {
+			a.State = keeper.StateFinal
+			return l, f
+		},
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			if r := run(t, 2, spoil); r.BrokenInTotal == 0 {
+				t.Errorf("a build that %s was not caught", what)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/drill/worker.go
@@ -0,0 +1,52 @@
+package drill
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"topazhollow/internal/runner"
+)
+
+// Work is a worker's process: it takes up the spool that an earlier one left, or runs
+// an attempt. What keepers acknowledge goes to the history before anything else happens.
+func Work(ctx context.Context, path string) error {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var job Job
+	if err := json.Unmarshal(b, &job); err != nil {
+		return err
+	}
+	history, err := os.OpenFile(job.History, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	defer history.Close()
+	note := func(what string, n uint64) {
+		if _, err := fmt.Fprintf(history, "%s %d\n", what, n); err != nil {
+			panic(fmt.Sprintf("history not written: %v", err)) // the drill would be worth nothing
+		}
+	}
+	opt := runner.Options{Spool: job.Spool, Keepers: job.Keepers, Pause: 50 * time.Millisecond, Acked: note}
+	if job.Recover {
+		_, err := runner.Recover(ctx, opt)
+		return err
+	}
+	got, err := runner.Run(ctx, opt, runner.Task{Claim: job.Claim, Token: job.Token, Command: job.Command, Env: job.Env, Dir: job.Dir, Files: job.Files}, time.Minute)
+	if err != nil {
+		return err
+	}
+	if !got.Exit.Completed {
+		return fmt.Errorf("the attempt failed: %+v", got.Exit)
+	}
+	final := uint64(0)
+	if got.Final {
+		final = 1
+	}
+	note("sealed", final)
+	return nil
+}
--- a/internal/keepers/status.go
+++ b/internal/keepers/status.go
@@ -1,8 +1,12 @@
 package keepers
 
 import (
+	"context"
+	"encoding/json"
+	"errors"
 	"maps"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,6 +63,25 @@
 	return s
 }
 
+// AskStatus asks a keeper how it is.
+func AskStatus(ctx context.Context, client *http.Client, url string, key []byte) (*Status, error) {
+	req, err := http.NewRequestWithContext(ctx, "GET", strings.TrimSuffix(url, "/")+"/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+keeper.Grant{Right: keeper.Operate, Until: time.Now().Add(time.Minute)}.Token(key))
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.New(resp.Status)
+	}
+	st := &Status{}
+	return st, json.NewDecoder(resp.Body).Decode(st)
+}
+
 // meters are a keeper's metrics.
 type meters struct {
 	handler  http.Handler
--- a/internal/topaz/keep.go
+++ b/internal/topaz/keep.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -147,7 +146,6 @@
 		return err
 	}
 	client.Timeout = 10 * time.Second
-	token := keeper.Grant{Right: keeper.Operate, Until: time.Now().Add(time.Minute)}.Token(key)
 	table := tabwriter.NewWriter(r.out, 0, 0, 2, ' ', 0)
 	if !r.json {
 		fmt.Fprintln(table, "KEEPER\tZONE\tSTATE\tEPOCH\tSTARTS\tGB\tOPEN\tSHORT\tREPAIR LEFT\tOLDEST\tHAND OVER\tAWAY\tREFUSED")
@@ -157,7 +155,7 @@
 		if m.State == keepers.Gone {
 			continue
 		}
-		st, err := ask(r.ctx, client, m.URL, token)
+		st, err := keepers.AskStatus(r.ctx, client, m.URL, key)
 		if err != nil {
 			silent = append(silent, m.Name)
 			r.row(table, map[string]any{"name": m.Name, "zone": m.Zone, "state": "no answer", "error": err.Error()}, "%s\t%s\tno answer: %v", m.Name, m.Zone, err)
@@ -187,21 +185,3 @@
 	}
 	fmt.Fprintf(table, format+"\n", args...)
 }
-
-func ask(ctx context.Context, client *http.Client, url, token string) (*keepers.Status, error) {
-	req, err := http.NewRequestWithContext(ctx, "GET", strings.TrimSuffix(url, "/")+"/status", nil)
-	if err != nil {
-		return nil, err
-	}
-	req.Header.Set("Authorization", "Bearer "+token)
-	resp, err := client.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.New(resp.Status)
-	}
-	st := &keepers.Status{}
-	return st, json.NewDecoder(resp.Body).Decode(st)
-}
--- a/internal/topaz/topaz.go
+++ b/internal/topaz/topaz.go
@@ -39,6 +39,9 @@
 	Demo       demoCmd       `cmd:"" help:"Run a whole region on this machine, with a job, and show its output."`
 	Controller controllerCmd `cmd:"" hidden:"" help:"Run a controller, for demo."`
 
+	Rehearse    rehearseCmd    `cmd:"" help:"Rehearse failures on this machine."`
+	DrillWorker drillWorkerCmd `cmd:"" hidden:"" help:"A worker's process, for rehearse."`
+
 	Keep  keepCmd  `cmd:"" help:"Keep tasks' output and files (see docs/keeper.md)."`
 	Token tokenCmd `cmd:"" help:"Print a token to read a job's output, made with the keeper's key."`
 	Tries triesCmd `cmd:"" name:"attempts" help:"List a task's attempts."`
--- a/internal/topaz/topaz_test.go
+++ b/internal/topaz/topaz_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -19,7 +20,7 @@
 // TestMain lets the tests' program be the command topaz for the processes that demo
 // starts.
 func TestMain(m *testing.M) {
-	if len(os.Args) > 1 && os.Args[1] == "controller" {
+	if len(os.Args) > 1 && slices.Contains([]string{"controller", "keep", "drill-worker"}, os.Args[1]) {
 		os.Exit(Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
