--- a/internal/keepers/group_test.go
+++ b/internal/keepers/group_test.go
@@ -279,6 +279,109 @@
 		t.Errorf("alone: %v", err)
 	}
 	whole(t, n, claim(1, 0, 1), 5, keeper.StateFinal) // what was decided stays so
+	g.back("a")                                       // two gone and back
+	g.back("b")
+	one(n)
+	check()
+	// One is gone for good: the list says so, and the two that are left are enough.
+	g.stop("b")
+	g.members.Epoch++
+	g.members.List[1].State = Gone
+	for _, name := range []string{"a", "c"} {
+		g.stop(name)
+		g.start(name)
+	}
+	g.repair()
+	one(g.keepers["c"].Node)
+	check()
+}
+
+// TestFull: a team that has used up its room is refused and told when to come back, the
+// others and what must not fail are not; open attempts count.
+func TestFull(t *testing.T) {
+	dir := t.TempDir()
+	b, err := blob.Open(blob.Options{Dir: filepath.Join(dir, "blobs"), Quota: 40_000, Reserve: 20_000, Tenant: func(string) int64 { return 8_000 }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	k, err := keeper.Open(keeper.Options{Dir: filepath.Join(dir, "log"), Blobs: b, Key: key})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer k.Close()
+	m := Members{Epoch: 1, Copies: 1, Acks: 1, List: []Member{{Name: "a", URL: "http://127.0.0.1:1", State: Serving}}}
+	n, err := New(Options{Name: "a", Dir: dir, Members: m, Keeper: k, Blobs: b, Key: key})
+	if err == nil {
+		err = n.Repair(ctx)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	fill := func(c keeper.Claim) (records uint64) {
+		t.Helper()
+		if err := n.Begin(ctx, c); err != nil {
+			t.Fatal(err)
+		}
+		for {
+			_, err := n.Append(ctx, c, "stdout", records, []keeper.Record{{Data: bytes.Repeat([]byte{byte(records)}, 1000)}})
+			var full *blob.FullError
+			if errors.As(err, &full) && full.Retry > 0 {
+				return records
+			}
+			if records++; err != nil || records > 100 {
+				t.Fatalf("%d records, %v", records, err)
+			}
+		}
+	}
+	chatty, quiet := claim(1, 0, 1), claim(2, 0, 1)
+	quiet.Tenant = "blue"
+	if got := fill(chatty); got != 8 {
+		t.Errorf("%d records of one team", got)
+	}
+	if got := fill(quiet); got != 8 {
+		t.Errorf("%d records of the other", got)
+	}
+	if _, final, err := n.Seal(ctx, chatty, end(true, 8, nil)); err != nil || !final {
+		t.Errorf("a seal on a full disk: %v", err)
+	}
+}
+
+// TestRetention: the operators' script says how long what is kept; a bad one is told of at
+// the start, with its line.
+func TestRetention(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "r.star")
+	for src, want := range map[string]string{
+		"x = 1": "keep_days", "def keep_days(a): return 1": "accepts 1", "def keep_days(cls, team, completed, partial, mb):\n  return -1": "not between",
+		"def keep_days(cls, team, completed, partial, mb):\n  return 'x'": "not between", "def keep_days(": "r.star:1",
+		"def keep_days(cls, team, completed, partial, mb):\n  for i in range(10000000): pass": "too many steps",
+	} {
+		if err := os.WriteFile(path, []byte(src), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := LoadRetention(path, 1); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", src, err)
+		}
+	}
+	if err := os.WriteFile(path, []byte("def keep_days(cls, team, completed, partial, mb):\n  return 0 if cls == 'grades' else 3 if completed else 1"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r, err := LoadRetention(path, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1e9, 0)
+	for _, x := range []struct {
+		class     string
+		completed bool
+		days      int
+		over      bool
+	}{{"", true, 2, false}, {"", true, 4, true}, {"", false, 2, true}, {"grades", false, 1000, false}} {
+		m := &keeper.Manifest{Claim: keeper.Claim{Class: x.class}, Exit: keeper.Exit{Completed: x.completed}, Sealed: now.AddDate(0, 0, -x.days)}
+		if got := r.Over(now)(m); got != x.over {
+			t.Errorf("%+v: over %v", x, got)
+		}
+	}
 }
 
 // TestTwoBelieve: two attempts that both believe that they are the last, sealed through
--- a/internal/topaz/topaz_test.go
+++ b/internal/topaz/topaz_test.go
@@ -99,6 +99,21 @@
 		}
 	}
 	post("/seal", `{"exit":{"completed":true},"records":{"stdout":1}}`)
+	task = 1
+	write = keeper.Grant{Right: keeper.Write, Tenant: "red", Job: "job-000001", Task: &task, Number: 2, Machine: "m", Session: 1, Until: time.Now().Add(time.Hour)}.Token(key)
+	post("/attempt", "")
+	post("/streams/stdout?first=0", `[{"at":"2026-01-01T00:00:00Z","data":"bm8="}]`)
+	post("/seal", `{"exit":{"completed":false,"code":3,"reason":"no terrain"},"records":{"stdout":1}}`)
+	if code, out, errs := topaz("logs", "job-000001", "--failed"); code != 0 || out != "== job-000001/1 attempt 2 on m: sealed, exit 3 no terrain\n   no\n" {
+		t.Errorf("failed ones: %d %q %s", code, out, errs)
+	}
+	config := filepath.Join(dir, "keep.toml")
+	if err := os.WriteFile(config, []byte("listen = \""+strings.TrimPrefix(os.Getenv("TOPAZ_KEEPER"), "http://")+"\""), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code, out, errs := topaz("keep", "status", "--config", config); code != 0 || !strings.Contains(out, "keeper-1") || !strings.Contains(out, "serving") {
+		t.Errorf("status: %d %s %s", code, out, errs)
+	}
 	if code, out, errs := topaz("--output", "json", "logs", "job-000001/0"); code != 0 || !strings.Contains(out, `"state":"final"`) {
 		t.Errorf("sealed: %d %s %s", code, out, errs)
 	}
