--- a/internal/topaz/demo.go
+++ b/internal/topaz/demo.go
@@ -268,8 +268,8 @@
 	if !ok {
 		return false
 	}
-	c := keeper.Claim{Attempt: keeper.Attempt{Job: job, Task: index, Number: attempt}, Tenant: "red", Machine: machine, Session: session}
-	token := keeper.Grant{Right: keeper.Write, Tenant: c.Tenant, Job: job, Task: &index, Number: attempt, Machine: machine, Session: session,
+	c := keeper.Claim{Attempt: keeper.Attempt{Job: job, Task: index, Number: attempt}, Tenant: "red", Machine: machine, Session: session, Class: g.example.Name}
+	token := keeper.Grant{Right: keeper.Write, Tenant: c.Tenant, Job: job, Task: &index, Number: attempt, Machine: machine, Session: session, Class: c.Class,
 		Until: time.Now().Add(time.Hour)}.Token(g.key)
 	dir := filepath.Join(g.dir, "work", fmt.Sprintf("%s-%d-%d", job, index, attempt))
 	if err := os.MkdirAll(dir, 0o700); err != nil {
--- a/internal/topaz/topaz.go
+++ b/internal/topaz/topaz.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/schollz/progressbar/v3"
 
 	"topazhollow/internal/keeper"
 	"topazhollow/internal/keepers"
@@ -279,6 +280,9 @@
 	return end, err
 }
 
+// longTransfer is from how many bytes on a file's transfer is shown as a bar.
+const longTransfer = 8 << 20
+
 type fetchCmd struct {
 	Of      taskName `arg:"" name:"task" help:"Task, as job-000412/3."`
 	Dir     string   `arg:"" optional:"" default:"." help:"Directory to copy to."`
@@ -293,12 +297,16 @@
 		return err
 	}
 	for _, f := range m.Files {
-		var told time.Time
+		var bar *progressbar.ProgressBar
 		err := k.Fetch(r.ctx, m, f, c.Dir+"/"+f.Path, func(done, all int64) {
-			if now := time.Now(); !r.json && now.Sub(told) > time.Second {
-				told = now
-				fmt.Fprintf(r.err, "\r%s %d%%", f.Path, 100*done/max(all, 1))
+			if r.json || all < longTransfer {
+				return
+			}
+			if bar == nil {
+				bar = progressbar.NewOptions64(all, progressbar.OptionSetWriter(r.err), progressbar.OptionSetDescription(f.Path), progressbar.OptionShowBytes(true),
+					progressbar.OptionThrottle(200*time.Millisecond), progressbar.OptionClearOnFinish())
 			}
+			_ = bar.Set64(done) // a bar that can't be drawn is no reason to stop
 		})
 		if err != nil {
 			return err
