--- a/internal/blob/blob_test.go
+++ b/internal/blob/blob_test.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/klauspost/compress/zstd"
 )
 
 var ctx = context.Background()
@@ -623,6 +625,46 @@
 	})
 }
 
+// TestBomb: content that unpacks to far more than its digest says, put under a blob's
+// file, is told of as rotten after little more than the blob's size was read; and what is
+// packed well takes the room that its sender named only until it is in.
+func TestBomb(t *testing.T) {
+	s := open(t, Options{Dir: t.TempDir(), Inline: 1000, Quota: 1 << 20})
+	d, err := s.Put(ctx, "red", bytes.Repeat([]byte("line of a log\n"), 10_000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if used := s.Stats().Bytes; used > 20_000 {
+		t.Errorf("%d bytes taken", used)
+	}
+	var bomb bytes.Buffer
+	z, err := zstd.NewWriter(&bomb)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 200 {
+		if _, err := z.Write(make([]byte, 1<<20)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := z.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(s.objectPath(d), bomb.Bytes(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if b, err := s.Get("red", d, 1<<20); !errors.Is(err, ErrRotten) || len(b) > 0 {
+		t.Errorf("%d bytes, %v", len(b), err)
+	}
+	if f, err := s.Scrub(ctx, 1e12); err != nil || f.Bad != 1 {
+		t.Errorf("%+v %v", f, err)
+	}
+	var full *FullError
+	if _, _, err := s.Begin("red", Digest{Size: 1 << 40}); !errors.As(err, &full) {
+		t.Errorf("a terabyte was let begin: %v", err)
+	}
+}
+
 // TestDropWhileCommitting: uploads are committed while abandoned ones are looked for. The
 // two once waited for each other's locks, and a keeper stood still for good.
 func TestDropWhileCommitting(t *testing.T) {
--- a/internal/keeper/expire.go
+++ b/internal/keeper/expire.go
@@ -40,7 +40,7 @@
 					continue
 				}
 				final := Attempt{Job: m.Job, Task: m.Task}
-				if _, f, ok := k.opt.Blobs.Ref(finalName(final)); ok && f[0] == ds[0] {
+				if _, f, ok := k.opt.Blobs.Ref(finalName(final)); !ok || f[0] == ds[0] {
 					if err := k.Forget(ctx, final); err != nil {
 						return count, err
 					}
--- a/internal/keeper/register.go
+++ b/internal/keeper/register.go
@@ -570,6 +570,9 @@
 // Forget lets go of an ended attempt or a result (Number 0), which others keep.
 func (k *Keeper) Forget(ctx context.Context, at Attempt) error {
 	defer k.enter(at)()
+	k.mu.Lock()
+	delete(k.votes, at) // else what was promised of tasks without a result stayed for ever
+	k.mu.Unlock()
 	if at.Number == 0 {
 		return k.opt.Blobs.DropRef(ctx, finalName(at))
 	}
--- a/internal/keepers/repair.go
+++ b/internal/keepers/repair.go
@@ -544,7 +544,7 @@
 		}
 		names := n.opt.Members.Place(at.Job, at.Task)
 		got, _ := n.ask(ctx, names, len(names), func(ctx context.Context, _ string, r replica) (*answer, error) {
-			return r.do(ctx, &call{Op: "task", Attempt: at})
+			return r.do(ctx, &call{Op: "task", Attempt: at, Count: true})
 		})
 		whole := len(got) == len(names)
 		for _, r := range got {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -331,7 +331,8 @@
 // Recover takes up the spools that a worker's earlier process left: what is whole is
 // brought and sealed, and of what is not, the output that is there is brought; its
 // attempt stays partial, since nobody knows how it ended. It gives how many were taken
-// up. Spools that could not be brought within the context's time stay.
+// up. Spools that could not be brought, be it within the context's time or since a
+// keeper refuses them, stay and hold up no others; the error tells of them.
 func Recover(ctx context.Context, opt Options) (count int, err error) {
 	opt.defaults()
 	if len(opt.Keepers) == 0 {
@@ -344,10 +345,12 @@
 	if err != nil {
 		return 0, err
 	}
+	var errs []error
 	for _, e := range entries {
 		s, err := open(opt, filepath.Join(opt.Spool, e.Name()))
 		if err != nil {
-			return count, err
+			errs = append(errs, err)
+			continue
 		}
 		if s.task.Command == nil { // it ended before anything was in it
 			s.log.Close()
@@ -361,10 +364,11 @@
 		_, err = s.bring(ctx)
 		s.log.Close()
 		if err != nil {
-			return count, fmt.Errorf("runner: spool %s: %w", e.Name(), err)
+			errs = append(errs, fmt.Errorf("runner: spool %s: %w", e.Name(), err))
+			continue
 		}
 		count++
 		opt.Log.Info("spool of an earlier process brought", "job", s.task.Claim.Job, "task", s.task.Claim.Task, "attempt", s.task.Claim.Number, "partial", partial)
 	}
-	return count, nil
+	return count, errors.Join(errs...)
 }
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -208,6 +208,38 @@
 	}
 }
 
+// TestRefusedSpool: a spool whose token has ended stays, and holds up no other.
+func TestRefusedSpool(t *testing.T) {
+	x := newSite(t)
+	opt := x.options(t.TempDir())
+	opt.defaults()
+	for number := uint64(1); number <= 2; number++ {
+		tk := task(t.TempDir(), number, "true")
+		if number == 1 {
+			tk.Token = keeper.Grant{Right: keeper.Write, Job: tk.Claim.Job, Until: time.Unix(0, 0)}.Token(key)
+		}
+		s, err := open(opt, spoolDir(opt.Spool, tk.Claim.Attempt))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range []*entry{{Task: &tk}, {Stream: "stdout", Record: &keeper.Record{Data: []byte("x")}}, {Exit: &keeper.Exit{Completed: true}}} {
+			if err := s.write(ctx, e); err != nil {
+				t.Fatal(err)
+			}
+		}
+		s.log.Close()
+	}
+	if n, err := Recover(ctx, opt); n != 1 || err == nil || !strings.Contains(err.Error(), "job-000001-0-1") {
+		t.Fatalf("%d taken up, %v", n, err)
+	}
+	if left, err := os.ReadDir(opt.Spool); err != nil || len(left) != 1 {
+		t.Errorf("left: %v %v", left, err)
+	}
+	if m, state, err := x.n.Manifest(ctx, "job-000001", 0, 0); err != nil || state != keeper.StateFinal || m.Number != 2 {
+		t.Errorf("%+v %s %v", m, state, err)
+	}
+}
+
 // TestKilled ends the runner's process for good at each of its steps, takes its spool
 // up in another, and runs the task again as its next attempt. Every line that survives is
 // once there, in order, under the attempt that put it out; an attempt that was not whole
