--- a/internal/blob/upload.go
+++ b/internal/blob/upload.go
@@ -51,12 +51,21 @@
 // that the tenant has the blob already. Another tenant's blob does not count: who
 // has no content to show gets none.
 func (s *Store) Begin(tenant string, d Digest, choices ...Choice) (u *Upload, done bool, err error) {
+	var id [16]byte
+	_, _ = rand.Read(id[:]) // never fails
+	return s.BeginAs(id, tenant, d, choices...)
+}
+
+// BeginAs is Begin under an id of the caller's choice, so that it can find the upload
+// again after a restart. One that is under way under that id is gone on with.
+func (s *Store) BeginAs(id [16]byte, tenant string, d Digest, choices ...Choice) (u *Upload, done bool, err error) {
 	if s.Has(tenant, d) {
 		return nil, true, nil
 	}
+	if u, err := s.Resume(tenant, hex.EncodeToString(id[:])); err == nil && u.d == d {
+		return u, false, nil
+	}
 	urgent := len(choices) > 0
-	var id [16]byte
-	_, _ = rand.Read(id[:]) // never fails
 	u = &Upload{s: s, id: hex.EncodeToString(id[:]), tenant: tenant, d: d, urgent: urgent, sum: NewSum(), used: s.opt.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/keeper/token.go
+++ b/internal/keeper/token.go
@@ -28,6 +28,8 @@
 	Peer Right = "peer"
 	// Operate lets its bearer read metrics and status.
 	Operate Right = "operate"
+	// Build lets its bearer use an instance of the front for build tools; Job names it.
+	Build Right = "build"
 )
 
 // Grant is what a token stands for. It holds until its time is over, to the second,
--- a/internal/topaz/topaz.go
+++ b/internal/topaz/topaz.go
@@ -43,8 +43,9 @@
 	Rehearse    rehearseCmd    `cmd:"" help:"Rehearse failures on this machine."`
 	DrillWorker drillWorkerCmd `cmd:"" hidden:"" help:"A worker's process, for rehearse."`
 
+	Build buildCmd `cmd:"" help:"Serve build tools: store and action cache of the Remote Execution API (see docs/remote-execution.md)."`
 	Keep  keepCmd  `cmd:"" help:"Keep tasks' output and files (see docs/keeper.md)."`
-	Token tokenCmd `cmd:"" help:"Print a token to read a job's output, made with the keeper's key."`
+	Token tokenCmd `cmd:"" help:"Print a token to read a job's output, or to use an instance for builds, made with the keepers' key."`
 	Tries triesCmd `cmd:"" name:"attempts" help:"List a task's attempts."`
 	Logs  logsCmd  `cmd:"" help:"Print a task's output."`
 	Fetch fetchCmd `cmd:"" help:"Copy the files that a task's attempt produced."`
@@ -156,9 +157,10 @@
 func (f from) reader() *keeper.Reader { return &keeper.Reader{URL: f.Keeper, Token: f.Token} }
 
 type tokenCmd struct {
-	Job  string        `arg:"" help:"Job, as job-000412."`
-	Task *int          `help:"Only this task."`
-	For  time.Duration `default:"12h" help:"For how long it holds."`
+	Job   string        `arg:"" help:"Job, as job-000412; with --build an instance."`
+	Task  *int          `help:"Only this task."`
+	Build bool          `help:"For an instance of the front for build tools."`
+	For   time.Duration `default:"12h" help:"For how long it holds."`
 }
 
 func (c *tokenCmd) Run(r *run) error {
@@ -167,6 +169,9 @@
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
 	g := keeper.Grant{Right: keeper.Read, Job: c.Job, Task: c.Task, Until: time.Now().Add(c.For).UTC()}
+	if c.Build {
+		g.Right, g.Task = keeper.Build, nil
+	}
 	token := g.Token(key)
 	r.print(map[string]any{"token": token, "job": c.Job, "until": g.Until}, "%s", token)
 	return nil
--- a/internal/topaz/topaz_test.go
+++ b/internal/topaz/topaz_test.go
@@ -92,6 +92,8 @@
 		{[]string{"keep", "--config", "../../deploy/keep.toml", "--check"}, 0, "ok"},
 		{[]string{"keep", "--config", "../../deploy/keep.toml", "--print-config"}, 0, "quota_gb = 10"},
 		{[]string{"keep", "--config", filepath.Join(dir, "none.toml")}, ExitUsage, ""},
+		{[]string{"build", "--config", "../../deploy/build.toml", "--check"}, 0, "ok"},
+		{[]string{"build", "--config", "../../deploy/keep.toml", "--check"}, ExitUsage, ""},
 		{[]string{"--help"}, 0, "Exit codes"},
 	} {
 		if code, out, errs := topaz(x.args...); code != x.code || !strings.Contains(out, x.out) {
