Tokens can be revoked before their end, by a file that is read again when it changes

A worker or reader whose token must not be used any more could only be stopped by a new key. revoked in deploy/keep.toml names a file of jobs, tasks or attempts (keepers.TestRevoked).

--- a/internal/keepers/config.go
+++ b/internal/keepers/config.go
@@ -33,6 +33,7 @@
 	TenantGB     float64 `toml:"tenant_gb"`
 	KeepDays     float64 `toml:"keep_days"`
 	Policy       string  `toml:"policy"`
+	Revoked      string  `toml:"revoked"`
 	PartialHours float64 `toml:"partial_hours"`
 	LooseHours   float64 `toml:"loose_hours"`
 	DutyMinutes  float64 `toml:"duty_minutes"`
@@ -62,8 +63,10 @@
 		return c, err
 	}
 	c.Fill()
-	if c.Policy != "" && !filepath.IsAbs(c.Policy) {
-		c.Policy = filepath.Join(filepath.Dir(path), c.Policy) // it lies beside the file
+	for _, beside := range []*string{&c.Policy, &c.Revoked} {
+		if *beside != "" && !filepath.IsAbs(*beside) {
+			*beside = filepath.Join(filepath.Dir(path), *beside)
+		}
 	}
 	if err := c.check(); err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
@@ -120,6 +123,9 @@
 	if _, err := LoadRetention(c.Policy, c.KeepDays); err != nil {
 		return fmt.Errorf("field policy: %w", err)
 	}
+	if _, err := LoadRevoked(c.Revoked); err != nil {
+		return fmt.Errorf("field revoked: %w", err)
+	}
 	if _, err := c.Client(); err != nil {
 		return fmt.Errorf("field tls.ca: %w", err)
 	}
--- a/internal/keepers/front.go
+++ b/internal/keepers/front.go
@@ -37,6 +37,7 @@
 	Patience time.Duration // for another keeper's answer; 5 s if 0
 	Repair   float64       // bytes a second that repair may bring; no bound if 0
 	Retain   *Retention    // how long what is kept; nil: for ever
+	Revoked  *Revoked      // tokens that are refused; nil: none
 	HTTP     *http.Client  // for the other keepers; http.DefaultClient if nil
 	Log      *slog.Logger
 	Now      func() time.Time
--- /dev/null
+++ b/internal/keepers/revoked.go
@@ -0,0 +1,99 @@
+package keepers
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"topazhollow/internal/keeper"
+)
+
+// Revoked is the list of tokens that are refused before their time is over, in a file
+// that is read again when it changes: a line each, "write JOB/TASK/ATTEMPT", or
+// "write JOB/TASK", "write JOB", "read JOB" for all of them below; # begins a comment.
+type Revoked struct {
+	path   string
+	mu     sync.Mutex
+	looked time.Time
+	stamp  time.Time
+	lines  map[string]bool
+}
+
+// maxRevoked bounds the file, in bytes.
+const maxRevoked = 16 << 20
+
+// LoadRevoked reads a list; no path means none.
+func LoadRevoked(path string) (*Revoked, error) {
+	if path == "" {
+		return nil, nil
+	}
+	r := &Revoked{path: path}
+	return r, r.read()
+}
+
+func (r *Revoked) read() error {
+	info, err := os.Stat(r.path)
+	if err != nil {
+		return err
+	}
+	if info.Size() > maxRevoked {
+		return fmt.Errorf("%s: longer than %d bytes", r.path, maxRevoked)
+	}
+	b, err := os.ReadFile(r.path)
+	if err != nil {
+		return err
+	}
+	lines := map[string]bool{}
+	in := bufio.NewScanner(bytes.NewReader(b))
+	for n := 1; in.Scan(); n++ {
+		text, _, _ := strings.Cut(in.Text(), "#")
+		words := strings.Fields(text)
+		if len(words) == 0 {
+			continue
+		}
+		if len(words) != 2 || (words[0] != "write" && words[0] != "read") || !names(words[1], words[0] == "read") {
+			return fmt.Errorf("%s: line %d: write JOB[/TASK[/ATTEMPT]] or read JOB is expected", r.path, n)
+		}
+		lines[words[0]+" "+words[1]] = true
+	}
+	r.lines, r.stamp = lines, info.ModTime()
+	return in.Err()
+}
+
+// names says whether a text names a job, or what is below it.
+func names(text string, job bool) bool {
+	parts := strings.Split(text, "/")
+	for _, p := range parts[1:] {
+		if _, err := strconv.ParseUint(p, 10, 64); err != nil {
+			return false
+		}
+	}
+	return parts[0] != "" && len(parts) <= 3 && (!job || len(parts) == 1)
+}
+
+// has says whether what a token stands for was revoked. A file that can't be read any
+// more leaves the last list in force.
+func (r *Revoked) has(g *keeper.Grant) bool {
+	if r == nil || (g.Right != keeper.Write && g.Right != keeper.Read) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now := time.Now(); now.Sub(r.looked) > time.Second {
+		r.looked = now
+		if info, err := os.Stat(r.path); err == nil && !info.ModTime().Equal(r.stamp) {
+			_ = r.read()
+		}
+	}
+	name := string(g.Right) + " " + g.Job
+	if r.lines[name] || g.Right == keeper.Read || g.Task == nil {
+		return r.lines[name]
+	}
+	name += "/" + strconv.Itoa(*g.Task)
+	return r.lines[name] || r.lines[name+"/"+strconv.FormatUint(g.Number, 10)]
+}
--- a/internal/keepers/serve.go
+++ b/internal/keepers/serve.go
@@ -289,7 +289,11 @@
 	if !ok {
 		return nil, fmt.Errorf("%w: none was given", keeper.ErrToken)
 	}
-	return keeper.ParseToken(s.Node.opt.Key, token, s.Node.opt.Now())
+	g, err := keeper.ParseToken(s.Node.opt.Key, token, s.Node.opt.Now())
+	if err == nil && s.Node.opt.Revoked.has(g) {
+		return nil, fmt.Errorf("%w: it was revoked", keeper.ErrToken)
+	}
+	return g, err
 }
 
 func send(w http.ResponseWriter, code int, a any) {
--- a/internal/keepers/serve_test.go
+++ b/internal/keepers/serve_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -16,14 +18,15 @@
 
 // site is a keeper behind HTTP, and a caller.
 type site struct {
-	t   *testing.T
-	url string
-	now time.Time
+	t    *testing.T
+	url  string
+	now  time.Time
+	node *Node
 }
 
 func newSite(t *testing.T) *site {
 	n, _ := alone(t, t.TempDir(), nil)
-	x := &site{t: t, now: time.Unix(1e9, 0)}
+	x := &site{t: t, now: time.Unix(1e9, 0), node: n}
 	n.opt.Now = func() time.Time { return x.now }
 	srv := httptest.NewServer((&Server{Node: n}).Handler())
 	t.Cleanup(srv.Close)
@@ -157,6 +160,54 @@
 	}
 }
 
+// TestRevoked: a worker or reader whose token was revoked is refused, others are not, and
+// the list is read again when it changes; one with nonsense leaves the last in force.
+func TestRevoked(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "revoked")
+	now := time.Now()
+	write := func(text string, later time.Duration) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Chtimes(path, now.Add(later), now.Add(later)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("write job-000001/0/1 # its machine was sold\n", 0)
+	r, err := LoadRevoked(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := newSite(t)
+	x.node.opt.Revoked = r
+	for _, c := range []struct {
+		claim keeper.Claim
+		code  int
+	}{{claim(1, 0, 1), 401}, {claim(1, 0, 2), 200}, {claim(2, 0, 1), 200}} {
+		if code, _, text := x.call(x.writer(c.claim), "POST", "/attempt", nil); code != c.code {
+			t.Errorf("%s: %d %s", c.claim.Attempt, code, text)
+		}
+	}
+	again := func() { r.looked = time.Time{} } // a second later
+	write("write job-000001\nread job-000002\n", time.Minute)
+	again()
+	if code, _, _ := x.call(x.writer(claim(1, 0, 2)), "POST", "/seal", []byte("{}")); code != 401 {
+		t.Errorf("a job's workers: %d", code)
+	}
+	if code, _, _ := x.call(x.reader("job-000002"), "GET", "/attempts/job-000002/0", nil); code != 401 {
+		t.Errorf("a job's readers: %d", code)
+	}
+	write("nonsense", 2*time.Minute)
+	again()
+	if code, _, _ := x.call(x.reader("job-000002"), "GET", "/attempts/job-000002/0", nil); code != 401 {
+		t.Errorf("with nonsense in the file: %d", code)
+	}
+	if _, err := LoadRevoked(path); err == nil || !strings.Contains(err.Error(), "line 1") {
+		t.Errorf("nonsense at the start: %v", err)
+	}
+}
+
 // FuzzToken: no text that was not given out is taken for a token.
 func FuzzToken(f *testing.F) {
 	now := time.Unix(1e9, 0)
--- a/internal/topaz/keep.go
+++ b/internal/topaz/keep.go
@@ -82,12 +82,16 @@
 	if err != nil {
 		return err
 	}
+	revoked, err := keepers.LoadRevoked(set.Revoked)
+	if err != nil {
+		return err
+	}
 	client, err := set.Client()
 	if err != nil {
 		return err
 	}
 	node, err = keepers.New(keepers.Options{Name: set.Name, Dir: set.Dir, Members: set.Members, Keeper: k, Blobs: blobs, Key: key,
-		Patience: time.Duration(set.PatienceSec * float64(time.Second)), Repair: set.RepairMB * 1e6, Retain: retain, HTTP: client, Log: l})
+		Patience: time.Duration(set.PatienceSec * float64(time.Second)), Repair: set.RepairMB * 1e6, Retain: retain, Revoked: revoked, HTTP: client, Log: l})
 	if err != nil {
 		return err
 	}
