--- a/internal/keepers/one_test.go
+++ b/internal/keepers/one_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -449,6 +450,52 @@
 	return killed
 }
 
+// TestDiskFull lets no file grow beyond a size, one that is reached at another step each
+// time, as a full disk does. What was acknowledged until then stays, and once there is room
+// the workers' tries come to the same as ever.
+func TestDiskFull(t *testing.T) {
+	if spec := os.Getenv("KEEPER_FULL"); spec != "" {
+		dir, at, _ := strings.Cut(spec, "|")
+		limit, _ := strconv.ParseUint(at, 10, 64)
+		signal.Ignore(syscall.SIGXFSZ)
+		k, b := alone(t, dir, nil)
+		if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: limit, Max: limit}); err != nil {
+			t.Fatal(err)
+		}
+		play(k, b, func(what string, c keeper.Claim, n uint64) { fmt.Println(what, c.Task, c.Number, n) })
+		os.Exit(0)
+	}
+	var refused atomic.Int32
+	t.Run("sizes", func(t *testing.T) {
+		for limit := 300; limit <= 12_300; limit += 400 {
+			t.Run(strconv.Itoa(limit), func(t *testing.T) {
+				t.Parallel()
+				dir := t.TempDir()
+				cmd := exec.Command(os.Args[0], "-test.run=^TestDiskFull$")
+				cmd.Env = append(os.Environ(), fmt.Sprintf("KEEPER_FULL=%s|%d", dir, limit))
+				out, err := cmd.Output()
+				if err != nil {
+					t.Fatalf("%v\n%s", err, out)
+				}
+				if !strings.Contains(string(out), "final 2 2") {
+					refused.Add(1)
+				}
+				k, b := alone(t, dir, nil)
+				check(t, limit, k, string(out))
+				play(k, b, func(string, keeper.Claim, uint64) {})
+				for task := range 3 {
+					if m, state, err := k.Manifest(ctx, "job-000001", task, 0); err != nil || state != keeper.StateFinal || len(m.Files) != 1 {
+						t.Fatalf("no result of task %d in the end: %s, %v", task, state, err)
+					}
+				}
+			})
+		}
+	})
+	if n := refused.Load(); n < 5 {
+		t.Errorf("only %d sizes were too small", n)
+	}
+}
+
 // play is what workers do: of each of three tasks a first attempt that fails, or in
 // task 2 is never sealed, and a second that completes.
 func play(k *Node, b *blob.Store, acked func(what string, c keeper.Claim, n uint64)) {
