One piece where the keepers and the build front had two: pauses, server settings, flags

Read once more as a whole, the change had written several things twice. Dead: when an attempt began, a digest that nobody read, a second name for ParseName.

--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -23,6 +23,7 @@
 
 	"topazhollow/internal/keeper"
 	"topazhollow/internal/keepers"
+	"topazhollow/internal/wait"
 	"topazhollow/internal/wire"
 )
 
@@ -220,7 +221,7 @@
 // next is killed only once it has all that it should.
 func (d *drill) killKeepers(ctx context.Context, r *rand.Rand) error {
 	for ctx.Err() == nil {
-		if !pause(ctx, time.Duration(200+r.IntN(1500))*time.Millisecond) {
+		if !wait.For(ctx, time.Duration(200+r.IntN(1500))*time.Millisecond) {
 			return nil
 		}
 		name := names[r.IntN(len(names))]
@@ -237,7 +238,7 @@
 				return err
 			}
 		}
-		pause(ctx, time.Duration(r.IntN(800))*time.Millisecond)
+		wait.For(ctx, time.Duration(r.IntN(800))*time.Millisecond)
 		if err := d.start(name); err != nil {
 			return err
 		}
@@ -251,17 +252,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, p time.Duration) bool {
-	t := time.NewTimer(p)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // settled waits until each keeper says that it serves and lacks nothing.
 func (d *drill) settled(ctx context.Context) error {
 	return d.until(ctx, func(st *keepers.Status) bool {
@@ -283,7 +273,7 @@
 		if all {
 			return nil
 		}
-		if !pause(ctx, 100*time.Millisecond) {
+		if !wait.For(ctx, 100*time.Millisecond) {
 			return fmt.Errorf("the keepers did not come to rest; their logs are in %s", d.opt.Dir)
 		}
 	}
--- a/internal/keeper/client.go
+++ b/internal/keeper/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"topazhollow/internal/blob"
+	"topazhollow/internal/wait"
 )
 
 // ErrPartial says that what was read is no sealed attempt's.
@@ -49,9 +50,7 @@
 	for try := range max(tries, 2*len(urls)) {
 		if try > 0 {
 			pause := time.Duration(rand.Int64N(int64(200*time.Millisecond) << try))
-			select {
-			case <-time.After(pause):
-			case <-ctx.Done():
+			if !wait.For(ctx, pause) {
 				return nil, errors.Join(ctx.Err(), last)
 			}
 		}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -80,7 +80,6 @@
 // attempt is one that has not ended.
 type attempt struct {
 	claim   Claim
-	began   time.Time
 	streams map[string]*stream
 	files   map[string]blob.Digest
 	touched time.Time // when something last came for it
@@ -120,7 +119,6 @@
 	Kind    string   `json:"k"`
 	Claim   *Claim   `json:"c,omitempty"`
 	Attempt Attempt  `json:"a"`
-	Began   int64    `json:"b,omitempty"` // ms of the epoch
 	Stream  string   `json:"s,omitempty"`
 	First   uint64   `json:"n,omitempty"`
 	Records []Record `json:"r,omitempty"`
@@ -244,7 +242,7 @@
 	switch e.Kind {
 	case kindBegin:
 		if a == nil && e.Claim != nil {
-			k.open[e.Attempt] = &attempt{claim: *e.Claim, began: time.UnixMilli(e.Began), touched: k.opt.Now(), streams: map[string]*stream{}, files: map[string]blob.Digest{}}
+			k.open[e.Attempt] = &attempt{claim: *e.Claim, touched: k.opt.Now(), streams: map[string]*stream{}, files: map[string]blob.Digest{}}
 			k.latest[e.Attempt.task()] = max(k.latest[e.Attempt.task()], e.Attempt.Number)
 		}
 	case kindAppend:
@@ -340,7 +338,7 @@
 	if n >= k.opt.Open {
 		return fmt.Errorf("%w: %d open attempts", ErrTooMuch, n)
 	}
-	return k.write(ctx, &entry{Kind: kindBegin, Claim: &c, Attempt: c.Attempt, Began: k.opt.Now().UnixMilli()})
+	return k.write(ctx, &entry{Kind: kindBegin, Claim: &c, Attempt: c.Attempt})
 }
 
 // mine finds an open attempt, for the machine and session that began it. Its gate is
@@ -480,22 +478,14 @@
 	return Verify(k.opt.Key, data)
 }
 
-// ended gives the manifest of an attempt that is over, its digest, and whether it was
-// sealed.
-func (k *Keeper) ended(at Attempt) (m *Manifest, sealed bool, d blob.Digest, err error) {
+// Ended gives the manifest of an attempt that is over.
+func (k *Keeper) Ended(at Attempt) (*Manifest, error) {
 	for _, name := range []string{sealedName(at), shelvedName(at)} {
 		if tenant, ds, ok := k.opt.Blobs.Ref(name); ok {
-			m, err = k.manifest(tenant, ds[0])
-			return m, err == nil && !m.Partial, ds[0], err
+			return k.manifest(tenant, ds[0])
 		}
 	}
-	return nil, false, d, ErrUnknown
-}
-
-// Ended gives the manifest of an attempt that is over.
-func (k *Keeper) Ended(at Attempt) (*Manifest, error) {
-	m, _, _, err := k.ended(at)
-	return m, err
+	return nil, ErrUnknown
 }
 
 // Content gives what is here of a stream of an open attempt as it is kept once the
--- a/internal/keeper/register.go
+++ b/internal/keeper/register.go
@@ -144,7 +144,7 @@
 			return nil, err
 		}
 		if len(names) > 0 {
-			last, err := parseName(names[len(names)-1])
+			last, err := ParseName(names[len(names)-1])
 			if err != nil {
 				return nil, err
 			}
@@ -295,7 +295,7 @@
 	a, v := k.open[at], k.votes[at]
 	k.mu.Unlock()
 	settle := false
-	if m, sealed, _, err := k.ended(at); err == nil && sealed && m.Exit.Completed {
+	if m, err := k.Ended(at); err == nil && !m.Partial && m.Exit.Completed {
 		settle = !k.there(finalName(at))
 	}
 	if a == nil && v == nil && !settle {
@@ -458,7 +458,7 @@
 			return nil, err
 		}
 		for _, name := range names {
-			x, err := parseName(name)
+			x, err := ParseName(name)
 			if err != nil {
 				return nil, err
 			}
@@ -519,7 +519,7 @@
 				return nil, err
 			}
 			for _, name := range names {
-				at, err := parseName(name)
+				at, err := ParseName(name)
 				if err != nil {
 					return nil, err
 				}
@@ -547,9 +547,7 @@
 }
 
 // ParseName reads the name of a reference, as Names gives them.
-func ParseName(name string) (Attempt, error) { return parseName(name) }
-
-func parseName(name string) (Attempt, error) {
+func ParseName(name string) (Attempt, error) {
 	parts := strings.Split(name, "/")
 	var at Attempt
 	if len(parts) != 4 {
--- a/internal/keepers/config.go
+++ b/internal/keepers/config.go
@@ -4,18 +4,12 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/hex"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
-	"sync"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"topazhollow/internal/tomlfile"
 )
 
@@ -98,27 +92,15 @@
 }
 
 func (c *Config) check() error {
-	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
-		return fmt.Errorf("field listen: %q is not an address with a port", c.Listen)
-	}
-	if c.Dir == "" {
-		return errors.New("field dir: a directory is expected")
-	}
-	for _, x := range []struct {
-		field         string
-		value, lo, hi float64
-	}{{"quota_gb", c.QuotaGB, 0.01, 1e6}, {"reserve_gb", c.ReserveGB, 0, c.QuotaGB / 2}, {"tenant_gb", c.TenantGB, 0, 1e6}, {"keep_days", c.KeepDays, 0, 36500},
-		{"partial_hours", c.PartialHours, 0.1, 1e5}, {"loose_hours", c.LooseHours, 0.1, 1e5}, {"duty_minutes", c.DutyMinutes, 0.05, 1e4}, {"scrub_mb_per_s", c.ScrubMB, 0, 1e4},
-		{"repair_mb_per_s", c.RepairMB, 0, 1e4}, {"repair_seconds", c.RepairSec, 0.05, 1e5}, {"patience_seconds", c.PatienceSec, 0.1, 600}} {
-		if !(x.value >= x.lo && x.value <= x.hi) {
-			return fmt.Errorf("field %s: %g is not between %g and %g", x.field, x.value, x.lo, x.hi)
-		}
+	if err := tomlfile.CheckServer(c.Listen, c.Dir, c.TLS.Cert, c.TLS.Key); err != nil {
+		return err
 	}
-	if (c.TLS.Cert == "") != (c.TLS.Key == "") {
-		return errors.New("field tls: cert and key are expected together")
-	}
-	if c.TLS.Cert == "" && !strings.HasPrefix(c.Listen, "127.") && !strings.HasPrefix(c.Listen, "[::1]") && !strings.HasPrefix(c.Listen, "localhost:") {
-		return fmt.Errorf("field listen: beyond this machine (%s) tls.cert and tls.key are needed", c.Listen)
+	if err := tomlfile.CheckBounds(
+		tomlfile.In("quota_gb", c.QuotaGB, 0.01, 1e6), tomlfile.In("reserve_gb", c.ReserveGB, 0, c.QuotaGB/2), tomlfile.In("tenant_gb", c.TenantGB, 0, 1e6), tomlfile.In("keep_days", c.KeepDays, 0, 36500),
+		tomlfile.In("partial_hours", c.PartialHours, 0.1, 1e5), tomlfile.In("loose_hours", c.LooseHours, 0.1, 1e5), tomlfile.In("duty_minutes", c.DutyMinutes, 0.05, 1e4), tomlfile.In("scrub_mb_per_s", c.ScrubMB, 0, 1e4),
+		tomlfile.In("repair_mb_per_s", c.RepairMB, 0, 1e4), tomlfile.In("repair_seconds", c.RepairSec, 0.05, 1e5), tomlfile.In("patience_seconds", c.PatienceSec, 0.1, 600),
+	); err != nil {
+		return err
 	}
 	if _, err := LoadRetention(c.Policy, c.KeepDays); err != nil {
 		return fmt.Errorf("field policy: %w", err)
@@ -129,11 +111,6 @@
 	if _, err := c.Client(); err != nil {
 		return fmt.Errorf("field tls.ca: %w", err)
 	}
-	if c.TLS.Cert != "" {
-		if _, err := tls.LoadX509KeyPair(c.TLS.Cert, c.TLS.Key); err != nil {
-			return fmt.Errorf("field tls: %w", err)
-		}
-	}
 	return c.Members.check(c.Name)
 }
 
@@ -155,12 +132,7 @@
 }
 
 // String is the configuration as a file.
-func (c Config) String() string {
-	var b strings.Builder
-	// Writing to memory does not fail, and all of its kinds have a form in TOML.
-	_ = toml.NewEncoder(&b).Encode(c)
-	return b.String()
-}
+func (c Config) String() string { return tomlfile.String(c) }
 
 // Duty is what the configuration says of it.
 func (c Config) Duty() Duty {
@@ -176,31 +148,3 @@
 	}
 	return key, nil
 }
-
-// Certificates gives a TLS configuration that takes up new files without a restart:
-// they are looked at again at most once in a second. Files that do not fit together
-// leave the old ones in use.
-func Certificates(cert, key string) *tls.Config {
-	var mu sync.Mutex
-	var current *tls.Certificate
-	var looked, stamp time.Time
-	return &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
-		mu.Lock()
-		defer mu.Unlock()
-		if current != nil && time.Since(looked) < time.Second {
-			return current, nil
-		}
-		looked = time.Now()
-		st, err := os.Stat(cert)
-		if err == nil && (current == nil || !st.ModTime().Equal(stamp)) {
-			var c tls.Certificate
-			if c, err = tls.LoadX509KeyPair(cert, key); err == nil {
-				current, stamp = &c, st.ModTime()
-			}
-		}
-		if current == nil {
-			return nil, err
-		}
-		return current, nil
-	}}
-}
--- a/internal/keepers/duty.go
+++ b/internal/keepers/duty.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"topazhollow/internal/wait"
 )
 
 // Duty is what a keeper does by itself now and then.
@@ -46,7 +48,7 @@
 			}
 			log.Info("scrubbed", "blobs", found.Blobs, "bad", found.Bad, "repaired", found.Repaired, "rotten", found.Rotten, "strays", found.Strays, "err", err)
 		}
-		if !sleep(ctx, d.Every) {
+		if !wait.For(ctx, d.Every) {
 			return nil
 		}
 	}
@@ -63,24 +65,12 @@
 		if !n.Full() { // until then it can't vote
 			every = min(every, time.Second)
 		}
-		if !sleep(ctx, every/2+rand.N(every)) {
+		if !wait.For(ctx, every/2+rand.N(every)) {
 			return nil
 		}
 	}
 }
 
-// sleep pauses and says whether the context still goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Shelve ends partial attempts that nothing came for in an age: their output stays
 // readable, and they can never be sealed any more. It gives how many. The keepers of a
 // task are in turn at it, the first of them first.
--- a/internal/keepers/front.go
+++ b/internal/keepers/front.go
@@ -23,6 +23,7 @@
 
 	"topazhollow/internal/blob"
 	"topazhollow/internal/keeper"
+	"topazhollow/internal/wait"
 	"topazhollow/internal/wire"
 )
 
@@ -388,9 +389,7 @@
 	}
 	for try := 0; try < 8; try++ {
 		if try > 0 { // somebody else is at it
-			select {
-			case <-time.After(rand.N(10 * time.Millisecond << try)):
-			case <-ctx.Done():
+			if !wait.For(ctx, rand.N(10*time.Millisecond<<try)) {
 				return nil, ctx.Err()
 			}
 		}
@@ -848,10 +847,7 @@
 			if failures++; failures > 3 {
 				return next, "", last
 			}
-			select {
-			case <-time.After(rand.N(100 * time.Millisecond << failures)):
-			case <-ctx.Done():
-			}
+			wait.For(ctx, rand.N(100*time.Millisecond<<failures)) // the next try sees whether the context ended
 		}
 	}
 }
--- a/internal/reapi/cache.go
+++ b/internal/reapi/cache.go
@@ -20,10 +20,7 @@
 
 // GetActionResult gives an action's result, if all that it names is there.
 func (s *Server) GetActionResult(ctx context.Context, q *re.GetActionResultRequest) (*re.ActionResult, error) {
-	in, err := s.instance(ctx, q.InstanceName)
-	if err == nil {
-		err = hashing(q.DigestFunction)
-	}
+	in, err := s.using(ctx, q.InstanceName, q.DigestFunction)
 	if err != nil {
 		return nil, err
 	}
@@ -49,10 +46,7 @@
 // UpdateActionResult keeps an action's result, once all that it names is durable here.
 // What is not is listed, as the API has it for missing blobs.
 func (s *Server) UpdateActionResult(ctx context.Context, q *re.UpdateActionResultRequest) (*re.ActionResult, error) {
-	in, err := s.instance(ctx, q.InstanceName)
-	if err == nil {
-		err = hashing(q.DigestFunction)
-	}
+	in, err := s.using(ctx, q.InstanceName, q.DigestFunction)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/reapi/cas.go
+++ b/internal/reapi/cas.go
@@ -20,10 +20,7 @@
 // FindMissingBlobs lists those of some blobs that the instance's team does not have. The
 // others count as used now, so that they stay for as long as unused blobs do.
 func (s *Server) FindMissingBlobs(ctx context.Context, r *re.FindMissingBlobsRequest) (*re.FindMissingBlobsResponse, error) {
-	in, err := s.instance(ctx, r.InstanceName)
-	if err == nil {
-		err = hashing(r.DigestFunction)
-	}
+	in, err := s.using(ctx, r.InstanceName, r.DigestFunction)
 	if err != nil {
 		return nil, err
 	}
@@ -47,12 +44,17 @@
 	return out, nil
 }
 
+// fits refuses a batch beyond the limits.
+func (s *Server) fits(blobs int, bytes int64) error {
+	if bytes > s.Limits.Batch || blobs > s.Limits.Digests {
+		return status.Errorf(codes.InvalidArgument, "a batch of %d blobs and %d bytes, %d bytes are the most", blobs, bytes, s.Limits.Batch)
+	}
+	return nil
+}
+
 // BatchUpdateBlobs takes small blobs; each has its own status.
 func (s *Server) BatchUpdateBlobs(ctx context.Context, r *re.BatchUpdateBlobsRequest) (*re.BatchUpdateBlobsResponse, error) {
-	in, err := s.instance(ctx, r.InstanceName)
-	if err == nil {
-		err = hashing(r.DigestFunction)
-	}
+	in, err := s.using(ctx, r.InstanceName, r.DigestFunction)
 	if err != nil {
 		return nil, err
 	}
@@ -60,8 +62,8 @@
 	for _, q := range r.Requests {
 		total += int64(len(q.Data))
 	}
-	if total > s.Limits.Batch || len(r.Requests) > s.Limits.Digests {
-		return nil, status.Errorf(codes.InvalidArgument, "a batch of %d blobs and %d bytes, %d bytes are the most", len(r.Requests), total, s.Limits.Batch)
+	if err := s.fits(len(r.Requests), total); err != nil {
+		return nil, err
 	}
 	out := &re.BatchUpdateBlobsResponse{}
 	for _, q := range r.Requests {
@@ -113,10 +115,7 @@
 
 // BatchReadBlobs gives small blobs; each has its own status.
 func (s *Server) BatchReadBlobs(ctx context.Context, r *re.BatchReadBlobsRequest) (*re.BatchReadBlobsResponse, error) {
-	in, err := s.instance(ctx, r.InstanceName)
-	if err == nil {
-		err = hashing(r.DigestFunction)
-	}
+	in, err := s.using(ctx, r.InstanceName, r.DigestFunction)
 	if err != nil {
 		return nil, err
 	}
@@ -128,8 +127,8 @@
 		}
 		total += b.Size
 	}
-	if total > s.Limits.Batch || len(r.Digests) > s.Limits.Digests {
-		return nil, status.Errorf(codes.InvalidArgument, "a batch of %d blobs and %d bytes, %d bytes are the most", len(r.Digests), total, s.Limits.Batch)
+	if err := s.fits(len(r.Digests), total); err != nil {
+		return nil, err
 	}
 	out := &re.BatchReadBlobsResponse{}
 	for _, q := range r.Digests {
@@ -153,10 +152,7 @@
 // GetTree gives a directory and all below it, each once, in pages of at most a batch. The
 // page token is how many were given before.
 func (s *Server) GetTree(r *re.GetTreeRequest, stream re.ContentAddressableStorage_GetTreeServer) error {
-	in, err := s.instance(stream.Context(), r.InstanceName)
-	if err == nil {
-		err = hashing(r.DigestFunction)
-	}
+	in, err := s.using(stream.Context(), r.InstanceName, r.DigestFunction)
 	if err != nil {
 		return err
 	}
--- a/internal/reapi/config.go
+++ b/internal/reapi/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -10,15 +9,15 @@
 	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
 
 	"topazhollow/internal/blob"
-	"topazhollow/internal/keepers"
+	"topazhollow/internal/certs"
 	"topazhollow/internal/tomlfile"
+	"topazhollow/internal/wait"
 )
 
 // Config is deploy/build.toml.
@@ -62,32 +61,15 @@
 }
 
 func (c *Config) check() error {
-	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
-		return fmt.Errorf("field listen: %q is not an address with a port", c.Listen)
-	}
-	if c.Dir == "" {
-		return errors.New("field dir: a directory is expected")
-	}
-	for _, x := range []struct {
-		field         string
-		value, lo, hi float64
-	}{{"quota_gb", c.QuotaGB, 0.01, 1e6}, {"team_gb", c.TeamGB, 0, 1e6}, {"loose_hours", c.LooseHours, 0.1, 1e5}, {"duty_minutes", c.DutyMinutes, 0.05, 1e4},
-		{"scrub_mb_per_s", c.ScrubMB, 0, 1e4}, {"batch_mb", c.BatchMB, 0.1, 64}, {"blob_gb", c.BlobGB, 0.001, 1e5}, {"digests", float64(c.Digests), 1, 1e6},
-		{"tree_directories", float64(c.Tree), 1, 1e7}, {"streams", float64(c.Streams), 1, 1e6}} {
-		if !(x.value >= x.lo && x.value <= x.hi) {
-			return fmt.Errorf("field %s: %g is not between %g and %g", x.field, x.value, x.lo, x.hi)
-		}
-	}
-	if (c.TLS.Cert == "") != (c.TLS.Key == "") {
-		return errors.New("field tls: cert and key are expected together")
-	}
-	if c.TLS.Cert == "" && !strings.HasPrefix(c.Listen, "127.") && !strings.HasPrefix(c.Listen, "[::1]") && !strings.HasPrefix(c.Listen, "localhost:") {
-		return fmt.Errorf("field listen: beyond this machine (%s) tls.cert and tls.key are needed", c.Listen)
+	if err := tomlfile.CheckServer(c.Listen, c.Dir, c.TLS.Cert, c.TLS.Key); err != nil {
+		return err
 	}
-	if c.TLS.Cert != "" {
-		if _, err := tls.LoadX509KeyPair(c.TLS.Cert, c.TLS.Key); err != nil {
-			return fmt.Errorf("field tls: %w", err)
-		}
+	if err := tomlfile.CheckBounds(
+		tomlfile.In("quota_gb", c.QuotaGB, 0.01, 1e6), tomlfile.In("team_gb", c.TeamGB, 0, 1e6), tomlfile.In("loose_hours", c.LooseHours, 0.1, 1e5), tomlfile.In("duty_minutes", c.DutyMinutes, 0.05, 1e4),
+		tomlfile.In("scrub_mb_per_s", c.ScrubMB, 0, 1e4), tomlfile.In("batch_mb", c.BatchMB, 0.1, 64), tomlfile.In("blob_gb", c.BlobGB, 0.001, 1e5), tomlfile.In("digests", float64(c.Digests), 1, 1e6),
+		tomlfile.In("tree_directories", float64(c.Tree), 1, 1e7), tomlfile.In("streams", float64(c.Streams), 1, 1e6),
+	); err != nil {
+		return err
 	}
 	seen := map[string]bool{}
 	for i, in := range c.Instances {
@@ -111,12 +93,7 @@
 }
 
 // String is the configuration as a file.
-func (c Config) String() string {
-	var b strings.Builder
-	// Writing to memory does not fail, and all of its kinds have a form in TOML.
-	_ = toml.NewEncoder(&b).Encode(c)
-	return b.String()
-}
+func (c Config) String() string { return tomlfile.String(c) }
 
 // Serve runs a front until the context ends. ready is told the address once it
 // answers.
@@ -137,7 +114,7 @@
 		grpc.MaxHeaderListSize(16 << 10), grpc.ConnectionTimeout(20 * time.Second),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 10 * time.Minute, Time: time.Minute, Timeout: 20 * time.Second})}
 	if c.TLS.Cert != "" {
-		opts = append(opts, grpc.Creds(credentials.NewTLS(keepers.Certificates(c.TLS.Cert, c.TLS.Key))))
+		opts = append(opts, grpc.Creds(credentials.NewTLS(certs.Reloaded(c.TLS.Cert, c.TLS.Key))))
 	}
 	g := grpc.NewServer(opts...)
 	s.Register(g)
@@ -175,11 +152,6 @@
 				log.Info("scrubbed", "blobs", found.Blobs, "bad", found.Bad, "rotten", found.Rotten, "err", err)
 			}
 		}
-		t := time.NewTimer(time.Duration(c.DutyMinutes * float64(time.Minute)))
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-		}
+		wait.For(ctx, time.Duration(c.DutyMinutes*float64(time.Minute)))
 	}
 }
--- a/internal/reapi/reapi.go
+++ b/internal/reapi/reapi.go
@@ -155,12 +155,14 @@
 	return &re.Digest{Hash: hash, SizeBytes: d.Size}
 }
 
-// hashing refuses digest functions other than sha256 by name.
-func hashing(f re.DigestFunction_Value) error {
-	if f != re.DigestFunction_UNKNOWN && f != re.DigestFunction_SHA256 {
-		return status.Errorf(codes.InvalidArgument, "digest function %s is not supported, SHA256 is", f)
+// using finds an instance for a call that names a digest function. Others than sha256 are
+// refused by name.
+func (s *Server) using(ctx context.Context, name string, f re.DigestFunction_Value) (*Instance, error) {
+	in, err := s.instance(ctx, name)
+	if err == nil && f != re.DigestFunction_UNKNOWN && f != re.DigestFunction_SHA256 {
+		err = status.Errorf(codes.InvalidArgument, "digest function %s is not supported, SHA256 is", f)
 	}
-	return nil
+	return in, err
 }
 
 // GetCapabilities tells what is there. Execution is not yet.
--- a/internal/runner/bring.go
+++ b/internal/runner/bring.go
@@ -18,6 +18,7 @@
 
 	"topazhollow/internal/blob"
 	"topazhollow/internal/keeper"
+	"topazhollow/internal/wait"
 )
 
 // refusal is an answer that trying again does not change.
@@ -35,23 +36,19 @@
 // pauses that grow, for as long as the context allows.
 func (s *spool) call(ctx context.Context, path string, body []byte) (*keeper.Answer, error) {
 	for pause := s.opt.Pause; ; pause = min(2*pause, 30*time.Second) {
-		a, wait, err := s.once(ctx, s.opt.Keepers[s.at], path, body)
+		a, after, err := s.once(ctx, s.opt.Keepers[s.at], path, body)
 		var no *refusal
 		if err == nil || errors.As(err, &no) {
 			return a, err
 		}
 		s.at = (s.at + 1) % len(s.opt.Keepers)
-		t := time.NewTimer(max(wait, time.Duration(rand.Int64N(int64(pause)))))
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		if !wait.For(ctx, max(after, time.Duration(rand.Int64N(int64(pause))))) {
 			return nil, errors.Join(ctx.Err(), err)
 		}
 	}
 }
 
-func (s *spool) once(ctx context.Context, at, path string, body []byte) (a *keeper.Answer, wait time.Duration, err error) {
+func (s *spool) once(ctx context.Context, at, path string, body []byte) (a *keeper.Answer, after time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Minute)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, "POST", strings.TrimSuffix(at, "/")+path, bytes.NewReader(body))
--- a/internal/topaz/demo.go
+++ b/internal/topaz/demo.go
@@ -25,6 +25,7 @@
 	"topazhollow/internal/runner"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/tomlfile"
+	"topazhollow/internal/wait"
 	"topazhollow/internal/wire"
 )
 
@@ -308,11 +309,7 @@
 // until tries until something holds.
 func (g *region) until(ctx context.Context, what string, holds func() bool) error {
 	for !holds() {
-		t := time.NewTimer(100 * time.Millisecond)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		if !wait.For(ctx, 100*time.Millisecond) {
 			return fmt.Errorf("waited in vain for %s; the controllers' logs are in %s: %w", what, g.dir, ctx.Err())
 		}
 	}
--- a/internal/topaz/keep.go
+++ b/internal/topaz/keep.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"topazhollow/internal/blob"
+	"topazhollow/internal/certs"
 	"topazhollow/internal/keeper"
 	"topazhollow/internal/keepers"
 )
@@ -26,27 +27,15 @@
 }
 
 type keepRunCmd struct {
-	Config      string `default:"deploy/keep.toml" help:"Settings file (TOML)."`
-	Check       bool   `help:"Check the settings, then leave."`
-	PrintConfig bool   `help:"Print the settings in force, with defaults, then leave."`
+	Config string `default:"deploy/keep.toml" help:"Settings file (TOML)."`
+	serverFlags
 }
 
 func (c *keepRunCmd) Run(r *run) error {
 	set, err := keepers.LoadConfig(c.Config)
-	if err != nil {
-		return fmt.Errorf("%w: %w", errUsage, err)
-	}
-	if c.PrintConfig {
-		fmt.Fprint(r.out, set)
-		return nil
-	}
-	key, err := keepers.KeyFromEnvironment()
-	if err != nil {
-		return fmt.Errorf("%w: %w", errUsage, err)
-	}
-	if c.Check {
-		fmt.Fprintln(r.out, "ok")
-		return nil
+	key, err := c.key(r, set, err)
+	if key == nil {
+		return err
 	}
 	return Keep(r.ctx, set, key, r.err, nil)
 }
@@ -105,7 +94,7 @@
 	group.Go(func() error {
 		var err error
 		if set.TLS.Cert != "" {
-			srv.TLSConfig = keepers.Certificates(set.TLS.Cert, set.TLS.Key)
+			srv.TLSConfig = certs.Reloaded(set.TLS.Cert, set.TLS.Key)
 			err = srv.ServeTLS(listener, "", "")
 		} else {
 			err = srv.Serve(listener)
--- a/internal/topaz/topaz.go
+++ b/internal/topaz/topaz.go
@@ -105,6 +105,33 @@
 
 var errUsage = errors.New("wrong arguments or settings")
 
+// serverFlags are those of commands that run a server by a settings file.
+type serverFlags struct {
+	Check       bool `help:"Check the settings, then leave."`
+	PrintConfig bool `help:"Print the settings in force, with defaults, then leave."`
+}
+
+// key gives the key to run a server with, or nil if there is no more to do, with the error
+// if that is why; err is the one of reading the settings.
+func (f serverFlags) key(r *run, set fmt.Stringer, err error) ([]byte, error) {
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errUsage, err)
+	}
+	if f.PrintConfig {
+		fmt.Fprint(r.out, set)
+		return nil, nil
+	}
+	key, err := keepers.KeyFromEnvironment()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errUsage, err)
+	}
+	if f.Check {
+		fmt.Fprintln(r.out, "ok")
+		return nil, nil
+	}
+	return key, nil
+}
+
 // logger is the programs' common log.
 func logger(w io.Writer) *slog.Logger {
 	level := slog.LevelInfo
