--- a/control.go
+++ b/control.go
@@ -117,7 +117,7 @@
 			if entries, revision, err = n.state.List(ctx, frontend.Watched); err == nil {
 				n.mu.Lock()
 				if listed = n.takeList(entries, revision); listed {
-					n.known = later(n.known, began)
+					n.knows(began)
 				}
 				n.mu.Unlock()
 				if !listed {
--- a/grown_test.go
+++ b/grown_test.go
@@ -12,6 +12,7 @@
 
 	"topazhollow/internal/fleet"
 	"topazhollow/internal/frontend"
+	"topazhollow/internal/horizon"
 	"topazhollow/internal/ledger"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/tenure"
@@ -62,6 +63,8 @@
 	cancel() // nothing goes out
 	n.group, n.ctx = &errgroup.Group{}, ended
 	n.lease.Renewed(g.now)
+	n.horizon = horizon.New([]string{"node-b", "node-c"}, settings.Seconds(s.Deployment.Workers.Cancel), settings.Seconds(s.Deployment.Workers.Lease))
+	n.horizon.Read(g.now)
 	for i := range machines {
 		g.names = append(g.names, fmt.Sprintf("n-%06d", i))
 	}
--- a/home.go
+++ b/home.go
@@ -80,7 +80,10 @@
 		n.machine(r.Machine).came = now
 		n.stray[r.Machine] = true
 		if n.strayed(home, r.Machine, now) {
-			return n.alive()
+			if stops, ok := n.renewal(&r, now); ok {
+				return n.alive(stops)
+			}
+			return busy()
 		}
 		return httpx.Answer{Status: 421, Body: wire.Encode(wire.Moved{ReportTo: home})}
 	}
@@ -89,7 +92,12 @@
 	}
 	n.first("first report answered", now)
 	n.hear(&r, now)
-	answer := wire.ReportAnswer{Token: n.record.Term, Commands: []wire.Command{}}
+	stops, ok := n.renewal(&r, now)
+	if !ok {
+		n.tellViews()
+		return busy()
+	}
+	answer := wire.ReportAnswer{Token: n.record.Term, Commands: withStops(stops, []wire.Command{})}
 	if m := n.home.Get(r.Machine); m.Report.Seq == r.Seq && m.Report.Session == r.Session {
 		answer.Commands = append(answer.Commands, m.Answer()...)
 		n.noteView(r.Machine)
@@ -226,9 +234,10 @@
 	return a
 }
 
-// alive is an answer that renews a worker's lease and commands nothing.
-func (n *Node) alive() httpx.Answer {
-	return httpx.Answer{Status: 200, Body: wire.Encode(wire.ReportAnswer{Token: n.record.Term, Commands: []wire.Command{}})}
+// alive is an answer that renews a worker's lease and commands no more than to stop what is
+// over for good.
+func (n *Node) alive(stops []wire.Command) httpx.Answer {
+	return httpx.Answer{Status: 200, Body: wire.Encode(wire.ReportAnswer{Token: n.record.Term, Commands: withStops(stops, []wire.Command{})})}
 }
 
 // elsewhere answers a worker while this controller may not act: it sends it to
@@ -241,35 +250,17 @@
 		}
 	}
 	if n.sustains(r, now) {
-		return n.alive()
+		return n.alive(nil)
 	}
 	return busy()
 }
 
-// sustainMargin covers the clocks' drift, the time in which an owner learns of a
-// withdrawal, and what a message takes.
-const sustainMargin = 1500 * time.Millisecond
-
 // sustains says whether a machine may be kept alive without being entitled, as in
 // a zone that is cut off. Such an answer changes nothing that an owner relies on:
-// silence is no proof, and nothing is commanded. What bounds it are withdrawals,
-// which this controller no longer hears of. Until its last read of the state
-// service began it knew them all, so every task that the machine lists must belong
-// to a job that was active then; one withdrawn later must be gone in time, by the
-// lease that this answer renews. A start that is held up on its way was sent after
-// the machine's home last heard it, so that is the latest to count from.
+// silence is no proof, and nothing is commanded, so every task that the machine lists must belong
+// to a job that is active as far as known here.
 func (n *Node) sustains(r *wire.Report, now time.Time) bool {
-	if n.record == nil || n.known.IsZero() || r.Token > n.record.Term {
-		return false
-	}
-	w := &n.set.Deployment.Workers
-	since := n.known
-	if m := n.machine(r.Machine); m.gone {
-		return false
-	} else if n.homeOf(r.Machine) != n.name && m.homed.Before(since) {
-		since = m.homed
-	}
-	if now.After(since.Add(settings.Seconds(w.Cancel*0.998-w.Lease) - sustainMargin)) {
+	if n.record == nil || r.Token > n.record.Term || n.machine(r.Machine).gone {
 		return false
 	}
 	for _, t := range r.Tasks {
@@ -278,7 +269,8 @@
 			return false
 		}
 	}
-	return true
+	_, ok := n.renewal(r, now)
+	return ok
 }
 
 // hear takes in a worker's report, from itself or from the answer to a /do.
@@ -563,7 +555,8 @@
 func (n *Node) carryOnce(ctx context.Context, name string, link **httpx.Link) bool {
 	n.mu.Lock()
 	m := n.home.Get(name)
-	if m == nil || !m.Urgent() || !n.entitled(time.Now()) {
+	now := time.Now()
+	if m == nil || !m.Urgent() || !n.entitled(now) || m.Starts() && !n.horizon.Renews(now, time.Time{}) {
 		n.mu.Unlock()
 		return false
 	}
@@ -578,7 +571,7 @@
 		*link = httpx.NewLink(addr, 1<<20)
 	}
 	resp, left, err := (*link).Do(ctx, "POST", wire.PathDo, body, doTimeout)
-	now := time.Now()
+	now = time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var r wire.Report
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -53,6 +53,7 @@
 	Certain(ctx context.Context) bool                             // whether a job that nobody knows was surely never accepted
 	Missing(uid string)                                           // the state service lacks a job that it may have acknowledged
 	Hold(ctx context.Context, job *Stored, uid string, end Final) // has a peer hold a job, or else an end, before it is said
+	Confirming(uid string, end Final)                             // a user is about to be told of a withdrawal
 }
 
 // FinalOf is an end as the state service holds it.
@@ -247,10 +248,24 @@
 	return busy(1)
 }
 
+// over answers that a job is withdrawn or done. Whoever keeps its tasks alive must hear of a withdrawal that
+// any user was told of, whoever wrote it.
+func (f *Frontend) over(uid string, final Final) httpx.Answer {
+	f.telling(uid, final)
+	return httpx.Answer{Status: 200, Body: wire.Encode(wire.Brief{UID: uid, State: final.State})}
+}
+
+func (f *Frontend) telling(uid string, final Final) {
+	if final.State == wire.Withdrawn {
+		f.back.Confirming(uid, final)
+	}
+}
+
 // describe answers about a job that has ended, or is active if final is nil.
 func (f *Frontend) describe(status int, uid string, final *Final) httpx.Answer {
 	s := wire.Status{UID: uid, State: wire.Pending}
 	if final != nil {
+		f.telling(uid, *final)
 		s.State = final.State
 		if final.State == wire.Done {
 			s.Done = final.Tasks
@@ -415,7 +430,7 @@
 	defer cancel()
 	for range 4 {
 		if final, ok := f.Final(uid); ok {
-			return httpx.Answer{Status: 200, Body: wire.Encode(wire.Brief{UID: uid, State: final.State})}
+			return f.over(uid, final)
 		}
 		if !f.back.Trusted() {
 			return busy(1)
@@ -425,7 +440,7 @@
 		case err != nil:
 			return busy(1)
 		case final != nil:
-			return httpx.Answer{Status: 200, Body: wire.Encode(wire.Brief{UID: uid, State: final.State})}
+			return f.over(uid, *final)
 		case e == nil:
 			a := f.nobody(ctx, uid)
 			if a.Status == 200 {
@@ -442,10 +457,10 @@
 			Guards: []wire.Guard{{Key: JobKey + uid, Version: e.Version}},
 			Ops:    []wire.Op{{Delete: JobKey + uid}, {Set: FinalKey + uid, Value: wire.Encode(end)}}})
 		if err == nil {
-			f.back.Hold(ctx, nil, uid, end)
 			f.Learn(uid, end)
 			f.back.Ended(uid, end)
-			return httpx.Answer{Status: 200, Body: wire.Encode(wire.Brief{UID: uid, State: end.State})}
+			f.back.Hold(ctx, nil, uid, end)
+			return f.over(uid, end)
 		}
 		if !errors.Is(err, state.ErrConflict) {
 			return busy(1)
--- /dev/null
+++ b/internal/horizon/horizon_test.go
@@ -0,0 +1,338 @@
+package horizon
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// world is a plain model of three controllers and a state service: what was confirmed when, what each process
+// knows, and lines that arrive late or get lost with their connection.
+type world struct {
+	rng       *rand.Rand
+	mutant    string
+	now       time.Time
+	stored    []string
+	confirmed map[string]time.Time
+	down      [3]time.Time // the state service does not serve a controller before
+	nodes     [3]*process
+	flying    []func()
+	arrives   []time.Time
+	ended     uint64
+
+	beyond, restarts, gaps, fromMemory int // that it really happened
+}
+
+type process struct {
+	id    uint64
+	h     *Horizon
+	knows map[string]bool
+	links [3]int // connections to the others, by number
+	heard [3]uint64
+	at    [3]time.Time // the peer's clock in its last status
+}
+
+var names = [3]string{"a", "b", "c"}
+
+func (w *world) start(i int) {
+	w.ended++
+	if old := w.nodes[i]; old != nil && w.rng.IntN(2) == 0 {
+		for k := range old.links {
+			old.links[k]++ // what it sent last is lost
+		}
+	}
+	var peers []string
+	for k, n := range names {
+		if k != i {
+			peers = append(peers, n)
+		}
+	}
+	w.nodes[i] = &process{id: w.ended, h: New(peers, 30*time.Second, 10*time.Second), knows: map[string]bool{}}
+	for k := range w.nodes {
+		if n := w.nodes[k]; n != nil {
+			n.links[i]++ // connections to it are gone, with what they carried
+		}
+	}
+}
+
+// send carries a line over the present connection; lines of one connection stay in order.
+func (w *world) send(i, k int, take func(from, to *process)) {
+	from, to, link := w.nodes[i], w.nodes[k], w.nodes[i].links[k]
+	at := w.now.Add(time.Duration(w.rng.IntN(300)) * time.Millisecond)
+	if n := len(w.arrives); n > 0 && at.Before(w.arrives[n-1]) {
+		at = w.arrives[n-1]
+	}
+	w.arrives = append(w.arrives, at)
+	w.flying = append(w.flying, func() {
+		if w.nodes[k] != to || from.links[k] != link {
+			return // lost with its connection
+		}
+		id := from.id
+		if w.mutant == "one process" {
+			id = 1
+		}
+		to.h.Met(names[i], id, w.now)
+		if to.heard[i] != from.id {
+			to.heard[i], to.at[i] = from.id, time.Time{}
+		}
+		take(from, to)
+	})
+}
+
+func (w *world) confirm(i int, uid string) {
+	n := w.nodes[i]
+	n.knows[uid] = true
+	if w.mutant == "untold" {
+		w.note(uid)
+		return
+	}
+	if number := n.h.Confirm(uid); number > 0 {
+		for k := range names {
+			if k != i {
+				w.tell(i, k, number, []string{uid})
+			}
+		}
+	}
+	w.note(uid)
+}
+
+func (w *world) note(uid string) {
+	if w.confirmed[uid].IsZero() {
+		w.confirmed[uid] = w.now
+	}
+}
+
+func (w *world) tell(i, k int, number uint64, uids []string) {
+	w.send(i, k, func(_, to *process) {
+		for _, uid := range uids {
+			to.knows[uid] = true
+		}
+		if number > to.h.Got(names[i])+1 {
+			w.gaps++
+			if w.mutant == "gap" {
+				to.h.peers[names[i]].got = number
+			}
+		}
+		to.h.Take(names[i], number, len(uids))
+	})
+}
+
+func (w *world) status(i int) {
+	n := w.nodes[i]
+	for k := range names {
+		if k == i {
+			continue
+		}
+		told, echo, got, sent := n.h.Told(), n.at[k], n.h.Got(names[k]), w.now
+		w.send(i, k, func(_, to *process) {
+			to.at[i] = sent
+			if !echo.IsZero() {
+				if w.mutant == "arrival" {
+					echo = w.now
+				}
+				to.h.Heard(names[i], told, echo)
+				to.h.Has(names[i], got)
+			}
+		})
+		if from, uids := n.h.Lacking(names[k], w.now, 3); len(uids) > 0 && w.mutant != "once" {
+			w.tell(i, k, from, uids)
+		}
+	}
+}
+
+func (w *world) read(i int) {
+	if w.now.Before(w.down[i]) {
+		return
+	}
+	n, began := w.nodes[i], w.now
+	snapshot := len(w.stored)
+	w.arrives = append(w.arrives, w.now)
+	late := w.now.Add(time.Duration(w.rng.IntN(2000)) * time.Millisecond)
+	var deliver func()
+	deliver = func() {
+		if w.now.Before(late) {
+			w.flying, w.arrives = append(w.flying, deliver), append(w.arrives, w.now)
+			return
+		}
+		for _, uid := range w.stored[:snapshot] {
+			n.knows[uid] = true
+		}
+		if w.mutant == "read ended" {
+			began = w.now
+		}
+		n.h.Read(began)
+	}
+	w.flying = append(w.flying, deliver)
+}
+
+// play returns what broke.
+func (w *world) play(steps int) string {
+	for i := range names {
+		w.start(i)
+	}
+	for range steps {
+		w.now = w.now.Add(time.Duration(1+w.rng.IntN(60)) * time.Millisecond)
+		for k, n := 0, len(w.flying); k < n && !w.now.Before(w.arrives[0]); k++ {
+			f := w.flying[0]
+			w.flying, w.arrives = w.flying[1:], w.arrives[1:]
+			f()
+		}
+		i := w.rng.IntN(3)
+		switch x := w.rng.IntN(100); {
+		case x < 4 && !w.now.Before(w.down[i]): // commits one
+			uid := fmt.Sprint("job-", len(w.stored))
+			w.stored = append(w.stored, uid)
+			if w.rng.IntN(4) > 0 {
+				w.confirm(i, uid)
+			}
+		case x < 6 && !w.now.Before(w.down[i]) && len(w.stored) > 0: // finds one
+			w.confirm(i, w.stored[w.rng.IntN(len(w.stored))])
+		case x < 8: // says one again that it knows
+			for uid := range w.nodes[i].knows {
+				w.fromMemory++
+				w.confirm(i, uid)
+				break
+			}
+		case x < 14:
+			w.read(i)
+		case x < 60:
+			w.status(i)
+		case x == 60 && w.rng.IntN(6) == 0:
+			w.restarts++
+			w.start(i)
+		case x == 61 && w.rng.IntN(3) == 0:
+			k := w.rng.IntN(3)
+			w.nodes[i].links[k]++
+		case x == 62 && w.rng.IntN(4) == 0: // refused alone
+			w.down[i] = w.now.Add(time.Duration(w.rng.IntN(30000)) * time.Millisecond)
+		case x == 63 && w.rng.IntN(6) == 0: // down for all
+			for k := range w.down {
+				w.down[k] = w.now.Add(20 * time.Second)
+			}
+		}
+		for k, n := range w.nodes {
+			until := n.h.Until(w.now)
+			if until.After(n.h.LastRead()) {
+				w.beyond++
+			}
+			for uid, at := range w.confirmed {
+				if at.Before(until) && !n.knows[uid] {
+					return fmt.Sprintf("%s does not know %s, confirmed %v before its horizon", names[k], uid, until.Sub(at))
+				}
+			}
+		}
+	}
+	return ""
+}
+
+func newWorld(seed uint64, mutant string) *world {
+	return &world{rng: rand.New(rand.NewPCG(seed, 5)), mutant: mutant, now: time.Unix(1000, 0), confirmed: map[string]time.Time{}}
+}
+
+// TestHorizonModel: whatever gets lost, comes late, ends or is refused, everything that anybody confirmed before a
+// controller's horizon is known there. A renewal that rested on anything else kept tasks alive past their
+// time when the state service refused one controller and then all.
+func TestHorizonModel(t *testing.T) {
+	var sum world
+	for seed := range uint64(60) {
+		w := newWorld(seed, "")
+		if broken := w.play(2500); broken != "" {
+			t.Fatalf("seed %d: %s", seed, broken)
+		}
+		sum.beyond += w.beyond
+		sum.restarts += w.restarts
+		sum.gaps += w.gaps
+		sum.fromMemory += w.fromMemory
+	}
+	if sum.beyond == 0 || sum.restarts == 0 || sum.gaps == 0 || sum.fromMemory == 0 {
+		t.Fatalf("moved by peers %d times, restarts %d, gaps %d, told from memory %d", sum.beyond, sum.restarts, sum.gaps, sum.fromMemory)
+	}
+}
+
+// TestHorizonModelCatches shows that the model fails one that takes less for knowledge.
+func TestHorizonModelCatches(t *testing.T) {
+	for _, mutant := range []string{"one process", "untold", "gap", "arrival", "read ended"} {
+		caught := false
+		for seed := range uint64(60) {
+			caught = caught || newWorld(seed, mutant).play(2500) != ""
+		}
+		if !caught {
+			t.Errorf("a horizon that goes wrong by %q is not caught", mutant)
+		}
+	}
+}
+
+// TestHorizonByPeers: through an outage the horizon moves with the peers' words, or machines
+// would lose what they run; it stops with the first peer that is not heard, or that began anew.
+func TestHorizonByPeers(t *testing.T) {
+	h := New([]string{"b", "c"}, 30*time.Second, 10*time.Second)
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	if h.Renews(at(0), time.Time{}) {
+		t.Fatal("renews before anything was read")
+	}
+	hear := func(name string, process, told uint64, s float64) {
+		h.Met(name, process, at(s))
+		h.Heard(name, told, at(s-0.5))
+	}
+	hear("b", 1, 0, 0.5)
+	hear("c", 1, 0, 0.5)
+	h.Read(at(1))
+	for s := 2.0; s < 100; s++ {
+		hear("b", 1, 0, s)
+		hear("c", 1, 0, s)
+		if !h.Renews(at(s), time.Time{}) {
+			t.Fatalf("does not renew %g s into an outage in which all peers are heard", s)
+		}
+	}
+	if got, want := h.Until(at(100)), at(98.5); !got.Equal(want) {
+		t.Fatalf("horizon %v after the last words, want %v", got.Sub(start), want.Sub(start))
+	}
+	// A machine whose home may have sent it something before that word counts from there.
+	if h.Renews(at(100), at(80)) || !h.Renews(at(100), at(90)) {
+		t.Error("an earlier word of a machine's home does not bound its renewal, or a later one does")
+	}
+	hear("b", 1, 1, 101) // one that did not come here
+	hear("c", 1, 0, 101)
+	if got := h.Until(at(101)); !got.Equal(at(98.5)) {
+		t.Errorf("moves to %v past a withdrawal that did not come", got.Sub(start))
+	}
+	h.Take("b", 1, 1)
+	hear("b", 1, 1, 102)
+	hear("c", 2, 0, 102) // began anew: what it confirmed last before is not known here
+	if got := h.Until(at(102)); !got.Equal(at(1)) {
+		t.Errorf("horizon %v with a peer that began anew, want that of the last read", got.Sub(start))
+	}
+	h.Read(at(103))
+	hear("c", 2, 0, 104)
+	if got := h.Until(at(104)); !got.Equal(at(103)) {
+		t.Errorf("horizon %v after a read, want 103 s", got.Sub(start))
+	}
+}
+
+// TestAbsurdWords: numbers that nobody can mean change nothing.
+func TestAbsurdWords(t *testing.T) {
+	h := New([]string{"b"}, 30*time.Second, 10*time.Second)
+	now := time.Unix(1000, 0)
+	h.Read(now)
+	h.Met("b", 1, now)
+	if h.Confirm("job-000001") != 1 || h.Confirm("job-000001") != 0 || h.Confirm("job-000002") != 2 {
+		t.Fatal("confirmations are not numbered once each from 1 on")
+	}
+	h.Take("b", 0, 1<<40)
+	h.Take("b", 1<<63, 3)
+	h.Has("b", 1<<63)
+	h.Has("nobody", 1)
+	h.Heard("nobody", 0, now.Add(time.Hour))
+	if h.Got("b") != 0 {
+		t.Errorf("took %d withdrawals in from no number and after a gap", h.Got("b"))
+	}
+	if from, uids := h.Lacking("b", now, 500); from != 1 || len(uids) != 2 {
+		t.Errorf("tells %v from %d, the peer has nothing", uids, from)
+	}
+	h.Has("b", 1)
+	if from, uids := h.Lacking("b", now.Add(time.Minute), 500); from != 2 || len(uids) != 1 || uids[0] != "job-000002" {
+		t.Errorf("tells %v from %d, want the second", uids, from)
+	}
+}
--- a/internal/rehearse/check.go
+++ b/internal/rehearse/check.go
@@ -3,12 +3,17 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"topazhollow/internal/wire"
 )
 
 // Checker follows what happens and notes every broken rule of the protocol.
 type Checker struct {
+	// Cancel is how long after a user was told that a job is withdrawn its tasks may be on machines; 0:
+	// for ever.
+	Cancel time.Duration
+
 	mu      sync.Mutex
 	limits  map[string]float64 // CPUs by team
 	jobs    map[string]*truth
@@ -21,7 +26,9 @@
 	spec      *wire.Submission
 	accepted  bool
 	final     string // as a user was told
-	withdrawn bool   // its user asked
+	told      time.Time
+	overdue   bool // noted
+	withdrawn bool // its user asked
 	done      map[int]bool
 }
 
@@ -38,9 +45,21 @@
 func (c *Checker) Rules() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for task, machine := range c.on {
+		uid, _, _ := wire.SplitTask(task)
+		if t := c.jobs[uid]; t != nil && c.late(t) && !t.overdue {
+			t.overdue = true
+			c.fault("ran_cancelled", "%s is on %s", task, machine)
+		}
+	}
 	return append([]string(nil), c.Broken...)
 }
 
+// late says whether a job was withdrawn so long ago that no task of it may be on a machine.
+func (c *Checker) late(t *truth) bool {
+	return c.Cancel > 0 && t.final == wire.Withdrawn && time.Since(t.told) > c.Cancel
+}
+
 // Submitting notes that a user is about to submit a job.
 func (c *Checker) Submitting(spec *wire.Submission) {
 	c.mu.Lock()
@@ -82,6 +101,9 @@
 			c.fault("went_back", "%s withdrawn, but not by its user", uid)
 		}
 		if state == wire.Done || state == wire.Withdrawn {
+			if t.final == "" {
+				t.told = time.Now()
+			}
 			t.final = state
 		}
 		if state == wire.Done && len(t.done) < t.spec.Tasks {
@@ -97,9 +119,8 @@
 	c.jobs[uid].withdrawn = true
 }
 
-// Start notes that a task got onto a machine; late says that its user was told
-// of the cancellation longer than the allowed time ago.
-func (c *Checker) Start(task, machine, typ, zone string, spot, late bool) {
+// Start notes that a task got onto a machine.
+func (c *Checker) Start(task, machine, typ, zone string, spot bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.Started++
@@ -113,7 +134,7 @@
 		c.fault("invented", "%s runs", task)
 		return
 	}
-	if late {
+	if c.late(t) {
 		c.fault("ran_cancelled", "%s on %s", task, machine)
 	}
 	if (spot && !t.spec.Spot) || (t.spec.Zone != nil && *t.spec.Zone != zone) || (t.spec.Types != nil && !contains(t.spec.Types, typ)) {
--- a/internal/rehearse/check_test.go
+++ b/internal/rehearse/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"topazhollow/internal/wire"
 )
@@ -12,22 +13,29 @@
 func TestCheckerCatches(t *testing.T) {
 	zone := "east"
 	spec := &wire.Submission{UID: "job-1", Team: "red", Tasks: 3, CPUs: 4, Zone: &zone}
+	withdrawn := func(c *Checker) {
+		c.Cancel = time.Nanosecond
+		c.Withdrawing("job-1")
+		c.Told("job-1", 200, wire.Withdrawn, false)
+		time.Sleep(time.Microsecond)
+	}
 	for rule, breaks := range map[string]func(c *Checker){
 		"ran_twice": func(c *Checker) {
-			c.Start("job-1/0", "m1", "t", "east", false, false)
-			c.Start("job-1/0", "m2", "t", "east", false, false)
+			c.Start("job-1/0", "m1", "t", "east", false)
+			c.Start("job-1/0", "m2", "t", "east", false)
 		},
 		"quota": func(c *Checker) {
-			c.Start("job-1/0", "m1", "t", "east", false, false)
-			c.Start("job-1/1", "m1", "t", "east", false, false)
-			c.Start("job-1/2", "m1", "t", "east", false, false)
+			c.Start("job-1/0", "m1", "t", "east", false)
+			c.Start("job-1/1", "m1", "t", "east", false)
+			c.Start("job-1/2", "m1", "t", "east", false)
 		},
-		"wrong_place":   func(c *Checker) { c.Start("job-1/0", "m1", "t", "west", false, false) },
-		"ran_cancelled": func(c *Checker) { c.Start("job-1/0", "m1", "t", "east", false, true) },
-		"forgotten":     func(c *Checker) { c.Told("job-1", 201, wire.Pending, false); c.Told("job-1", 404, "", false) },
-		"invented":      func(c *Checker) { c.Told("job-2", 200, wire.Pending, false) },
-		"not_done":      func(c *Checker) { c.Told("job-1", 200, wire.Done, false) },
-		"went_back":     func(c *Checker) { c.Told("job-1", 200, wire.Withdrawn, false) },
+		"wrong_place":          func(c *Checker) { c.Start("job-1/0", "m1", "t", "west", false) },
+		"ran_cancelled":        func(c *Checker) { withdrawn(c); c.Start("job-1/0", "m1", "t", "east", false) },
+		"ran_cancelled: stays": func(c *Checker) { c.Start("job-1/0", "m1", "t", "east", false); withdrawn(c) },
+		"forgotten":            func(c *Checker) { c.Told("job-1", 201, wire.Pending, false); c.Told("job-1", 404, "", false) },
+		"invented":             func(c *Checker) { c.Told("job-2", 200, wire.Pending, false) },
+		"not_done":             func(c *Checker) { c.Told("job-1", 200, wire.Done, false) },
+		"went_back":            func(c *Checker) { c.Told("job-1", 200, wire.Withdrawn, false) },
 	} {
 		c := NewChecker(map[string]float64{"red": 8})
 		c.Submitting(spec)
@@ -35,7 +43,7 @@
 			t.Fatalf("%s: broken before anything happened", rule)
 		}
 		breaks(c)
-		if got := c.Rules(); len(got) == 0 || !strings.HasPrefix(got[0], rule) {
+		if got := c.Rules(); len(got) == 0 || !strings.HasPrefix(got[0], strings.Split(rule, ":")[0]) {
 			t.Errorf("%s: checker says %v", rule, got)
 		}
 	}
--- a/internal/rehearse/state.go
+++ b/internal/rehearse/state.go
@@ -5,6 +5,7 @@
 package rehearse
 
 import (
+	"context"
 	"encoding/json"
 	"maps"
 	"net"
@@ -32,7 +33,8 @@
 	out      bool
 	ops      int
 	valueMax int
-	server   *http.Server
+	mux      *http.ServeMux
+	servers  []*http.Server
 	addr     string
 	requests *rate.Limiter // nil: no bound
 	writes   *rate.Limiter
@@ -68,15 +70,39 @@
 	mux.HandleFunc("POST /grants", s.grant)
 	mux.HandleFunc("POST /grants/{id}/extend", s.extend)
 	mux.HandleFunc("GET /changes", s.watch)
+	s.mux = mux
+	d, err := s.Door()
+	if err != nil {
+		return nil, err
+	}
+	s.addr = d.addr
+	go s.tickLeases()
+	return s, nil
+}
+
+// Door is an address of the stand-in of its own, as for one controller that the service
+// serves otherwise than the rest.
+type Door struct {
+	s       *State
+	addr    string
+	refused bool
+	late    func() time.Duration // for how long a transaction is held up; 0: not at all
+	applied int                  // transactions carried out late
+}
+
+type doorKey struct{}
+
+// Door opens one.
+func (s *State) Door() (*Door, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s.addr = l.Addr().String()
-	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	d := &Door{s: s, addr: l.Addr().String()}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.expire()
-		out := s.out
+		out := s.out || d.refused
 		over := !out && s.requests != nil && !s.requests.Allow()
 		if over {
 			s.refused++
@@ -90,18 +116,51 @@
 			reply(w, 429, wire.Error{Error: "too many requests"})
 			return
 		}
-		mux.ServeHTTP(w, r)
+		s.mux.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), doorKey{}, d)))
 	})}
-	go s.server.Serve(l)
-	go s.tickLeases()
-	return s, nil
+	s.mu.Lock()
+	s.servers = append(s.servers, server)
+	s.mu.Unlock()
+	go server.Serve(l)
+	return d, nil
+}
+
+// Addr is the door's address.
+func (d *Door) Addr() string { return d.addr }
+
+// Refuse has all requests at the door refused, and its open watches wait.
+func (d *Door) Refuse(on bool) {
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	d.refused = on
+	d.s.changed.Broadcast()
+}
+
+// Late has transactions at the door carried out after a time, without an answer; nil: none.
+func (d *Door) Late(hold func() time.Duration) {
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	d.late = hold
+}
+
+// Applied counts the transactions that were carried out late and changed something.
+func (d *Door) Applied() int {
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	return d.applied
 }
 
 // Addr is the stand-in's address.
 func (s *State) Addr() string { return s.addr }
 
 // Close ends the stand-in.
-func (s *State) Close() { s.server.Close() }
+func (s *State) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.servers {
+		server.Close()
+	}
+}
 
 // Limit has requests and changes beyond a rate a second refused with 429; both rates allow
 // bursts of one second's worth.
@@ -314,19 +373,37 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if d, ok := r.Context().Value(doorKey{}).(*Door); ok && d.late != nil {
+		if hold := d.late(); hold > 0 {
+			time.AfterFunc(hold, func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if status, _ := s.apply(&t); status == 200 && len(t.Then) > 0 {
+					d.applied++
+				}
+			})
+			s.mu.Unlock()
+			<-r.Context().Done() // no answer: the other side gives up
+			s.mu.Lock()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	status, answer := s.apply(&t)
+	reply(w, status, answer)
+}
+
+// apply carries a transaction out.
+func (s *State) apply(t *wire.Txn) (status int, answer any) {
 	if s.writes != nil && len(t.Then) > 0 && !s.writes.AllowN(time.Now(), len(t.Then)) {
 		s.refused++
-		reply(w, 429, wire.Error{Error: "too many changes"})
-		return
+		return 429, wire.Error{Error: "too many changes"}
 	}
 	for _, o := range t.Then {
 		if o.Lease != 0 && s.leases[o.Lease] == nil {
-			reply(w, 400, wire.Error{Error: "no such lease"})
-			return
+			return 400, wire.Error{Error: "no such lease"}
 		}
 		if len(o.Value) > s.valueMax || (o.Set == "") == (o.Delete == "") {
-			reply(w, 400, wire.Error{Error: "malformed"})
-			return
+			return 400, wire.Error{Error: "malformed"}
 		}
 	}
 	var failed []string
@@ -336,8 +413,7 @@
 		}
 	}
 	if failed != nil {
-		reply(w, 409, wire.TxnResult{Revision: s.revision, Failed: failed})
-		return
+		return 409, wire.TxnResult{Revision: s.revision, Failed: failed}
 	}
 	if len(t.Then) > 0 {
 		s.revision++
@@ -354,7 +430,7 @@
 		s.log = append(s.log, event{key: o.Set, value: o.Value, version: s.revision})
 	}
 	s.changed.Broadcast()
-	reply(w, 200, wire.TxnResult{Revision: s.revision})
+	return 200, wire.TxnResult{Revision: s.revision}
 }
 
 func (s *State) grant(w http.ResponseWriter, r *http.Request) {
@@ -400,6 +476,7 @@
 		case <-stop:
 		}
 	}()
+	door, _ := r.Context().Value(doorKey{}).(*Door)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for {
@@ -414,7 +491,7 @@
 			}
 			ch.Events = append(ch.Events, c)
 		}
-		if (len(ch.Events) > 0 && !s.out) || time.Now().After(until) || r.Context().Err() != nil {
+		if (len(ch.Events) > 0 && !s.out && !door.refused) || time.Now().After(until) || r.Context().Err() != nil {
 			reply(w, 200, ch)
 			return
 		}
--- a/internal/rehearse/worker.go
+++ b/internal/rehearse/worker.go
@@ -36,6 +36,11 @@
 
 	mu      sync.Mutex
 	cut     bool
+	deaf    bool
+	direct  bool            // no /do comes through
+	reach   map[string]bool // the controllers that its reports come to; nil: all
+	again   func() time.Duration
+	repeats int // late copies of reports that were delivered
 	session uint64
 	seq     uint64
 	token   uint64
@@ -66,6 +71,9 @@
 	return w, nil
 }
 
+// Name is the machine's name.
+func (w *Worker) Name() string { return w.name }
+
 // Addr is where the worker takes commands.
 func (w *Worker) Addr() string { return w.addr }
 
@@ -84,6 +92,53 @@
 	w.cut = on
 }
 
+// Deaf has answers to the worker's reports and direct commands lost; its reports arrive.
+func (w *Worker) Deaf(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deaf = on
+}
+
+// Reach bounds which controllers the worker and its machine can be reached by; none given: all. Direct
+// commands come from any of them, so that a bound shuts them out altogether.
+func (w *Worker) Reach(nodes ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reach, w.direct = nil, len(nodes) > 0
+	for _, n := range nodes {
+		if w.reach == nil {
+			w.reach = map[string]bool{}
+		}
+		w.reach[n] = true
+	}
+}
+
+// Again has copies of reports delivered once more after a time; 0: not that one, nil: none.
+func (w *Worker) Again(after func() time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.again = after
+}
+
+// Repeats counts the late copies of reports that were delivered.
+func (w *Worker) Repeats() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.repeats
+}
+
+// Running lists the tasks on the machine.
+func (w *Worker) Running() (tasks []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for task, t := range w.tasks {
+		if t.State != wire.Exited {
+			tasks = append(tasks, task)
+		}
+	}
+	return tasks
+}
+
 // End takes the machine away with everything on it.
 func (w *Worker) End() {
 	w.stop()
@@ -126,7 +181,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.cut {
+	if w.cut || w.deaf || w.direct {
 		panic(http.ErrAbortHandler)
 	}
 	if d.Token < w.token || d.Session != w.session {
@@ -152,7 +207,7 @@
 				w.tasks[c.Task] = &wire.TaskStatus{Task: c.Task, Attempt: c.Attempt, State: wire.Exited, Why: wire.WhyNoSuch}
 			default:
 				w.tasks[c.Task] = &wire.TaskStatus{Task: c.Task, Attempt: c.Attempt, State: wire.Running}
-				w.check.Start(c.Task, w.name, w.typ, w.zone, w.spot, false)
+				w.check.Start(c.Task, w.name, w.typ, w.zone, w.spot)
 				w.finishLater(c.Task, c.Attempt)
 			}
 		case wire.Stop:
@@ -227,14 +282,29 @@
 			w.session++
 			w.alive = time.Now()
 		}
-		body, cut, session := wire.Encode(w.report()), w.cut, w.session
+		body, session := wire.Encode(w.report()), w.session
+		cut := w.cut || w.reach != nil && !w.reach[w.order[at]]
+		later, url := time.Duration(0), "http://"+w.nodes[w.order[at]]+wire.PathReport
+		if w.again != nil {
+			later = w.again()
+		}
 		w.mu.Unlock()
+		if cut {
+			at = (at + 1) % len(w.order)
+		} else if later > 0 {
+			time.AfterFunc(later, func() { w.repeat(client, url, body) })
+		}
 		sent := time.Now()
 		next := w.per.Report
 		if !cut {
-			resp, err := client.Post("http://"+w.nodes[w.order[at]]+wire.PathReport, "application/json", bytes.NewReader(body))
+			resp, err := client.Post(url, "application/json", bytes.NewReader(body))
 			at = (at + 1) % len(w.order)
-			if err == nil {
+			w.mu.Lock()
+			deaf := w.deaf
+			w.mu.Unlock()
+			if err == nil && deaf {
+				resp.Body.Close()
+			} else if err == nil {
 				var a wire.ReportAnswer
 				var m wire.Moved
 				switch resp.StatusCode {
@@ -267,3 +337,21 @@
 		}
 	}
 }
+
+// repeat delivers a copy of an earlier report; nobody hears the answer.
+func (w *Worker) repeat(client *http.Client, url string, body []byte) {
+	w.mu.Lock()
+	cut := w.cut
+	w.mu.Unlock()
+	if cut {
+		return
+	}
+	resp, err := client.Post(url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	resp.Body.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.repeats++
+}
--- a/internal/workers/home.go
+++ b/internal/workers/home.go
@@ -226,6 +226,17 @@
 	return slices.ContainsFunc(m.Report.Tasks, func(t wire.TaskStatus) bool { return refOf(t.Task, t.Attempt) == ref })
 }
 
+// Ordered says whether an owner ordered a start here in this term.
+func (m *Machine) Ordered(ref ledger.Ref) bool {
+	s := m.starts[ref]
+	return s != nil && s.order.Op == wire.Start
+}
+
+// Starts says whether a start waits to be sent.
+func (m *Machine) Starts() bool {
+	return slices.ContainsFunc(m.queue, func(c wire.Command) bool { return c.Op == wire.Start })
+}
+
 func (m *Machine) queued(op string, ref ledger.Ref) bool {
 	return slices.ContainsFunc(m.queue, func(c wire.Command) bool { return c.Op == op && refOf(c.Task, c.Attempt) == ref })
 }
--- /dev/null
+++ b/meeting_test.go
@@ -0,0 +1,189 @@
+package topazhollow
+
+import (
+	"bytes"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"topazhollow/internal/frontend"
+	"topazhollow/internal/rehearse"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/tenure"
+	"topazhollow/internal/wire"
+)
+
+// met is a region with short times in which tasks run far longer than a cancellation may take.
+func met(t *testing.T) *region {
+	r := openRegion(t, time.Hour, settings.Workers{Report: 0.2, Lease: 4, GangWait: 10, GangPeer: 4, Cancel: 10})
+	r.check.Cancel = 10 * time.Second
+	return r
+}
+
+// leads says whether a controller holds itself for entitled.
+func (r *region) leads(i int) bool {
+	for _, o := range r.overviews() {
+		if o.Node == r.sets[i].Name {
+			return o.Entitled
+		}
+	}
+	return false
+}
+
+// askAt sends a request to one controller.
+func (r *region) askAt(i int, method, path string, body any) (int, wire.Status) {
+	all := r.sets
+	r.sets = all[i : i+1]
+	defer func() { r.sets = all }()
+	return r.ask(method, path, body)
+}
+
+// withdrawAt has one controller confirm a withdrawal, and gives the time at which it did.
+func (r *region) withdrawAt(i int, uid string) time.Time {
+	r.check.Withdrawing(uid)
+	r.until("withdrawn", func() bool {
+		status, st := r.askAt(i, "POST", wire.PathSubmit+"/"+uid+"/withdraw", struct{}{})
+		r.check.Told(uid, status, st.State, false)
+		return status == 200 && st.State == wire.Withdrawn
+	})
+	return time.Now()
+}
+
+// runs waits until a machine runs a task of each job whose teams another controller owns than the machine's home, and
+// gives its worker and which controller is its home.
+func (r *region) runs(jobs ...*wire.Submission) (w *rehearse.Worker, home int) {
+	record := &tenure.Record{Nodes: map[string]uint64{}}
+	for _, s := range r.sets {
+		record.Nodes[s.Name] = 1
+	}
+	r.until("a machine of another home runs the jobs", func() bool {
+		for _, o := range r.overviews() {
+			for _, x := range r.cloud.Workers() {
+				elsewhere := func(j *wire.Submission) bool {
+					return has(x, j.UID) && o.Owners[teamItem(j.Team)] != record.Home(x.Name())
+				}
+				if len(o.Members) == 3 && !slices.ContainsFunc(jobs, func(j *wire.Submission) bool { return !elsewhere(j) }) {
+					w = x
+					return true
+				}
+			}
+		}
+		return false
+	})
+	home = slices.IndexFunc(r.sets, func(s *settings.Settings) bool { return s.Name == record.Home(w.Name()) })
+	return w, home
+}
+
+// has says whether a machine runs a task of a job.
+func has(w *rehearse.Worker, job string) bool {
+	return slices.ContainsFunc(w.Running(), func(task string) bool { uid, _, _ := wire.SplitTask(task); return uid == job })
+}
+
+// endBehind writes a job's withdrawal to the state service, as a controller does that ends before it tells anybody.
+func (r *region) endBehind(job *wire.Submission) {
+	r.check.Withdrawing(job.UID)
+	end := frontend.Final{State: wire.Withdrawn, Tasks: job.Tasks, Team: job.Team}
+	txn := wire.Txn{Guards: []wire.Guard{{Key: frontend.FinalKey + job.UID}},
+		Then: []wire.Op{{Delete: frontend.JobKey + job.UID}, {Set: frontend.FinalKey + job.UID, Value: wire.Encode(end)}}}
+	resp, err := r.httpc.Post("http://"+r.state.Addr()+"/txn", "application/json", bytes.NewReader(wire.Encode(txn)))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		r.t.Fatalf("the withdrawal was not written: %d", resp.StatusCode)
+	}
+}
+
+// TestRefusedLeaderThenOutage is the meeting before all others: the state service refuses one controller alone,
+// another takes over and confirms a cancellation; then the service is down for all, and a machine still reports to the
+// first one. That one, whose record was old, once collected the others' promises, held itself for entitled again and
+// renewed the machine's lease for as long as the outage took.
+func TestRefusedLeaderThenOutage(t *testing.T) {
+	r := met(t)
+	job := array(600, 12, "red")
+	r.submit(job)
+	w, a := r.runs(job)
+	b := (a + 1) % 3
+	w.Reach(r.sets[a].Name)
+	r.doors[a].Refuse(true)
+	r.until("another leads without the refused one", func() bool {
+		for _, o := range r.overviews() {
+			if o.Node != r.sets[a].Name && len(o.Members) == 2 {
+				return true
+			}
+		}
+		return false
+	})
+	r.endBehind(job) // the first one hears of it from nobody but who confirms it
+	told := r.withdrawAt(b, job.UID)
+	r.state.Outage(true)
+	if len(w.Running()) == 0 {
+		t.Fatal("the machine ran nothing any more when the outage began")
+	}
+	r.until("its tasks gone", func() bool { return len(w.Running()) == 0 })
+	r.until("the time of the cancellation over", func() bool { return time.Since(told) > r.check.Cancel+time.Second })
+	r.state.Outage(false)
+	r.doors[a].Refuse(false)
+	w.Reach()
+	r.until("all three are members again", func() bool { o := r.overviews(); return len(o) > 0 && len(o[0].Members) == 3 })
+}
+
+// TestRefusedOwnerHearsOfWithdrawals: refused for less than its lease a controller stays rightful owner and home, and
+// its watch hangs on into the outage. It must stop what another one confirmed as withdrawn, and keep the rest
+// alive through an outage far longer than a lease and a cancellation.
+func TestRefusedOwnerHearsOfWithdrawals(t *testing.T) {
+	r := met(t)
+	job, other := array(610, 7, "red"), array(612, 5, "red")
+	r.submit(job)
+	r.submit(other)
+	w, a := r.runs(job, other)
+	r.doors[a].Refuse(true)
+	told := r.withdrawAt((a+1)%3, job.UID)
+	r.state.Outage(true)
+	if !r.leads(a) {
+		t.Log("the refused controller had lost its lease already")
+	}
+	r.until("the outage outlasts lease and cancellation", func() bool { return time.Since(told) > r.check.Cancel+4*time.Second })
+	if !has(w, other.UID) || has(w, job.UID) {
+		t.Errorf("after the outage the machine runs %v, not just what was not withdrawn", w.Running())
+	}
+	r.state.Outage(false)
+	r.doors[a].Refuse(false)
+	if st := r.poll(job.UID); st != wire.Withdrawn && st != "" {
+		t.Errorf("withdrawn job is %s", st)
+	}
+}
+
+// TestPromisesOfALaterRecord: promises to raise no term above a record that one does not know entitle to nothing.
+func TestPromisesOfALaterRecord(t *testing.T) {
+	g := newGrown(1, 1)
+	n := g.n
+	n.lease = tenure.Lease{Life: 5 * time.Second}
+	n.version, n.began = 7, n.began.Add(-time.Minute)
+	now := time.Now()
+	promise := func(version *uint64) bool {
+		p := &peerState{heard: now}
+		n.peers = map[string]*peerState{"node-b": p}
+		s := statusMsg{Promise: true, Version: version, Heard: map[string]echo{n.name: {Incarnation: n.inc, At: now.Sub(n.began).Milliseconds()}}}
+		n.onStatus(p, &s, now)
+		return n.entitled(now)
+	}
+	version := func(v uint64) *uint64 { return &v }
+	for what, got := range map[string][2]bool{
+		"the same record": {promise(version(7)), true}, "an earlier one": {promise(version(6)), true},
+		"a later one": {promise(version(8)), false}, "none named": {promise(nil), false},
+	} {
+		if got[0] != got[1] {
+			t.Errorf("a promise under %s entitles: %v", what, got[0])
+		}
+	}
+	// A status that names one of this process's own that it never sent promises nothing, or it would for ever.
+	p := &peerState{heard: now}
+	n.peers = map[string]*peerState{"node-b": p}
+	n.onStatus(p, &statusMsg{Promise: true, Version: version(7), Heard: map[string]echo{n.name: {Incarnation: n.inc, At: 1 << 50}}}, now)
+	if n.entitled(now) {
+		t.Error("a promise from the future entitles")
+	}
+}
--- a/node.go
+++ b/node.go
@@ -7,8 +7,10 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +21,7 @@
 	"topazhollow/internal/blame"
 	"topazhollow/internal/cloud"
 	"topazhollow/internal/frontend"
+	"topazhollow/internal/horizon"
 	"topazhollow/internal/httpx"
 	"topazhollow/internal/ledger"
 	"topazhollow/internal/peer"
@@ -67,10 +70,10 @@
 	version    uint64 // of the record's key
 	settled    time.Time
 	live       map[string]tenure.Presence
-	listed     bool         // the watched keys were read
-	revision   uint64       // of the state service, up to which the watched keys are known
-	known      time.Time    // when a read began that made all changes before it known
-	unsynced   []chan error // those who wait for a read of the changes
+	listed     bool             // the watched keys were read
+	revision   uint64           // of the state service, up to which the watched keys are known
+	horizon    *horizon.Horizon // up to when all confirmed withdrawals are known here
+	unsynced   []chan error     // those who wait for a read of the changes
 	syncNow    chan struct{}
 	missing    time.Time
 	items      map[string]*item
@@ -161,6 +164,8 @@
 	leased   bool
 	at       int64     // the peer's clock in its last status
 	until    time.Time // the peer promised to raise no term before
+	version  uint64    // of the newest control record under which it promised so
+	taught   time.Time // when it was last sent the control record
 	demands  []demand
 	progress map[string][2]int
 	drain    map[string]bool
@@ -203,6 +208,7 @@
 	life := settings.Seconds(o.NodeLease)
 	n.lease = tenure.Lease{Life: life, Margin: life / 20}
 	n.store = newKeeping(s, life)
+	n.horizon = horizon.New(slices.Collect(maps.Keys(n.peers)), settings.Seconds(s.Deployment.Workers.Cancel), settings.Seconds(s.Deployment.Workers.Lease))
 	n.admit = newAdmit(o)
 	n.state.OnSign(n.sign)
 	n.home = workers.New(n.capacity, n.size)
@@ -290,14 +296,16 @@
 
 // entitled says whether this controller may act: the state service has what it
 // acknowledged, as far as known, the record names this process, and either its lease lives or every other controller promised to raise no
-// term for now.
+// term for now, under this record or an earlier one.
 func (n *Node) entitled(now time.Time) bool {
 	return n.record != nil && n.trusted() && n.record.Nodes[n.name] == n.inc && (n.lease.Valid(now) || n.holdsPromises(now))
 }
 
 func (n *Node) holdsPromises(now time.Time) bool {
 	for _, p := range n.peers {
-		if !now.Before(p.until) {
+		// One that knows a later record promises not to raise the term above that one: this
+		// controller may have no part in it.
+		if !now.Before(p.until) || p.version > n.version {
 			return false
 		}
 	}
@@ -457,6 +465,12 @@
 	(*Node)(b).hold(ctx, m)
 }
 
+func (b *userBackend) Confirming(uid string, end frontend.Final) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	(*Node)(b).confirming(uid, end)
+}
+
 func (b *userBackend) Accepted(s frontend.Stored, version uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/node_test.go
+++ b/node_test.go
@@ -28,6 +28,7 @@
 	check *rehearse.Checker
 	sets  []*settings.Settings
 	nodes []*process
+	doors []*rehearse.Door // each controller's way to the state service
 	rng   *rand.Rand
 	httpc *http.Client
 
@@ -40,6 +41,10 @@
 }
 
 func newRegion(t *testing.T, run time.Duration) *region {
+	return openRegion(t, run, settings.Workers{Report: 0.2, Lease: 20, GangWait: 10, GangPeer: 4, Cancel: 60})
+}
+
+func openRegion(t *testing.T, run time.Duration, workers settings.Workers) *region {
 	r := &region{t: t, rng: rand.New(rand.NewPCG(1, 2)), httpc: &http.Client{Timeout: 4 * time.Second}}
 	r.check = rehearse.NewChecker(map[string]float64{"red": 24, "blue": 16})
 	var err error
@@ -56,7 +61,7 @@
 			}
 		}
 	}
-	per := rehearse.Periods{Report: 200 * time.Millisecond, Lease: 20 * time.Second, Run: func(string) time.Duration { return run }}
+	per := rehearse.Periods{Report: settings.Seconds(workers.Report), Lease: settings.Seconds(workers.Lease), Run: func(string) time.Duration { return run }}
 	types := []wire.MachineType{{Name: "m8", CPUs: 8, Memory: 64, Price: 2, SpotPrice: 1, Boot: 1, Zones: []string{"east", "west"}}}
 	r.cloud, err = rehearse.NewCloud(types, 6, func(name, typ, zone string, spot bool) (*rehearse.Worker, error) {
 		return rehearse.NewWorker(name, typ, zone, spot, listen, names, per, r.check)
@@ -65,11 +70,16 @@
 		t.Fatal(err)
 	}
 	for i, n := range names {
+		door, err := r.state.Door()
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.doors = append(r.doors, door)
 		s := &settings.Settings{Name: n, Zone: "east", Listen: listen[n], PeerListen: peers[n],
-			Outside: settings.Outside{Cloud: r.cloud.Addr(), State: r.state.Addr()},
+			Outside: settings.Outside{Cloud: r.cloud.Addr(), State: door.Addr()},
 			Deployment: settings.Deployment{Size: 3, Zones: []string{"east", "west"},
 				Teams:   []settings.Team{{Name: "red", CPUs: 16, CPUsMax: 24}, {Name: "blue", CPUs: 8, CPUsMax: 16}},
-				Workers: settings.Workers{Report: 0.2, Lease: 20, GangWait: 10, GangPeer: 4, Cancel: 60},
+				Workers: workers,
 				State:   settings.State{RPS: 400, WriteRPS: 200, ValueKB: 16, TxnOps: 16},
 				Cloud:   settings.Cloud{RPS: 20, ListLag: 0.2}, Limits: settings.Limits{Cores: 1, MemoryMB: 256, MaxSockets: 512}}}
 		for _, p := range names {
--- a/rebuild.go
+++ b/rebuild.go
@@ -179,7 +179,7 @@
 		m.unlisted = time.Time{}
 	case m.unlisted.IsZero():
 		m.unlisted = now
-	case now.Sub(m.unlisted) > settings.Seconds(n.set.Deployment.Workers.Report/2) && n.known.After(m.unlisted):
+	case now.Sub(m.unlisted) > settings.Seconds(n.set.Deployment.Workers.Report/2) && n.horizon.LastRead().After(m.unlisted):
 		n.prove("a worker has tasks though its machine is on no list")
 	}
 }
@@ -405,6 +405,7 @@
 // relist reads all that is followed, to enter the generation that is found or to know
 // what a lost store holds.
 func (n *Node) relist(ctx context.Context) {
+	began := time.Now()
 	entries, revision, err := n.state.List(ctx, frontend.Watched)
 	if errors.Is(err, state.ErrBack) {
 		n.state.Anew()
@@ -415,7 +416,9 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.takeList(entries, revision)
+	if n.takeList(entries, revision) {
+		n.knows(began)
+	}
 }
 
 // scan finds the store's own keys in a list.
@@ -514,7 +517,6 @@
 		n.changed(wire.Change{Set: e.Key, Value: e.Value, Version: e.Version})
 	}
 	n.listed = true
-	n.known = later(n.known, now)
 	n.store.watch.Entered(n.generation(), now)
 	if n.live[n.name].Incarnation != n.inc {
 		n.unshow()
--- a/recall.go
+++ b/recall.go
@@ -47,6 +47,7 @@
 	// holdMsg asks a peer to hold a fact before it is said to a user.
 	holdMsg struct {
 		ID   uint64           `json:"id,omitempty"`
+		From uint64           `json:"from,omitempty"` // number of the first of Ends among the withdrawals that the sender confirmed
 		Job  *frontend.Stored `json:"job,omitempty"`
 		Ends []frontendEnd    `json:"ends,omitempty"`
 	}
@@ -229,6 +230,7 @@
 	now := time.Now()
 	n.store.holdID++
 	m.ID = n.store.holdID
+	n.number(&m)
 	got := make(chan struct{}, 1)
 	n.store.holds[m.ID] = got
 	line := peer.Line("hold", m)
@@ -274,10 +276,17 @@
 	if m.Job != nil && m.Job.Spec != nil && wire.ValidUID(m.Job.Spec.UID) {
 		n.tentative(*m.Job)
 	}
+	for _, x := range m.Ends {
+		if !wire.ValidUID(x.UID) || x.State != wire.Withdrawn && x.State != wire.Done {
+			n.log.Error("unreadable line", "peer", node, "kind", "hold", "err", "an end of no job or of no kind")
+			return
+		}
+	}
 	for _, x := range m.Ends {
 		n.front.Learn(x.UID, x.Final)
 		n.endRemembered(x.UID)
 	}
+	n.horizon.Take(node, m.From, len(m.Ends))
 	if m.ID != 0 {
 		n.links.Send(node, "held", heldMsg{m.ID})
 	}
--- a/sustain_test.go
+++ b/sustain_test.go
@@ -21,7 +21,7 @@
 	n.peers["node-b"] = &peerState{heard: g.now.Add(-time.Minute)}
 	w := n.set.Deployment.Workers
 	g.submit(1, 4)
-	n.known = g.now
+	n.horizon.Read(g.now)
 	report := func(name string, token uint64, state, task string) []byte {
 		return wire.Encode(wire.Report{Machine: name, Addr: "127.0.0.1:1", Type: "m32", Zone: "east", Session: 1, Seq: 9, Token: token,
 			Tasks: []wire.TaskStatus{{Task: task, Attempt: 1, State: state, Why: wire.WhyDone}}})
--- a/sync.go
+++ b/sync.go
@@ -62,7 +62,7 @@
 		n.mu.Unlock()
 		n.group.Go(func() error {
 			err, began := errUnsynced, time.Now()
-			if listed && len(waiting) > 0 {
+			if listed {
 				var ch *wire.Changes
 				if ch, err = n.state.Changes(ctx, frontend.Watched, after); err == nil {
 					n.mu.Lock()
@@ -89,5 +89,13 @@
 		n.changed(e)
 	}
 	n.revision = max(n.revision, ch.Revision)
-	n.known = later(n.known, began)
+	n.knows(began)
+}
+
+// knows books that all that the state service had when a read began was taken in. After a loss that is not all
+// that was confirmed, until everybody's memory is gathered.
+func (n *Node) knows(began time.Time) {
+	if n.trusted() && n.gathered(time.Now()) {
+		n.horizon.Read(began)
+	}
 }
--- a/talk.go
+++ b/talk.go
@@ -55,14 +55,17 @@
 		Mute     []string          `json:"mute,omitempty"`   // machines that did not answer a knock
 		Writes   *float64          `json:"writes,omitempty"` // changes of the state service wanted a second
 		Store    rebuild.Word      `json:"store"`            // what the sender holds of the state service
+		Version  *uint64           `json:"version"`          // of the control record that it knows; a promise counts for that one and later ones
+		Told     *uint64           `json:"told"`             // withdrawals that this process confirmed to users so far
 		Plan     admission.Word    `json:"plan"`             // what it knows of plans of who gets how much
 	}
 )
 
 // echo names a peer's status that was heard.
 type echo struct {
-	Incarnation uint64 `json:"incarnation"`
-	At          int64  `json:"at"`
+	Incarnation uint64  `json:"incarnation"`
+	At          int64   `json:"at"`
+	Got         *uint64 `json:"got"` // of the withdrawals that it confirmed, taken in without a gap
 }
 
 // demand is room that waiting tasks of a job ask for.
@@ -122,6 +125,7 @@
 	if p.inc != incarnation {
 		p.inc, p.at = incarnation, 0
 	}
+	n.horizon.Met(node, incarnation, now)
 	p.heard = now
 	var err error
 	switch kind {
@@ -129,6 +133,8 @@
 		var s statusMsg
 		if err = wire.Decode(body, &s); err == nil {
 			n.onStatus(p, &s, now)
+			n.onHorizon(node, &s, now)
+			n.teach(node, &s, now)
 			n.store.watch.Heard(node, s.Store, now)
 			n.onPlan(node, incarnation, p, &s.Plan)
 			if n.record != nil && s.Store.Generation == n.record.Generation && s.Store.Term > n.record.Term {
@@ -154,6 +160,11 @@
 		if err = wire.Decode(body, &k); err == nil {
 			n.onKnock(k.Addrs, now)
 		}
+	case "record":
+		var m recordMsg
+		if err = wire.Decode(body, &m); err == nil {
+			n.onRecord(&m)
+		}
 	case "evict":
 		var e evictMsg
 		if err = wire.Decode(body, &e); err == nil {
@@ -202,13 +213,13 @@
 
 func (n *Node) onStatus(p *peerState, s *statusMsg, now time.Time) {
 	p.leased, p.at = s.Leased, s.At
-	if e, ok := s.Heard[n.name]; ok && s.Promise && e.Incarnation == n.inc {
+	if e, ok := s.Heard[n.name]; ok && s.Promise && s.Version != nil && e.Incarnation == n.inc && n.sentBy(e.At, now) {
 		// The promise runs from when the peer sent it, which was after our own
 		// status that it names: counted from then, and less the clocks' drift, it
 		// ends here first.
 		until := n.began.Add(time.Duration(e.At)*time.Millisecond + promiseLife - promiseLife/500)
 		if until.After(p.until) {
-			p.until = until
+			p.until, p.version = until, *s.Version
 		}
 	}
 	p.entitled, p.demands = s.Entitled, s.Demands
@@ -338,6 +349,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			n.mu.Lock()
+			n.readOn(time.Now())
+			n.mu.Unlock()
 		case <-n.news:
 		}
 		now := time.Now()
@@ -375,11 +389,13 @@
 
 // status sums up this controller for its peers, and makes the promise in it.
 func (n *Node) status(now time.Time) statusMsg {
-	s := statusMsg{Store: n.word(), Entitled: n.entitled(now), Leased: n.lease.Valid(now), At: now.Sub(n.began).Milliseconds(),
+	told, version := n.horizon.Told(), n.version
+	s := statusMsg{Store: n.word(), Told: &told, Version: &version, Entitled: n.entitled(now), Leased: n.lease.Valid(now), At: now.Sub(n.began).Milliseconds(),
 		Heard: map[string]echo{}, Alive: map[string]int64{}}
 	for name, p := range n.peers {
 		if now.Sub(p.heard) < promiseLife && p.at > 0 {
-			s.Heard[name] = echo{p.inc, p.at}
+			got := n.horizon.Got(name)
+			s.Heard[name] = echo{p.inc, p.at, &got}
 		}
 	}
 	if s.Promise = n.promises(now); s.Promise {
