Meetings rehearsed: late writes, late reports, deaf machines, a leader cut off; two mended

Cause, from reading: a controller cut from the state service and from its peers called itself healthy, so its users asked in vain for as long as that took; two late copies of a returned machine's reports counted as proof of a loss of the store at a controller that never knew the machine. Change: one that hears no peer for 5 s and has no lease sends users away; a machine that is on no list is asked whether it is there. Stand-ins learn refusal of one controller, late writes, late reports, deaf machines and cut paths between controllers, the checker the time of a cancellation.

--- /dev/null
+++ b/internal/rehearse/pipe.go
@@ -0,0 +1,95 @@
+package rehearse
+
+import (
+	"io"
+	"net"
+	"sync"
+)
+
+// Pipe carries connections to an address and can be cut, as the path from one controller to another.
+type Pipe struct {
+	listener net.Listener
+	to       string
+
+	mu    sync.Mutex
+	cut   bool
+	conns map[net.Conn]bool
+}
+
+// NewPipe opens a pipe to an address.
+func NewPipe(to string) (*Pipe, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Pipe{listener: l, to: to, conns: map[net.Conn]bool{}}
+	go p.serve()
+	return p, nil
+}
+
+// Addr is where the pipe begins.
+func (p *Pipe) Addr() string { return p.listener.Addr().String() }
+
+// Cut ends what the pipe carries and refuses connections, or carries them again.
+func (p *Pipe) Cut(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = on
+	for c := range p.conns {
+		if on {
+			c.Close()
+		}
+	}
+}
+
+// Close ends the pipe.
+func (p *Pipe) Close() {
+	p.listener.Close()
+	p.Cut(true)
+}
+
+func (p *Pipe) serve() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.carry(c)
+	}
+}
+
+// keep notes a connection to be ended with the pipe; false if that is cut.
+func (p *Pipe) keep(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cut {
+		c.Close()
+		return false
+	}
+	p.conns[c] = true
+	return true
+}
+
+func (p *Pipe) drop(c net.Conn) {
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+func (p *Pipe) carry(in net.Conn) {
+	if !p.keep(in) {
+		return
+	}
+	defer p.drop(in)
+	out, err := net.Dial("tcp4", p.to)
+	if err != nil || !p.keep(out) {
+		return
+	}
+	defer p.drop(out)
+	go func() {
+		_, _ = io.Copy(in, out) // ends with either side
+		in.Close()
+	}()
+	_, _ = io.Copy(out, in)
+}
--- a/internal/rehearse/state.go
+++ b/internal/rehearse/state.go
@@ -87,7 +87,8 @@
 	addr    string
 	refused bool
 	late    func() time.Duration // for how long a transaction is held up; 0: not at all
-	applied int                  // transactions carried out late
+	applied int                  // transactions that were carried out late
+	met     int                  // late ones whose guards did not hold any more
 }
 
 type doorKey struct{}
@@ -143,11 +144,11 @@
 	d.late = hold
 }
 
-// Applied counts the transactions that were carried out late and changed something.
-func (d *Door) Applied() int {
+// CarriedLate counts the late transactions that changed something, and those that newer ones had overtaken.
+func (d *Door) CarriedLate() (applied, met int) {
 	d.s.mu.Lock()
 	defer d.s.mu.Unlock()
-	return d.applied
+	return d.applied, d.met
 }
 
 // Addr is the stand-in's address.
@@ -378,8 +379,11 @@
 			time.AfterFunc(hold, func() {
 				s.mu.Lock()
 				defer s.mu.Unlock()
-				if status, _ := s.apply(&t); status == 200 && len(t.Then) > 0 {
+				switch status, _ := s.apply(&t); {
+				case status == 200 && len(t.Then) > 0:
 					d.applied++
+				case status == 409:
+					d.met++
 				}
 			})
 			s.mu.Unlock()
--- a/internal/rehearse/worker.go
+++ b/internal/rehearse/worker.go
@@ -63,6 +63,7 @@
 	w.addr = l.Addr().String()
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /do", w.do)
+	mux.HandleFunc("GET "+wire.PathInspect, w.inspect)
 	w.server = &http.Server{Handler: mux}
 	go w.server.Serve(l)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -193,6 +194,15 @@
 	reply(rw, 200, w.report())
 }
 
+func (w *Worker) inspect(rw http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut || w.deaf || w.direct {
+		panic(http.ErrAbortHandler)
+	}
+	reply(rw, 200, w.report())
+}
+
 func (w *Worker) execute(cmds []wire.Command) {
 	for _, c := range cmds {
 		t := w.tasks[c.Task]
--- a/meeting_test.go
+++ b/meeting_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -187,3 +189,168 @@
 		t.Error("a promise from the future entitles")
 	}
 }
+
+// TestCutLeader: a controller is cut from the state service and from the other controllers while a machine and users
+// still reach it, and a job is withdrawn through another one. It must tell no user an older state, send its
+// users away, and end what the machine runs in time, though nobody tells it anything.
+func TestCutLeader(t *testing.T) {
+	r := met(t)
+	job := array(620, 12, "red")
+	r.submit(job)
+	w, a := r.runs(job)
+	w.Reach(r.sets[a].Name)
+	r.doors[a].Refuse(true)
+	r.apart(a, true)
+	told := r.withdrawAt((a+1)%3, job.UID)
+	if !has(w, job.UID) {
+		t.Fatal("the machine ran nothing any more when the withdrawal was confirmed")
+	}
+	answers, healthy := 0, true
+	r.until("its tasks gone and users sent away", func() bool {
+		status, st := r.askAt(a, "GET", wire.PathSubmit+"/"+job.UID, nil)
+		r.check.Told(job.UID, status, st.State, false)
+		if status == 503 {
+			answers++
+		}
+		status, _ = r.askAt(a, "GET", wire.PathHealth, nil)
+		healthy = status == 200
+		return !has(w, job.UID) && !healthy
+	})
+	if time.Since(told) > r.check.Cancel || answers == 0 {
+		t.Errorf("gone %v after the confirmation, asked %d times in vain", time.Since(told), answers)
+	}
+	for i := range r.sets {
+		if status, _ := r.askAt(i, "GET", wire.PathHealth, nil); i != a && status != 200 {
+			t.Errorf("controller %d, which serves, sends its users away too", i)
+		}
+	}
+	r.doors[a].Refuse(false)
+	r.apart(a, false)
+	w.Reach()
+	r.until("all three are members again", func() bool { o := r.overviews(); return len(o) > 0 && len(o[0].Members) == 3 })
+	r.until("it tells the withdrawal", func() bool {
+		_, st := r.askAt(a, "GET", wire.PathSubmit+"/"+job.UID, nil)
+		return st.State == wire.Withdrawn
+	})
+}
+
+// TestLateWrites: of all controllers' transactions some get no answer and are carried out seconds later, after newer
+// ones, also across the end of the controller that sent them: acceptances, withdrawals, ends, pages, lists of machines,
+// lease keys and the record alike.
+func TestLateWrites(t *testing.T) {
+	r := openRegion(t, 400*time.Millisecond, settings.Workers{Report: 0.2, Lease: 20, GangWait: 10, GangPeer: 4, Cancel: 60})
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(7, 7))
+	for _, d := range r.doors {
+		d.Late(func() time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			if rng.IntN(4) > 0 {
+				return 0
+			}
+			return 200*time.Millisecond + time.Duration(rng.IntN(6000))*time.Millisecond
+		})
+	}
+	var jobs []*wire.Submission
+	for i := range 6 {
+		j := array(630+i, 1+i%3, []string{"red", "blue"}[i%2])
+		r.submit(j)
+		if i == 2 {
+			r.check.Withdrawing(j.UID)
+			r.until("withdrawn or done", func() bool {
+				status, st := r.ask("POST", wire.PathSubmit+"/"+j.UID+"/withdraw", struct{}{})
+				r.check.Told(j.UID, status, st.State, false)
+				return status == 200
+			})
+			continue
+		}
+		jobs = append(jobs, j)
+		if i == 3 {
+			r.crash(0)
+			r.start(0)
+		}
+	}
+	r.allDone(jobs)
+	applied, met := 0, 0
+	for _, d := range r.doors {
+		d.Late(nil)
+		x, y := d.CarriedLate()
+		applied, met = applied+x, met+y
+	}
+	if applied == 0 || met == 0 {
+		t.Fatalf("%d late transactions changed something, %d met newer ones", applied, met)
+	}
+	last := array(640, 4, "red")
+	r.submit(last)
+	r.allDone([]*wire.Submission{last})
+	for _, o := range r.overviews() {
+		if o.Store.Generation != 1 {
+			t.Errorf("late transactions were taken for a loss: generation %d", o.Store.Generation)
+		}
+	}
+}
+
+// TestLateReports: copies of reports arrive again up to well over a lease later, of sessions, attempts and machines that are
+// over, and at controllers that began anew and know none of them.
+func TestLateReports(t *testing.T) {
+	r := openRegion(t, time.Second, settings.Workers{Report: 0.2, Lease: 3, GangWait: 10, GangPeer: 4, Cancel: 10})
+	r.check.Cancel = 10 * time.Second
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(8, 8))
+	again := func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		if rng.IntN(2) == 0 {
+			return 0
+		}
+		return 300*time.Millisecond + time.Duration(rng.IntN(6000))*time.Millisecond
+	}
+	repeats := func() (sum int) {
+		for _, w := range r.cloud.Workers() {
+			sum += w.Repeats()
+		}
+		return sum
+	}
+	var jobs []*wire.Submission
+	for i := range 3 {
+		j := array(650+2*i, 8, []string{"red", "blue"}[i%2])
+		jobs = append(jobs, j)
+		r.submit(j)
+		r.until("tasks run", func() bool { return r.check.On() > 0 })
+		ws := r.cloud.Workers()
+		for _, w := range ws {
+			w.Again(again)
+		}
+		ws[i%len(ws)].Expire()
+		r.crash(i)
+		r.start(i)
+		before := repeats()
+		r.until("copies came", func() bool { return repeats() > before+10 })
+	}
+	r.allDone(jobs)
+	for _, o := range r.overviews() {
+		if o.Store.Generation != 1 {
+			t.Errorf("late reports were taken for a loss: generation %d", o.Store.Generation)
+		}
+	}
+}
+
+// TestDeafMachineAcrossAnEnd: the answers and commands to a machine are lost while its reports arrive, its home and the
+// owner of what it runs end, and the job is withdrawn. Nothing of it may stay longer than a cancellation may
+// take, and what else it ran runs on elsewhere once that is proven off.
+func TestDeafMachineAcrossAnEnd(t *testing.T) {
+	r := openRegion(t, 6*time.Second, settings.Workers{Report: 0.2, Lease: 4, GangWait: 10, GangPeer: 4, Cancel: 10})
+	r.check.Cancel = 10 * time.Second
+	gone, stays := array(660, 7, "red"), array(662, 5, "red")
+	r.submit(gone)
+	r.submit(stays)
+	w, a := r.runs(gone, stays)
+	w.Deaf(true)
+	r.crash(a)
+	r.withdrawAt((a+1)%3, gone.UID)
+	r.start(a)
+	r.until("nothing withdrawn runs", func() bool { return !has(w, gone.UID) })
+	r.allDone([]*wire.Submission{stays})
+	w.Deaf(false)
+	r.until("withdrawn still", func() bool { return r.poll(gone.UID) == wire.Withdrawn })
+}
--- a/node.go
+++ b/node.go
@@ -138,21 +138,22 @@
 
 // machine is what every controller knows of a machine.
 type machine struct {
-	view     *ledger.View
-	host     placement.Host // its entry for placement, if counted
-	counted  bool
-	heard    time.Time
-	homed    time.Time // when its home last heard it, as far as told
-	home     string    // by the record homeBy
-	homeBy   *tenure.Record
-	spared   time.Time // when it was last kept alive here as its home was silent
-	came     time.Time // when it last reported to a controller that is not its home
-	unlisted time.Time // since when it reports tasks though it is on no list of machines
-	images   map[string]bool
-	gone     bool
-	idle     time.Time
-	slow     time.Time                // when a task here was last found far slower than its kin
-	running  map[ledger.Ref]time.Time // since when a listed task was seen running
+	view      *ledger.View
+	host      placement.Host // its entry for placement, if counted
+	counted   bool
+	heard     time.Time
+	homed     time.Time // when its home last heard it, as far as told
+	home      string    // by the record homeBy
+	homeBy    *tenure.Record
+	spared    time.Time // when it was last kept alive here as its home was silent
+	came      time.Time // when it last reported to a controller that is not its home
+	unlisted  time.Time // since when it reports tasks though it is on no list of machines
+	inspected time.Time // when it was last asked whether it is there
+	images    map[string]bool
+	gone      bool
+	idle      time.Time
+	slow      time.Time                // when a task here was last found far slower than its kin
+	running   map[ledger.Ref]time.Time // since when a listed task was seen running
 }
 
 // peerState is what a controller knows of another one.
@@ -496,15 +497,22 @@
 		return true
 	}
 	// Without the state service nothing can be answered, but when no other
-	// controller is better off there is nobody to send users to.
+	// controller is better off there is nobody to send users to. One that hears none for a while
+	// must be taken for the only one that is cut off: its users could ask for as long as that
+	// takes and get no answer, while the others serve.
+	alone := len(n.peers) > 0
 	for _, p := range n.peers {
 		if p.leased && p.near(now) {
 			return false
 		}
+		alone = alone && now.Sub(p.heard) > aloneAfter
 	}
-	return now.Sub(n.began) > 5*time.Second
+	return !alone && now.Sub(n.began) > 5*time.Second
 }
 
+// aloneAfter is after what silence of all peers a controller without a lease sends its users away.
+const aloneAfter = 5 * time.Second
+
 // learnJob takes up an active job. Owners place it at the next tick.
 func (n *Node) learnJob(s frontend.Stored, version uint64) {
 	j := n.jobs[s.Spec.UID]
--- a/node_test.go
+++ b/node_test.go
@@ -28,7 +28,8 @@
 	check *rehearse.Checker
 	sets  []*settings.Settings
 	nodes []*process
-	doors []*rehearse.Door // each controller's way to the state service
+	doors []*rehearse.Door          // each controller's way to the state service
+	pipes map[[2]int]*rehearse.Pipe // from one controller to another
 	rng   *rand.Rand
 	httpc *http.Client
 
@@ -45,7 +46,7 @@
 }
 
 func openRegion(t *testing.T, run time.Duration, workers settings.Workers) *region {
-	r := &region{t: t, rng: rand.New(rand.NewPCG(1, 2)), httpc: &http.Client{Timeout: 4 * time.Second}}
+	r := &region{t: t, pipes: map[[2]int]*rehearse.Pipe{}, rng: rand.New(rand.NewPCG(1, 2)), httpc: &http.Client{Timeout: 4 * time.Second}}
 	r.check = rehearse.NewChecker(map[string]float64{"red": 24, "blue": 16})
 	var err error
 	if r.state, err = rehearse.NewState(16, 16); err != nil {
@@ -82,9 +83,14 @@
 				Workers: workers,
 				State:   settings.State{RPS: 400, WriteRPS: 200, ValueKB: 16, TxnOps: 16},
 				Cloud:   settings.Cloud{RPS: 20, ListLag: 0.2}, Limits: settings.Limits{Cores: 1, MemoryMB: 256, MaxSockets: 512}}}
-		for _, p := range names {
+		for k, p := range names {
 			if p != n {
-				s.Peers = append(s.Peers, settings.Peer{Name: p, Zone: "east", Endpoint: peers[p]})
+				pipe, err := rehearse.NewPipe(peers[p])
+				if err != nil {
+					t.Fatal(err)
+				}
+				r.pipes[[2]int{i, k}] = pipe
+				s.Peers = append(s.Peers, settings.Peer{Name: p, Zone: "east", Endpoint: pipe.Addr()})
 			}
 		}
 		r.sets = append(r.sets, s)
@@ -95,12 +101,24 @@
 		for i := range r.nodes {
 			r.crash(i)
 		}
+		for _, p := range r.pipes {
+			p.Close()
+		}
 		r.cloud.Close()
 		r.state.Close()
 	})
 	return r
 }
 
+// apart cuts a controller from its peers, or ends that.
+func (r *region) apart(i int, on bool) {
+	for path, p := range r.pipes {
+		if path[0] == i || path[1] == i {
+			p.Cut(on)
+		}
+	}
+}
+
 func (r *region) start(i int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &process{cancel: cancel, ended: make(chan struct{})}
--- a/rebuild.go
+++ b/rebuild.go
@@ -14,6 +14,7 @@
 	"github.com/bits-and-blooms/bitset"
 
 	"topazhollow/internal/frontend"
+	"topazhollow/internal/httpx"
 	"topazhollow/internal/ledger"
 	"topazhollow/internal/rebuild"
 	"topazhollow/internal/settings"
@@ -171,17 +172,43 @@
 // been held up on its way from a machine that is gone by now; one that reports again is
 // there, and a read that began after its first report must know it.
 func (n *Node) unlisted(r *wire.Report, m *machine, now time.Time) {
-	from := slices.ContainsFunc(r.Tasks, func(t wire.TaskStatus) bool {
-		return t.State != wire.Exited && ledger.TermOf(t.Attempt) >= n.record.First
-	})
 	switch {
-	case !from:
+	case !n.ours(r):
 		m.unlisted = time.Time{}
 	case m.unlisted.IsZero():
 		m.unlisted = now
 	case now.Sub(m.unlisted) > settings.Seconds(n.set.Deployment.Workers.Report/2) && n.horizon.LastRead().After(m.unlisted):
-		n.prove("a worker has tasks though its machine is on no list")
+		n.inspect(r.Machine, r.Addr, m)
+	}
+}
+
+// inspect asks a machine that is on no list whether it is there. Two reports are no proof: copies of
+// what a machine sent that was returned long ago may come one after the other to a process that never knew it.
+func (n *Node) inspect(name, addr string, m *machine) {
+	if m.inspected.After(m.unlisted) && time.Since(m.inspected) < knockTimeout {
+		return
 	}
+	m.inspected = time.Now()
+	n.group.Go(func() error {
+		link := httpx.NewLink(addr, 1<<20)
+		defer link.Close()
+		resp, _, err := link.Do(n.ctx, "GET", wire.PathInspect, nil, knockTimeout)
+		var r wire.Report
+		there := err == nil && resp.Status == 200 && wire.Decode(resp.Body, &r) == nil && r.Machine == name
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if there && n.ours(&r) && n.machines[name] == m && !m.gone && !n.roster.Has(name) && !m.unlisted.IsZero() {
+			n.prove("a worker has tasks though its machine is on no list")
+		}
+		return nil
+	})
+}
+
+// ours says whether a machine has tasks that were started since this store began.
+func (n *Node) ours(r *wire.Report) bool {
+	return slices.ContainsFunc(r.Tasks, func(t wire.TaskStatus) bool {
+		return t.State != wire.Exited && ledger.TermOf(t.Attempt) >= n.record.First
+	})
 }
 
 // keepStore is the duty that looks whether the store has what it acknowledged, and mends
