--- a/home.go
+++ b/home.go
@@ -65,12 +65,16 @@
 	if err := wire.CheckReport(&r); err != nil {
 		return httpx.Refuse(400, err.Error())
 	}
-	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.answerReport(&r, time.Now())
+}
+
+// answerReport answers a worker's report that came at a time.
+func (n *Node) answerReport(r *wire.Report, now time.Time) httpx.Answer {
 	n.heardToken(r.Token)
 	if !n.entitled(now) {
-		return n.elsewhere(&r, now)
+		return n.elsewhere(r, now)
 	}
 	if r.Token > n.record.Term {
 		n.hint()
@@ -80,7 +84,7 @@
 		n.machine(r.Machine).came = now
 		n.stray[r.Machine] = true
 		if n.strayed(home, r.Machine, now) {
-			if stops, ok := n.renewal(&r, now); ok {
+			if stops, ok := n.renewal(r, now); ok {
 				return n.alive(stops)
 			}
 			return busy()
@@ -91,8 +95,8 @@
 		return busy()
 	}
 	n.first("first report answered", now)
-	n.hear(&r, now)
-	stops, ok := n.renewal(&r, now)
+	n.hear(r, now)
+	stops, ok := n.renewal(r, now)
 	if !ok {
 		n.tellViews()
 		return busy()
--- a/meeting_test.go
+++ b/meeting_test.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"topazhollow/internal/frontend"
+	"topazhollow/internal/horizon"
+	"topazhollow/internal/httpx"
+	"topazhollow/internal/ledger"
 	"topazhollow/internal/rehearse"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/tenure"
@@ -239,16 +242,13 @@
 // lease keys and the record alike.
 func TestLateWrites(t *testing.T) {
 	r := openRegion(t, 400*time.Millisecond, settings.Workers{Report: 0.2, Lease: 20, GangWait: 10, GangPeer: 4, Cancel: 60})
-	var mu sync.Mutex
-	rng := rand.New(rand.NewPCG(7, 7))
 	for _, d := range r.doors {
-		d.Late(func() time.Duration {
-			mu.Lock()
-			defer mu.Unlock()
-			if rng.IntN(4) > 0 {
+		count := 0
+		d.Late(func() time.Duration { // one soon enough for nothing to come before it, the next one long after
+			if count++; count%4 > 0 {
 				return 0
 			}
-			return 200*time.Millisecond + time.Duration(rng.IntN(6000))*time.Millisecond
+			return []time.Duration{300 * time.Millisecond, 5 * time.Second}[count/4%2]
 		})
 	}
 	var jobs []*wire.Submission
@@ -271,14 +271,24 @@
 		}
 	}
 	r.allDone(jobs)
-	applied, met := 0, 0
+	for i := 0; ; i++ {
+		applied, met := 0, 0
+		for _, d := range r.doors {
+			x, y := d.CarriedLate()
+			applied, met = applied+x, met+y
+		}
+		if applied > 2 && met > 2 {
+			break
+		}
+		if i > 40 {
+			t.Fatalf("%d late transactions changed something, %d met newer ones", applied, met)
+		}
+		j := array(670+i, 1, "blue")
+		r.submit(j)
+		r.allDone([]*wire.Submission{j})
+	}
 	for _, d := range r.doors {
 		d.Late(nil)
-		x, y := d.CarriedLate()
-		applied, met = applied+x, met+y
-	}
-	if applied == 0 || met == 0 {
-		t.Fatalf("%d late transactions changed something, %d met newer ones", applied, met)
 	}
 	last := array(640, 4, "red")
 	r.submit(last)
@@ -354,3 +364,82 @@
 	w.Deaf(false)
 	r.until("withdrawn still", func() bool { return r.poll(gone.UID) == wire.Withdrawn })
 }
+
+// TestRenewal: every answer that renews a lease, of an entitled controller too, rests on knowledge that is still
+// current. An entitled one renewed without a bound, whatever the machine ran and however long ago it had last heard of
+// withdrawals.
+func TestRenewal(t *testing.T) {
+	g := newGrown(2, 1)
+	n := g.n
+	g.submit(4, 4) // job-000001
+	g.submit(4, 4)
+	n.endJob("job-000002")
+	n.front.Learn("job-000003", frontend.Final{State: wire.Withdrawn, Tasks: 1, Team: "team-0"})
+	reach := settings.Seconds(n.set.Deployment.Workers.Cancel - n.set.Deployment.Workers.Lease)
+	seq := uint64(10)
+	ask := func(at time.Time, state string, tasks ...string) (status int, stopped []string) {
+		seq++
+		r := wire.Report{Machine: g.names[0], Addr: "127.0.0.1:1", Type: "m32", Zone: "east", Session: 1, Seq: seq, Token: 1, Tasks: []wire.TaskStatus{}}
+		for _, task := range tasks {
+			r.Tasks = append(r.Tasks, wire.TaskStatus{Task: task, Attempt: 1, State: state, Why: wire.WhyDone})
+		}
+		n.lease.Renewed(at)
+		a := n.answerReport(&r, at)
+		var answer wire.ReportAnswer
+		if err := wire.Decode(a.Body, &answer); err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range answer.Commands {
+			if c.Op == wire.Stop {
+				stopped = append(stopped, c.Task)
+			}
+		}
+		return a.Status, stopped
+	}
+	for what, c := range map[string]struct {
+		after  time.Duration
+		state  string
+		task   string
+		status int
+		stop   bool
+	}{
+		"an active job":                  {time.Second, wire.Running, "job-000001/0", 200, false},
+		"a job that was withdrawn":       {time.Second, wire.Running, "job-000002/0", 200, true},
+		"one known only by its end":      {time.Second, wire.Running, "job-000003/0", 200, true},
+		"one that nobody knows":          {time.Second, wire.Running, "job-000009/0", 503, false},
+		"what is over of one":            {time.Second, wire.Exited, "job-000009/0", 200, false},
+		"shortly before the bound":       {reach - 3*time.Second, wire.Running, "job-000001/0", 200, false},
+		"after it":                       {reach, wire.Running, "job-000001/0", 503, false},
+		"after it, with nothing running": {reach, wire.Exited, "job-000001/0", 503, false},
+	} {
+		status, stopped := ask(g.now.Add(c.after), c.state, c.task)
+		if status != c.status || slices.Contains(stopped, c.task) != c.stop {
+			t.Errorf("%s: answered by %d, stops %v", what, status, stopped)
+		}
+	}
+	// An owner's order tells that the job is there before the watch does.
+	n.home.SetTerm(1, func(string) bool { return true })
+	o := ledger.Order{Op: wire.Start, Key: ledger.Key{Job: "job-000008"}, Attempt: 1, Session: 1, CPUs: 1, Memory: 1}
+	n.home.Take(1, g.names[0], []ledger.Order{o})
+	if status, _ := ask(g.now.Add(time.Second), wire.Running, "job-000008/0"); status != 200 {
+		t.Errorf("a task that its owner ordered here is answered by %d", status)
+	}
+	// A start is held back as long as the answer that would renew the machine's lease.
+	n.peers["node-b"] = &peerState{}
+	n.lease.Renewed(time.Now())
+	o.Key.Job = "job-000007"
+	n.home.Take(1, g.names[0], []ledger.Order{o})
+	if m := n.home.Get(g.names[0]); !m.Starts() {
+		t.Fatal("no start waits")
+	}
+	var link *httpx.Link
+	n.horizon = horizon.New([]string{"node-b"}, 0, 0)
+	n.horizon.Read(time.Now().Add(-time.Minute))
+	if n.carryOnce(n.ctx, g.names[0], &link) || link != nil {
+		t.Error("a start goes out that may land after what is known has run out")
+	}
+	n.horizon.Read(time.Now())
+	if n.carryOnce(n.ctx, g.names[0], &link); link == nil {
+		t.Error("a start does not go out while what is known is current")
+	}
+}
