--- a/internal/rehearse/state.go
+++ b/internal/rehearse/state.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -38,7 +39,8 @@
 	addr     string
 	requests *rate.Limiter // nil: no bound
 	writes   *rate.Limiter
-	refused  int // beyond a rate
+	refused  int        // beyond a rate
+	carried  []wire.Txn // that changed something
 }
 
 type entry struct {
@@ -396,6 +398,22 @@
 	reply(w, status, answer)
 }
 
+// Carried lists the transactions that changed something, in their order.
+func (s *State) Carried() []wire.Txn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.carried)
+}
+
+// Again carries a transaction out once more, as one that was held up on its way, and says whether it
+// changed anything.
+func (s *State) Again(t wire.Txn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status, _ := s.apply(&t)
+	return status == 200 && len(t.Then) > 0
+}
+
 // apply carries a transaction out.
 func (s *State) apply(t *wire.Txn) (status int, answer any) {
 	if s.writes != nil && len(t.Then) > 0 && !s.writes.AllowN(time.Now(), len(t.Then)) {
@@ -421,6 +439,7 @@
 	}
 	if len(t.Then) > 0 {
 		s.revision++
+		s.carried = append(s.carried, *t)
 	}
 	for _, o := range t.Then {
 		if o.Delete != "" {
--- a/meeting_test.go
+++ b/meeting_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +16,7 @@
 	"topazhollow/internal/horizon"
 	"topazhollow/internal/httpx"
 	"topazhollow/internal/ledger"
+	"topazhollow/internal/rebuild"
 	"topazhollow/internal/rehearse"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/tenure"
@@ -26,16 +30,6 @@
 	return r
 }
 
-// leads says whether a controller holds itself for entitled.
-func (r *region) leads(i int) bool {
-	for _, o := range r.overviews() {
-		if o.Node == r.sets[i].Name {
-			return o.Entitled
-		}
-	}
-	return false
-}
-
 // askAt sends a request to one controller.
 func (r *region) askAt(i int, method, path string, body any) (int, wire.Status) {
 	all := r.sets
@@ -123,6 +117,9 @@
 	})
 	r.endBehind(job) // the first one hears of it from nobody but who confirms it
 	told := r.withdrawAt(b, job.UID)
+	if !slices.ContainsFunc(r.overviews(), func(o overview) bool { return o.Node == r.sets[b].Name && o.Told == 1 }) {
+		t.Error("a withdrawal that another one wrote is confirmed without a number")
+	}
 	r.state.Outage(true)
 	if len(w.Running()) == 0 {
 		t.Fatal("the machine ran nothing any more when the outage began")
@@ -145,11 +142,10 @@
 	r.submit(other)
 	w, a := r.runs(job, other)
 	r.doors[a].Refuse(true)
+	r.apart(a, true) // what is said meanwhile is lost with its connection, and said again
 	told := r.withdrawAt((a+1)%3, job.UID)
 	r.state.Outage(true)
-	if !r.leads(a) {
-		t.Log("the refused controller had lost its lease already")
-	}
+	r.apart(a, false)
 	r.until("the outage outlasts lease and cancellation", func() bool { return time.Since(told) > r.check.Cancel+4*time.Second })
 	if !has(w, other.UID) || has(w, job.UID) {
 		t.Errorf("after the outage the machine runs %v, not just what was not withdrawn", w.Running())
@@ -300,6 +296,51 @@
 	}
 }
 
+// TestNoWriteAppliesTwice: every kind of transaction is carried out once more after newer ones, in the order in which they were
+// sent and in the other one, as when the state service gave no answer. Nothing may change: each rests on a version
+// that its first carrying out, or what came after, has left behind.
+func TestNoWriteAppliesTwice(t *testing.T) {
+	r := openRegion(t, 600*time.Millisecond, settings.Workers{Report: 0.2, Lease: 20, GangWait: 10, GangPeer: 4, Cancel: 60})
+	jobs := []*wire.Submission{array(680, 9, "red"), array(681, 3, "blue")}
+	for _, j := range jobs {
+		r.submit(j)
+	}
+	over := array(682, 20, "red")
+	r.submit(over)
+	r.withdraw(over.UID)
+	r.crash(1)
+	r.start(1)
+	r.allDone(jobs)
+	r.until("all three are members again", func() bool { o := r.overviews(); return len(o) == 3 && len(o[0].Members) == 3 })
+	for i := range r.nodes { // what is written from here on would hide what applies again
+		r.crash(i)
+	}
+	carried := r.state.Carried()
+	kinds := map[string]int{controlKey: 0, nodeKey: 0, machineKey: 0, frontend.JobKey: 0, frontend.FinalKey: 0, "b/": 0, rebuild.StoreKey: 0}
+	for _, txn := range carried {
+		for _, o := range txn.Then {
+			for prefix := range kinds {
+				if strings.HasPrefix(o.Set+o.Delete, prefix) {
+					kinds[prefix]++
+				}
+			}
+		}
+	}
+	for prefix, n := range kinds {
+		if n == 0 {
+			t.Errorf("no write of %s was there to come again", prefix)
+		}
+	}
+	for range 2 {
+		for _, txn := range carried {
+			if r.state.Again(txn) {
+				t.Errorf("carried out again: %s", wire.Encode(txn))
+			}
+		}
+		slices.Reverse(carried)
+	}
+}
+
 // TestLateReports: copies of reports arrive again up to well over a lease later, of sessions, attempts and machines that are
 // over, and at controllers that began anew and know none of them.
 func TestLateReports(t *testing.T) {
@@ -365,6 +406,40 @@
 	r.until("withdrawn still", func() bool { return r.poll(gone.UID) == wire.Withdrawn })
 }
 
+// TestOldReportsProveNothing: two late copies of what a machine sent that is gone by now come to a controller that never knew it, and
+// are no proof that the store lost a list of machines. Taken for one they began a new generation.
+func TestOldReportsProveNothing(t *testing.T) {
+	g := newGrown(1, 1)
+	n := g.n
+	g.submit(1, 4)
+	gone, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := gone.Addr().String()
+	gone.Close()
+	n.ctx = context.Background()
+	at := g.now
+	for seq := range uint64(6) {
+		n.mu.Lock()
+		r := wire.Report{Machine: "n-000900", Addr: addr, Type: "m32", Zone: "east", Session: 1, Seq: seq + 1, Token: 1,
+			Tasks: []wire.TaskStatus{{Task: "job-000001/0", Attempt: 1, State: wire.Running}}}
+		n.hear(&r, at)
+		at = at.Add(settings.Seconds(n.set.Deployment.Workers.Report))
+		n.horizon.Read(at)
+		n.mu.Unlock()
+		_ = n.group.Wait() // what is asked of the machine
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if m := n.machine("n-000900"); m.unlisted.IsZero() || m.inspected.IsZero() {
+		t.Error("the machine was not asked")
+	}
+	if n.store.proof != "" {
+		t.Errorf("taken for a proof: %s", n.store.proof)
+	}
+}
+
 // TestRenewal: every answer that renews a lease, of an entitled controller too, rests on knowledge that is still
 // current. An entitled one renewed without a bound, whatever the machine ran and however long ago it had last heard of
 // withdrawals.
--- a/overview.go
+++ b/overview.go
@@ -17,6 +17,8 @@
 	Version  string                  `json:"version"`
 	Term     uint64                  `json:"term"`
 	Entitled bool                    `json:"entitled"`
+	Behind   *float64                `json:"horizon_behind_s"` // how old what is known here of withdrawals may be; nil: nothing is known
+	Told     uint64                  `json:"withdrawals_told"` // withdrawals that users were told of here
 	Members  []string                `json:"members"`
 	Deaf     []string                `json:"deaf,omitempty"`
 	Unheard  []string                `json:"unheard_peers,omitempty"`
@@ -65,6 +67,11 @@
 		}
 	}
 	o.Store = n.storeStatus()
+	o.Told = n.horizon.Told()
+	if until := n.horizon.Until(now); !until.IsZero() {
+		behind := now.Sub(until).Seconds()
+		o.Behind = &behind
+	}
 	o.Served = n.admissionStatus(now)
 	for name, it := range n.items {
 		x := itemOverview{Phase: phases[it.phase], Since: it.since, Awaited: len(it.await), InSync: n.record.Items[name].InSync}
