The horizon counts the peers: it was made before they were known and never ended

Cause, found by a mutant that lived: New made the horizon before the peers, so that it had none and every renewal passed.

--- a/internal/workers/home_test.go
+++ b/internal/workers/home_test.go
@@ -110,3 +110,26 @@
 		}
 	}
 }
+
+// TestOlderReportIsIgnored: a copy of an earlier report, also of an earlier session, that comes after newer ones
+// changes nothing: not what the machine lists, nor when it was heard.
+func TestOlderReportIsIgnored(t *testing.T) {
+	h, m := home(t)
+	h.Take(1, "m", []ledger.Order{startOf("job-1")})
+	m.Sent(m.Send(), true, true)
+	running := wire.TaskStatus{Task: "job-1/0", Attempt: 5, State: wire.Running}
+	h.Heard(report(4, running), time.Unix(4, 0))
+	next := report(1, running)
+	next.Session = 2
+	for what, r := range map[string]*wire.Report{"an earlier report": report(3), "the same one": report(4), "one that listed nothing": report(1)} {
+		if newer, changed := h.Heard(r, time.Unix(9, 0)); newer || changed || len(m.Report.Tasks) != 1 || m.Heard != time.Unix(4, 0) {
+			t.Errorf("%s is taken for the newest", what)
+		}
+	}
+	if newer, _ := h.Heard(next, time.Unix(5, 0)); !newer {
+		t.Fatal("the first report of the next session is not taken")
+	}
+	if newer, _ := h.Heard(report(90), time.Unix(9, 0)); newer || m.Report.Session != 2 {
+		t.Error("a report of an earlier session is taken for the newest")
+	}
+}
--- a/meeting_test.go
+++ b/meeting_test.go
@@ -141,6 +141,7 @@
 	r.submit(job)
 	r.submit(other)
 	w, a := r.runs(job, other)
+	w.Reach(r.sets[a].Name) // nobody else can keep it alive
 	r.doors[a].Refuse(true)
 	r.apart(a, true) // what is said meanwhile is lost with its connection, and said again
 	told := r.withdrawAt((a+1)%3, job.UID)
@@ -308,9 +309,17 @@
 	over := array(682, 20, "red")
 	r.submit(over)
 	r.withdraw(over.UID)
+	r.allDone(jobs)
+	for _, txn := range r.state.Carried() { // while the record is still the same
+		if r.state.Again(txn) {
+			t.Errorf("carried out again under the same record: %s", wire.Encode(txn))
+		}
+	}
 	r.crash(1)
 	r.start(1)
-	r.allDone(jobs)
+	late := array(683, 2, "blue")
+	r.submit(late)
+	r.allDone([]*wire.Submission{late})
 	r.until("all three are members again", func() bool { o := r.overviews(); return len(o) == 3 && len(o[0].Members) == 3 })
 	for i := range r.nodes { // what is written from here on would hide what applies again
 		r.crash(i)
--- a/node.go
+++ b/node.go
@@ -209,7 +209,6 @@
 	life := settings.Seconds(o.NodeLease)
 	n.lease = tenure.Lease{Life: life, Margin: life / 20}
 	n.store = newKeeping(s, life)
-	n.horizon = horizon.New(slices.Collect(maps.Keys(n.peers)), settings.Seconds(s.Deployment.Workers.Cancel), settings.Seconds(s.Deployment.Workers.Lease))
 	n.admit = newAdmit(o)
 	n.state.OnSign(n.sign)
 	n.home = workers.New(n.capacity, n.size)
@@ -218,6 +217,7 @@
 		addrs[p.Name] = p.Endpoint
 		n.peers[p.Name] = &peerState{}
 	}
+	n.horizon = horizon.New(slices.Collect(maps.Keys(n.peers)), settings.Seconds(s.Deployment.Workers.Cancel), settings.Seconds(s.Deployment.Workers.Lease))
 	n.links = peer.New(s.Name, n.inc, addrs, (*peerHandler)(n), n.log)
 	n.front = frontend.New(s, n.state, (*userBackend)(n))
 	return n
