--- a/meeting_test.go
+++ b/meeting_test.go
@@ -205,6 +205,7 @@
 	if !has(w, job.UID) {
 		t.Fatal("the machine ran nothing any more when the withdrawal was confirmed")
 	}
+	r.state.Outage(true) // nobody leads any more who could return the machine to the cloud
 	answers, healthy := 0, true
 	r.until("its tasks gone and users sent away", func() bool {
 		status, st := r.askAt(a, "GET", wire.PathSubmit+"/"+job.UID, nil)
@@ -224,6 +225,7 @@
 			t.Errorf("controller %d, which serves, sends its users away too", i)
 		}
 	}
+	r.state.Outage(false)
 	r.doors[a].Refuse(false)
 	r.apart(a, false)
 	w.Reach()
