--- a/internal/drill/loss.go
+++ b/internal/drill/loss.go
@@ -107,6 +107,8 @@
 	script       string                          // the controllers' options, a file's text
 	run          func(task string) time.Duration // how long tasks run, if not all alike
 	state        *rehearse.State
+	doors        []*rehearse.Door          // each controller's way to the state service
+	pipes        map[[2]int]*rehearse.Pipe // from one controller to another
 	cloud        *rehearse.Cloud
 	check        *rehearse.Checker
 	listen       []string
@@ -157,11 +159,12 @@
 	teams    []settings.Team
 	state    settings.State
 	cloud    settings.Cloud
+	lease    float64
 	cancel   float64
 	memory   float64 // of a controller, MB
 }
 
-var smallRegion = regionSize{machines: 6, cpus: 8, run: time.Second, report: 0.2, cancel: 60, memory: 256,
+var smallRegion = regionSize{machines: 6, cpus: 8, run: time.Second, report: 0.2, lease: 26.5, cancel: 60, memory: 256,
 	teams: []settings.Team{{Name: "red", CPUs: 16, CPUsMax: 24}, {Name: "blue", CPUs: 8, CPUsMax: 16}},
 	state: settings.State{RPS: 400, WriteRPS: 200, ValueKB: 16, TxnOps: 16}, cloud: settings.Cloud{RPS: 20, ListLag: 0.2}}
 
@@ -191,23 +194,34 @@
 	if err := os.WriteFile(filepath.Join(g.dir, "options.star"), []byte(g.script), 0o600); err != nil {
 		return err
 	}
-	per := rehearse.Periods{Report: settings.Seconds(g.size.report), Lease: 26500 * time.Millisecond, Run: g.run}
+	per := rehearse.Periods{Report: settings.Seconds(g.size.report), Lease: settings.Seconds(g.size.lease), Run: g.run}
 	types := []wire.MachineType{{Name: "m8", CPUs: g.size.cpus, Memory: 8 * g.size.cpus, Price: 2, SpotPrice: 1, Boot: 1, Zones: []string{"east", "west"}}}
 	if g.cloud, err = rehearse.NewCloud(types, g.size.machines, func(name, typ, zone string, spot bool) (*rehearse.Worker, error) {
 		return rehearse.NewWorker(name, typ, zone, spot, listen, names, per, g.check)
 	}); err != nil {
 		return err
 	}
+	g.pipes = map[[2]int]*rehearse.Pipe{}
 	for i, name := range names {
+		door, err := g.state.Door()
+		if err != nil {
+			return err
+		}
+		g.doors = append(g.doors, door)
 		s := &settings.Settings{Name: name, Zone: "east", Listen: listen[name], PeerListen: peers[name],
-			Outside: settings.Outside{Cloud: g.cloud.Addr(), State: g.state.Addr()},
+			Outside: settings.Outside{Cloud: g.cloud.Addr(), State: door.Addr()},
 			Deployment: settings.Deployment{Size: 3, Zones: []string{"east", "west"},
 				Teams:   g.size.teams,
-				Workers: settings.Workers{Report: g.size.report, Lease: 26.5, GangWait: 10, GangPeer: 4, Cancel: g.size.cancel},
+				Workers: settings.Workers{Report: g.size.report, Lease: g.size.lease, GangWait: 10, GangPeer: 4, Cancel: g.size.cancel},
 				State:   g.size.state, Cloud: g.size.cloud, Limits: settings.Limits{Cores: 1, MemoryMB: g.size.memory, MaxSockets: 4000}}}
-		for _, p := range names {
+		for k, p := range names {
 			if p != name {
-				s.Peers = append(s.Peers, settings.Peer{Name: p, Zone: "east", Endpoint: peers[p]})
+				pipe, err := rehearse.NewPipe(peers[p])
+				if err != nil {
+					return err
+				}
+				g.pipes[[2]int{i, k}] = pipe
+				s.Peers = append(s.Peers, settings.Peer{Name: p, Zone: "east", Endpoint: pipe.Addr()})
 			}
 		}
 		if err := os.WriteFile(g.config(i), wire.Encode(s), 0o600); err != nil {
@@ -303,6 +317,9 @@
 	for i := range g.nodes {
 		g.kill(i)
 	}
+	for _, p := range g.pipes {
+		p.Close()
+	}
 	if g.cloud != nil {
 		g.cloud.Close()
 	}
@@ -312,12 +329,17 @@
 }
 
 func (g *lossRegion) ask(method, path string, body any) (int, wire.Status) {
+	return g.askOf(g.rng, method, path, body)
+}
+
+// askOf asks one of the controllers, drawn from a sequence of the caller's own.
+func (g *lossRegion) askOf(rng *rand.Rand, method, path string, body any) (int, wire.Status) {
 	var st wire.Status
 	var data []byte
 	if body != nil {
 		data = wire.Encode(body)
 	}
-	req, err := http.NewRequest(method, "http://"+g.listen[g.rng.IntN(len(g.listen))]+path, bytes.NewReader(data))
+	req, err := http.NewRequest(method, "http://"+g.listen[rng.IntN(len(g.listen))]+path, bytes.NewReader(data))
 	if err != nil {
 		return 0, st
 	}
--- a/internal/drill/measure.go
+++ b/internal/drill/measure.go
@@ -56,7 +56,7 @@
 	quota := float64(o.Machines) * 16
 	g := &lossRegion{dir: o.Dir, program: o.Program, rng: rand.New(rand.NewPCG(1, 2)), client: &http.Client{Timeout: 4 * time.Second},
 		check: rehearse.NewChecker(map[string]float64{"red": quota, "blue": quota}),
-		size: regionSize{machines: o.Machines, cpus: 16, run: 10 * time.Minute, report: 5, cancel: 46.5, memory: 356,
+		size: regionSize{machines: o.Machines, cpus: 16, run: 10 * time.Minute, report: 5, lease: 26.5, cancel: 46.5, memory: 356,
 			teams: []settings.Team{{Name: "red", CPUs: quota / 2, CPUsMax: quota}, {Name: "blue", CPUs: quota / 2, CPUsMax: quota}},
 			state: settings.State{RPS: 600, WriteRPS: 120, ValueKB: 16, TxnOps: 12}, cloud: settings.Cloud{RPS: 15, ListLag: 4}}}
 	defer g.close()
--- a/internal/topaz/rehearse.go
+++ b/internal/topaz/rehearse.go
@@ -15,6 +15,7 @@
 	Overload rehearseOverloadCmd `cmd:"" help:"Hand in crowds of urgent work, with troubles beside them, and check that no class starves."`
 	Kills    rehearseKillsCmd    `cmd:"" help:"Kill workers and keepers at drawn moments, and check all that is read afterwards."`
 	Size     rehearseSizeCmd     `cmd:"" name:"loss-at-size" help:"Measure how long after one loss of everything each step is reached."`
+	Meetings rehearseMeetingsCmd `cmd:"" help:"Have troubles meet at drawn moments, with cancellations in between, and check that no rule breaks."`
 	Loss     rehearseLossCmd     `cmd:"" help:"Take data away from the state service at drawn moments, with troubles beside it, and check that nothing is forgotten or run twice."`
 }
 
@@ -52,6 +53,27 @@
 	return verdict(r, "losses", dir, trials, func(t drill.LossTrial) bool { return t.Broken != "" })
 }
 
+type rehearseMeetingsCmd struct {
+	Trials int           `default:"12" help:"How many meetings are drawn."`
+	Seed   uint64        `default:"1" help:"Draws them: trial N has the seed plus N."`
+	AtOnce int           `default:"4" help:"Regions at the same time, of three controller processes each."`
+	Most   time.Duration `default:"1h" help:"Give up after this."`
+}
+
+// Run rehearses meetings; a broken rule or a job that never ends makes the exit code 1.
+func (c *rehearseMeetingsCmd) Run(r *run) error {
+	ctx, cancel, program, dir, err := r.rehearsal("meetings", c.Most)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	trials, err := drill.Meetings(ctx, drill.MeetingOptions{Program: program, Dir: dir, Seed: c.Seed, Trials: c.Trials, AtOnce: c.AtOnce, Out: r.err})
+	if err != nil {
+		return err
+	}
+	return verdict(r, "meetings", dir, trials, func(t drill.MeetingTrial) bool { return t.Broken != "" })
+}
+
 // verdict prints what came of a rehearsal's trials. If any broke something that is the error,
 // and all that was written stays.
 func verdict[T any](r *run, what, dir string, trials []T, broke func(T) bool) error {
