--- /dev/null
+++ b/internal/drill/trials_test.go
@@ -0,0 +1,22 @@
+package drill_test
+
+import (
+	"fmt"
+	"testing"
+)
+
+// hold plays groups of trials at the same time, each from a seed of its own, and fails for each that broke something.
+func hold[T any](t *testing.T, groups, trials int, play func(t *testing.T, group uint64) ([]T, error), judge func(t *testing.T, trial T)) {
+	for i := range uint64(groups) {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			got, err := play(t, i)
+			if err != nil || len(got) != trials {
+				t.Fatal(len(got), err)
+			}
+			for _, x := range got {
+				judge(t, x)
+			}
+		})
+	}
+}
