--- a/meeting_test.go
+++ b/meeting_test.go
@@ -461,6 +461,7 @@
 	g.submit(4, 4)
 	n.endJob("job-000002")
 	n.front.Learn("job-000003", frontend.Final{State: wire.Withdrawn, Tasks: 1, Team: "team-0"})
+	n.mu.Lock() // what is looked up beside it takes it too
 	reach := settings.Seconds(n.set.Deployment.Workers.Cancel - n.set.Deployment.Workers.Lease)
 	seq := uint64(10)
 	ask := func(at time.Time, state string, tasks ...string) (status int, stopped []string) {
@@ -518,13 +519,18 @@
 	if m := n.home.Get(g.names[0]); !m.Starts() {
 		t.Fatal("no start waits")
 	}
+	n.mu.Unlock()
 	var link *httpx.Link
+	n.mu.Lock()
 	n.horizon = horizon.New([]string{"node-b"}, 0, 0)
 	n.horizon.Read(time.Now().Add(-time.Minute))
+	n.mu.Unlock()
 	if n.carryOnce(n.ctx, g.names[0], &link) || link != nil {
 		t.Error("a start goes out that may land after what is known has run out")
 	}
+	n.mu.Lock()
 	n.horizon.Read(time.Now())
+	n.mu.Unlock()
 	if n.carryOnce(n.ctx, g.names[0], &link); link == nil {
 		t.Error("a start does not go out while what is known is current")
 	}
