One piece for the paths between controllers and for an unreached worker; names stand once

The rehearsals and the tests each cut paths between controllers by a loop of their own; a flag of the stand-in worker repeated what its reach says. Behaviour as it was; the controllers' program is untouched. Run: vet, the stand-ins' tests, TestRefusedLeaderThenOutage, TestRefusedOwnerHearsOfWithdrawals, TestCutLeader, TestRenewal; not the whole check.

--- a/internal/drill/loss.go
+++ b/internal/drill/loss.go
@@ -107,8 +107,8 @@
 	script       string                          // the controllers' options, a file's text
 	run          func(task string) time.Duration // how long tasks run, if not all alike
 	state        *rehearse.State
-	doors        []*rehearse.Door          // each controller's way to the state service
-	pipes        map[[2]int]*rehearse.Pipe // from one controller to another
+	doors        []*rehearse.Door // each controller's way to the state service
+	pipes        rehearse.Paths   // from one controller to another
 	cloud        *rehearse.Cloud
 	check        *rehearse.Checker
 	listen       []string
@@ -117,6 +117,9 @@
 	client       *http.Client
 }
 
+// regionNames are the controllers'.
+var regionNames = []string{"node-a", "node-b", "node-c"}
+
 // process is a controller that runs, or ran.
 type process struct {
 	cmd    *exec.Cmd
@@ -178,7 +181,7 @@
 			return err
 		}
 	}
-	host, names := rehearse.NewHost(), []string{"node-a", "node-b", "node-c"}
+	host, names := rehearse.NewHost(), regionNames
 	listen, peers := map[string]string{}, map[string]string{}
 	for _, name := range names {
 		for _, m := range []map[string]string{listen, peers} {
@@ -201,7 +204,7 @@
 	}); err != nil {
 		return err
 	}
-	g.pipes = map[[2]int]*rehearse.Pipe{}
+	g.pipes = rehearse.Paths{}
 	for i, name := range names {
 		door, err := g.state.Door()
 		if err != nil {
@@ -317,9 +320,7 @@
 	for i := range g.nodes {
 		g.kill(i)
 	}
-	for _, p := range g.pipes {
-		p.Close()
-	}
+	g.pipes.Close()
 	if g.cloud != nil {
 		g.cloud.Close()
 	}
--- a/internal/drill/meetings.go
+++ b/internal/drill/meetings.go
@@ -60,16 +60,16 @@
 	}},
 	{"no state, no peers", func(ctx context.Context, g *lossRegion, _ *rand.Rand, one int, lasts time.Duration) error {
 		g.doors[one].Refuse(true)
-		g.apart(one, true)
+		g.pipes.Apart(one, true)
 		defer g.doors[one].Refuse(false)
-		defer g.apart(one, false)
+		defer g.pipes.Apart(one, false)
 		wait.For(ctx, lasts)
 		return nil
 	}},
 	{"links refused", func(ctx context.Context, g *lossRegion, _ *rand.Rand, _ int, lasts time.Duration) error {
 		for i := range g.nodes {
-			g.apart(i, true)
-			defer g.apart(i, false)
+			g.pipes.Apart(i, true)
+			defer g.pipes.Apart(i, false)
 		}
 		wait.For(ctx, lasts)
 		return nil
@@ -130,7 +130,7 @@
 	{"machine heard by one only", func(ctx context.Context, g *lossRegion, rng *rand.Rand, one int, lasts time.Duration) error {
 		if ws := g.cloud.Workers(); len(ws) > 0 {
 			w := ws[rng.IntN(len(ws))]
-			w.Reach(g.names()[one])
+			w.Reach(regionNames[one])
 			defer w.Reach()
 		}
 		wait.For(ctx, lasts)
@@ -213,17 +213,6 @@
 	return time.Second + time.Duration(index%3)*4*time.Second
 }
 
-func (g *lossRegion) names() []string { return []string{"node-a", "node-b", "node-c"} }
-
-// apart cuts a controller from its peers, or ends that.
-func (g *lossRegion) apart(i int, on bool) {
-	for path, p := range g.pipes {
-		if path[0] == i || path[1] == i {
-			p.Cut(on)
-		}
-	}
-}
-
 // meet has jobs accepted, troubles around one moment, withdrawals in between, and sees that all comes to its end.
 func (g *lossRegion) meet(ctx context.Context, t *MeetingTrial) error {
 	job := func(number, tasks int) *wire.Submission {
--- a/internal/rehearse/pipe.go
+++ b/internal/rehearse/pipe.go
@@ -93,3 +93,22 @@
 	}()
 	_, _ = io.Copy(out, in)
 }
+
+// Paths are the pipes between controllers, by the numbers of where they come from and lead to.
+type Paths map[[2]int]*Pipe
+
+// Apart cuts a controller from its peers, or ends that.
+func (p Paths) Apart(i int, on bool) {
+	for path, pipe := range p {
+		if path[0] == i || path[1] == i {
+			pipe.Cut(on)
+		}
+	}
+}
+
+// Close ends all of them.
+func (p Paths) Close() {
+	for _, pipe := range p {
+		pipe.Close()
+	}
+}
--- a/internal/rehearse/worker.go
+++ b/internal/rehearse/worker.go
@@ -37,7 +37,6 @@
 	mu      sync.Mutex
 	cut     bool
 	deaf    bool
-	direct  bool            // no /do comes through
 	reach   map[string]bool // the controllers that its reports come to; nil: all
 	again   func() time.Duration
 	repeats int // late copies of reports that were delivered
@@ -105,7 +104,7 @@
 func (w *Worker) Reach(nodes ...string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.reach, w.direct = nil, len(nodes) > 0
+	w.reach = nil
 	for _, n := range nodes {
 		if w.reach == nil {
 			w.reach = map[string]bool{}
@@ -174,6 +173,9 @@
 	return r
 }
 
+// unreached says whether no direct request comes through.
+func (w *Worker) unreached() bool { return w.cut || w.deaf || w.reach != nil }
+
 func (w *Worker) do(rw http.ResponseWriter, r *http.Request) {
 	var d wire.Direct
 	if !read(r, &d) || d.Token == 0 {
@@ -182,7 +184,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.cut || w.deaf || w.direct {
+	if w.unreached() {
 		panic(http.ErrAbortHandler)
 	}
 	if d.Token < w.token || d.Session != w.session {
@@ -197,7 +199,7 @@
 func (w *Worker) inspect(rw http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.cut || w.deaf || w.direct {
+	if w.unreached() {
 		panic(http.ErrAbortHandler)
 	}
 	reply(rw, 200, w.report())
--- a/meeting_test.go
+++ b/meeting_test.go
@@ -143,10 +143,10 @@
 	w, a := r.runs(job, other)
 	w.Reach(r.sets[a].Name) // nobody else can keep it alive
 	r.doors[a].Refuse(true)
-	r.apart(a, true) // what is said meanwhile is lost with its connection, and said again
+	r.pipes.Apart(a, true) // what is said meanwhile is lost with its connection, and said again
 	told := r.withdrawAt((a+1)%3, job.UID)
 	r.state.Outage(true)
-	r.apart(a, false)
+	r.pipes.Apart(a, false)
 	r.until("the outage outlasts lease and cancellation", func() bool { return time.Since(told) > r.check.Cancel+4*time.Second })
 	if !has(w, other.UID) || has(w, job.UID) {
 		t.Errorf("after the outage the machine runs %v, not just what was not withdrawn", w.Running())
@@ -200,7 +200,7 @@
 	w, a := r.runs(job)
 	w.Reach(r.sets[a].Name)
 	r.doors[a].Refuse(true)
-	r.apart(a, true)
+	r.pipes.Apart(a, true)
 	told := r.withdrawAt((a+1)%3, job.UID)
 	if !has(w, job.UID) {
 		t.Fatal("the machine ran nothing any more when the withdrawal was confirmed")
@@ -227,7 +227,7 @@
 	}
 	r.state.Outage(false)
 	r.doors[a].Refuse(false)
-	r.apart(a, false)
+	r.pipes.Apart(a, false)
 	w.Reach()
 	r.until("all three are members again", func() bool { o := r.overviews(); return len(o) > 0 && len(o[0].Members) == 3 })
 	r.until("it tells the withdrawal", func() bool {
--- a/node_test.go
+++ b/node_test.go
@@ -28,8 +28,8 @@
 	check *rehearse.Checker
 	sets  []*settings.Settings
 	nodes []*process
-	doors []*rehearse.Door          // each controller's way to the state service
-	pipes map[[2]int]*rehearse.Pipe // from one controller to another
+	doors []*rehearse.Door // each controller's way to the state service
+	pipes rehearse.Paths   // from one controller to another
 	rng   *rand.Rand
 	httpc *http.Client
 
@@ -46,7 +46,7 @@
 }
 
 func openRegion(t *testing.T, run time.Duration, workers settings.Workers) *region {
-	r := &region{t: t, pipes: map[[2]int]*rehearse.Pipe{}, rng: rand.New(rand.NewPCG(1, 2)), httpc: &http.Client{Timeout: 4 * time.Second}}
+	r := &region{t: t, pipes: rehearse.Paths{}, rng: rand.New(rand.NewPCG(1, 2)), httpc: &http.Client{Timeout: 4 * time.Second}}
 	r.check = rehearse.NewChecker(map[string]float64{"red": 24, "blue": 16})
 	var err error
 	if r.state, err = rehearse.NewState(16, 16); err != nil {
@@ -101,24 +101,13 @@
 		for i := range r.nodes {
 			r.crash(i)
 		}
-		for _, p := range r.pipes {
-			p.Close()
-		}
+		r.pipes.Close()
 		r.cloud.Close()
 		r.state.Close()
 	})
 	return r
 }
 
-// apart cuts a controller from its peers, or ends that.
-func (r *region) apart(i int, on bool) {
-	for path, p := range r.pipes {
-		if path[0] == i || path[1] == i {
-			p.Cut(on)
-		}
-	}
-}
-
 func (r *region) start(i int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &process{cancel: cancel, ended: make(chan struct{})}
