A barrier looks at the roster again once it is whole; memory counts from the first record

(1) An owner without memory that started after a loss of data took its list of whom to wait for from a roster with holes; the record that calls the roster whole could come before its own count of the machines, and nobody was left to wait for. (2) A process that had read all ends before there was a first control record took its memory to have holes for good, so that a later loss was called lost for good.

Change: when the record calls the roster whole, items that are not ready load again, by a read that begins then, and no hold ends by the older roster. Ends are read once there is a record.

Ruled out: the horizon and renewals (no renewal is involved; unproven tasks were placed by the owner itself).

--- a/control.go
+++ b/control.go
@@ -294,6 +294,9 @@
 		n.store.watch.Entered(r.Generation, now)
 		n.generationBegan(r)
 	}
+	if old != nil && old.Census && !r.Census {
+		n.loadAnew()
+	}
 	mine := r.Nodes[n.name] == n.inc
 	for name, it := range r.Items {
 		have := n.items[name]
--- a/loss_test.go
+++ b/loss_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -256,6 +257,28 @@
 	}
 }
 
+// TestMemoryFromBeforeTheFirstRecord: a process that had read the store before there was a first record took
+// its memory for good to have holes. A loss of data then left all that was unknown without an answer.
+func TestMemoryFromBeforeTheFirstRecord(t *testing.T) {
+	l := &loss{region: newRegion(t, 300*time.Millisecond), loses: true, withdrawn: array(390, 10, "blue")}
+	for i := range l.nodes {
+		l.crash(i)
+	}
+	l.state.LoseAll() // nobody is there who would miss it: a new store
+	l.start(0)        // waits for the others before it makes the first record, and has read all by then
+	l.until("there is a record", func() bool { all := l.overviews(); return len(all) > 0 && all[0].Term > 0 })
+	l.start(1)
+	l.start(2)
+	l.until("all remember all", func() bool {
+		all := l.overviews()
+		return len(all) == 3 && !slices.ContainsFunc(all, func(o overview) bool { return !o.Store.Whole })
+	})
+	l.submit(l.withdrawn)
+	l.withdraw(l.withdrawn.UID)
+	l.state.LoseAll()
+	l.settled()
+}
+
 // TestLateTransactions: what was sent before a loss and is carried out after it, as when
 // packets were held, changes nothing.
 func TestLateTransactions(t *testing.T) {
--- a/owner.go
+++ b/owner.go
@@ -41,6 +41,7 @@
 	acks     map[string]*ack
 	await    map[string]bool // machines that the barrier waits for
 	book     *ledger.Book
+	loads    int  // the load under way; an earlier one's outcome no longer counts
 	readable bool // the book holds what the state service has
 	saving   bool
 	started  bool // a start was given to a home
@@ -92,12 +93,36 @@
 			}
 		}
 	}
+	n.startLoad(it)
+}
+
+// startLoad begins to load an item, in place of a load that is under way.
+func (n *Node) startLoad(it *item) {
+	it.loads++
+	load := it.loads
 	n.group.Go(func() error {
-		n.load(n.ctx, it)
+		n.load(n.ctx, it, load)
 		return nil
 	})
 }
 
+// loadAnew has items that are not ready yet look at the roster again, now that it names every machine that
+// may run something from before a loss. Whom such an item waited for until then came from a roster with
+// holes, and the record that calls it whole may be known here before the lists that fill them: an
+// owner that started after the loss once waited for nobody and started again what still ran.
+func (n *Node) loadAnew() {
+	for _, it := range n.items {
+		if it.phase == ready {
+			continue
+		}
+		it.readable = false
+		if it.blind {
+			it.phase = loading
+		}
+		n.startLoad(it)
+	}
+}
+
 func (n *Node) newTeam(name string, rep *ledger.Replica, term uint64) *ledger.Team {
 	log := func(event string, args ...any) { n.log.Debug(event, append(args, "item", name)...) }
 	team, _ := teamOf(name)
@@ -113,10 +138,10 @@
 // the team's progress already and begins with the jobs that it followed, even if
 // the state service does not answer; one that is not must know every job and
 // machine that was there before it took over.
-func (n *Node) load(ctx context.Context, it *item) {
+func (n *Node) load(ctx context.Context, it *item, load int) {
 	for ctx.Err() == nil {
 		n.mu.Lock()
-		current := n.items[it.name] == it
+		current := n.items[it.name] == it && it.loads == load
 		if current && it.phase == loading && (!it.blind || it.name == tenure.Fleet) {
 			n.loaded(it, nil)
 		}
@@ -129,7 +154,9 @@
 			var pages []wire.Entry
 			if pages, _, err = n.state.List(ctx, pagesPath(it.name)); err == nil {
 				n.mu.Lock()
-				n.booked(it, pages)
+				if it.loads == load {
+					n.booked(it, pages)
+				}
 				n.mu.Unlock()
 				return
 			}
--- a/sync_test.go
+++ b/sync_test.go
@@ -6,16 +6,19 @@
 	"log/slog"
 	"sync"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"topazhollow/internal/frontend"
 	"topazhollow/internal/ledger"
+	"topazhollow/internal/rebuild"
 	"topazhollow/internal/rehearse"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/state"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
+	"topazhollow/internal/workers"
 )
 
 // bare is a controller of team red that runs none of its duties.
@@ -99,7 +102,7 @@
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
-			n.load(ctx, it)
+			n.load(ctx, it, 0)
 		}()
 		<-n.syncNow // it asks the state service, in vain
 		n.mu.Lock()
@@ -119,6 +122,58 @@
 	}
 }
 
+// TestRosterWholeBeforeItsLists: an owner that started after a loss of data looked at a roster with holes; then
+// the record said that the roster is whole, before the lists came that fill the holes, and the owner waited
+// for nobody: tasks that still ran were started again. A hold must not end by such a roster either.
+func TestRosterWholeBeforeItsLists(t *testing.T) {
+	for _, blind := range []bool{false, true} {
+		n := bare("127.0.0.1:1") // nobody answers
+		ctx, cancel := context.WithCancel(context.Background())
+		n.ctx, n.group = ctx, &errgroup.Group{}
+		name := teamItem("red")
+		r := (&tenure.Record{Term: 5, First: 5, Generation: 2, Census: true}).Clone()
+		r.Nodes["node-a"], r.Nodes["node-b"] = n.inc, 1
+		r.Items[name] = tenure.Item{Owner: "node-a", Since: 5, Blind: blind}
+		n.record, n.version = r, 7
+		rep, want := ledger.NewReplica(), 0
+		hold := ledger.Hold{Key: ledger.Key{Job: "job-000001", Index: 0}, Attempt: ledger.AttemptID(4, 1), Machine: "n-1", Session: 1, CPUs: 2}
+		if !blind {
+			rep.Holds[hold.Key], want = hold, 1
+		}
+		n.learnJob(frontend.Stored{Spec: array(1, 3, "red")}, 1)
+		n.peers["node-b"] = &peerState{up: true, heard: time.Now()}
+		n.store.gather = rebuild.NewGather(2, []string{"node-b"}) // it is yet to tell what it remembers
+		it := &item{name: name, since: 5, blind: blind, acks: map[string]*ack{}, book: ledger.NewBook(8 << 10), team: n.newTeam(name, rep, 5)}
+		n.items[name] = it
+		n.mu.Lock()
+		n.booked(it, nil)
+		if it.phase != barrier || len(it.await) != 0 {
+			t.Fatalf("blind %t: phase %s, waits for %v", blind, phases[it.phase], it.await)
+		}
+		whole := r.Clone()
+		whole.Census = false
+		n.adopt(whole, 9)
+		n.store.gather = nil
+		if it.phase == barrier { // as by a report
+			n.passBarrier(it)
+		}
+		if held, _ := it.team.Held(); held != want || blind && it.phase == ready {
+			t.Errorf("blind %t: %d holds left, phase %s before the lists of machines came", blind, held, phases[it.phase])
+		}
+		n.roster.Learn(machineKey+"node-b/0", 8, workers.RosterValue{Names: []string{"n-1"}})
+		n.booked(it, nil) // the answer to a read that began after the record came
+		if held, _ := it.team.Held(); held != want {
+			t.Errorf("blind %t: a hold ended on a machine that is on the roster", blind)
+		}
+		if blind && (it.phase != barrier || !it.await["n-1"]) {
+			t.Errorf("phase %s, waits for %v, not for the machine that is on the roster", phases[it.phase], it.await)
+		}
+		n.mu.Unlock()
+		cancel()
+		_ = n.group.Wait()
+	}
+}
+
 // TestSharedPageSurvivesTakeOver: two jobs' finished tasks share a page; an owner
 // that takes over must find both, and its own writes must keep them.
 func TestSharedPageSurvivesTakeOver(t *testing.T) {
--- a/writeback.go
+++ b/writeback.go
@@ -193,7 +193,9 @@
 func (n *Node) readEnds(ctx context.Context) error {
 	for after, more := "", true; more; {
 		n.mu.Lock()
-		ready := n.listed && n.trusted()
+		// Before the first record nothing ever ended, but it can't be said yet of which generation what is
+		// read is: processes that were quicker than the first record counted their memory as in part for good.
+		ready := n.listed && n.trusted() && n.record != nil
 		n.mu.Unlock()
 		var entries []wire.Entry
 		err := error(nil)
