--- a/home.go
+++ b/home.go
@@ -8,7 +8,6 @@
 
 	"topazhollow/internal/httpx"
 	"topazhollow/internal/ledger"
-	"topazhollow/internal/peer"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/wire"
 )
@@ -101,7 +100,7 @@
 		n.tellViews()
 		return busy()
 	}
-	answer := wire.ReportAnswer{Token: n.record.Term, Commands: withStops(stops, []wire.Command{})}
+	answer := wire.ReportAnswer{Token: n.record.Term, Commands: stops}
 	if m := n.home.Get(r.Machine); m.Report.Seq == r.Seq && m.Report.Session == r.Session {
 		answer.Commands = append(answer.Commands, m.Answer()...)
 		n.noteView(r.Machine)
@@ -241,7 +240,7 @@
 // alive is an answer that renews a worker's lease and commands no more than to stop what is
 // over for good.
 func (n *Node) alive(stops []wire.Command) httpx.Answer {
-	return httpx.Answer{Status: 200, Body: wire.Encode(wire.ReportAnswer{Token: n.record.Term, Commands: withStops(stops, []wire.Command{})})}
+	return httpx.Answer{Status: 200, Body: wire.Encode(wire.ReportAnswer{Token: n.record.Term, Commands: stops})}
 }
 
 // elsewhere answers a worker while this controller may not act: it sends it to
@@ -254,7 +253,7 @@
 		}
 	}
 	if n.sustains(r, now) {
-		return n.alive(nil)
+		return n.alive([]wire.Command{}) // what it lists is all active
 	}
 	return busy()
 }
@@ -510,10 +509,7 @@
 	if len(views) == 0 {
 		return
 	}
-	line := peer.Line("views", views)
-	for p := range n.peers {
-		n.links.SendLine(p, line)
-	}
+	n.tellAll("views", views)
 }
 
 // stir wakes the machine's doer, making one if need be.
--- a/knock.go
+++ b/knock.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"topazhollow/internal/httpx"
-	"topazhollow/internal/peer"
 	"topazhollow/internal/wire"
 )
 
@@ -49,10 +48,7 @@
 	if len(addrs) == 0 {
 		return
 	}
-	line := peer.Line("knock", knockMsg{addrs})
-	for p := range n.peers {
-		n.links.SendLine(p, line)
-	}
+	n.tellAll("knock", knockMsg{addrs})
 	n.onKnock(addrs, time.Now())
 }
 
--- a/recall.go
+++ b/recall.go
@@ -263,10 +263,7 @@
 func (n *Node) tellEnd(uid string, end frontend.Final) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	line := peer.Line("hold", holdMsg{Ends: []frontendEnd{{uid, end}}})
-	for name := range n.peers {
-		n.links.SendLine(name, line)
-	}
+	n.tellAll("hold", holdMsg{Ends: []frontendEnd{{uid, end}}})
 }
 
 // holdFor is how long a peer is waited for to hold a fact.
--- a/renewal.go
+++ b/renewal.go
@@ -5,7 +5,6 @@
 
 	"topazhollow/internal/frontend"
 	"topazhollow/internal/ledger"
-	"topazhollow/internal/peer"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
 )
@@ -29,6 +28,7 @@
 	if !n.horizon.Renews(now, since) {
 		return nil, false
 	}
+	stops = []wire.Command{} // an answer names them even if there are none
 	home := n.home.Get(r.Machine)
 	for _, t := range r.Tasks {
 		uid, index, _ := wire.SplitTask(t.Task)
@@ -52,24 +52,13 @@
 	return stops, true
 }
 
-// withStops puts the stops of a renewal before other commands.
-func withStops(stops, commands []wire.Command) []wire.Command {
-	if len(stops) == 0 {
-		return commands
-	}
-	return append(stops, commands...)
-}
-
 // confirming tells the peers of a withdrawal before a user is told of it for the first time here.
 func (n *Node) confirming(uid string, end frontend.Final) {
 	m := holdMsg{Ends: []frontendEnd{{uid, end}}}
 	if n.number(&m); m.From == 0 {
 		return
 	}
-	line := peer.Line("hold", m)
-	for name := range n.peers {
-		n.links.SendLine(name, line)
-	}
+	n.tellAll("hold", m)
 }
 
 // number gives the withdrawal that a line tells of its number.
--- a/talk.go
+++ b/talk.go
@@ -359,10 +359,7 @@
 		s := n.status(now)
 		writes := n.shareWrites(now)
 		s.Writes = &writes
-		line := peer.Line("status", s)
-		for p := range n.peers {
-			n.links.SendLine(p, line)
-		}
+		n.tellAll("status", s)
 		n.prune(now)
 		n.mu.Unlock()
 		if !pause(ctx, newsEvery) {
@@ -371,6 +368,14 @@
 	}
 }
 
+// tellAll sends every peer the same line.
+func (n *Node) tellAll(kind string, body any) {
+	line := peer.Line(kind, body)
+	for name := range n.peers {
+		n.links.SendLine(name, line)
+	}
+}
+
 // shareWrites parts the rate of changes of the state service by what each controller
 // wants: the ends of one team's many small jobs are all its owner's to write. It
 // returns what this one wants.
