What room there is stays with gangs that wait, before less urgent arrays are served

Change: before work of a less urgent class is served, a gang that found no room for all its tasks keeps what there is, in the zone with most of it, unless all machines there together could not take it.

--- a/place.go
+++ b/place.go
@@ -85,6 +85,9 @@
 	p := &placing{n: n, now: now, hosts: n.hosts(now, smallest(list))}
 	for i := range list {
 		w := &list[i]
+		if i > 0 && list[i-1].class(w) != 0 {
+			p.keepRoom()
+		}
 		p.serve(w)
 		if w.own != nil && w.count > 0 {
 			p.short = append(p.short, *w)
@@ -124,6 +127,7 @@
 	hosts []*placement.Host
 	full  []*placement.Ask // what fits no host any more
 	short []wish           // what found no room
+	gangs []*wish          // of the class that is served: those that found no room for all their tasks
 }
 
 // choose finds a host that is not to be skipped.
@@ -159,6 +163,8 @@
 	case w.own.Spec.Kind == wire.Gang:
 		if n.placeGang(*w, ask, p.hosts, p.now) {
 			w.count = 0
+		} else {
+			p.gangs = append(p.gangs, w)
 		}
 	default:
 		fits := n.zoneRule(*w)
@@ -263,6 +269,57 @@
 	return false
 }
 
+// keepRoom leaves what room there is to gangs that found none for all their tasks, before less urgent work is
+// served: small tasks of an array once took each piece that came free, and gangs of higher
+// priority waited until the array was over.
+func (p *placing) keepRoom() {
+	for _, w := range p.gangs {
+		p.keepFor(w)
+	}
+	p.gangs = p.gangs[:0]
+}
+
+// keepFor keeps room for one gang: if it is to run in one zone, in that which has the most. Only machines that
+// could take all of it if they were empty are kept; else it needs more machines first, and nobody waits for it.
+func (p *placing) keepFor(w *wish) {
+	n := p.n
+	ask, rule := n.ask(w.spec), n.zoneRule(*w)
+	missing, _ := w.it.team.Gang(w.own)
+	takes := func(h *placement.Host) bool {
+		return ask.Allows(h) && !w.own.Avoids(h.Name, p.now) && rule.allows(h)
+	}
+	place := func(h *placement.Host) int {
+		if w.spec.OneZone {
+			return h.Zone
+		}
+		return -1
+	}
+	empty, free := map[int]int{}, map[int]int{}
+	for _, m := range n.board {
+		if cpus, gpus, memory, ok := n.capacity(m.view.Type); ok && !m.gone && takes(&m.host) {
+			empty[place(&m.host)] += ask.Times(cpus, gpus, memory)
+		}
+	}
+	for _, h := range p.hosts {
+		if takes(h) {
+			free[place(h)] += ask.Times(h.CPUs, h.GPUs, h.Memory)
+		}
+	}
+	best, found := -1, false
+	for _, zone := range slices.Sorted(maps.Keys(empty)) {
+		if empty[zone] >= len(missing) && (!found || free[zone] > free[best]) {
+			best, found = zone, true
+		}
+	}
+	left := len(missing)
+	for _, h := range p.hosts {
+		for ; found && left > 0 && place(h) == best && ask.Fits(h) && takes(h); left-- {
+			h.Take(ask)
+			rule.take(h)
+		}
+	}
+}
+
 // eviction is a task asked to make room for a job.
 type eviction struct {
 	job   string
--- a/placing_test.go
+++ b/placing_test.go
@@ -58,3 +58,50 @@
 		t.Errorf("%d of 2 machines are to be told of", len(n.fresh))
 	}
 }
+
+// TestRoomIsKeptForGangs: small tasks of an array took each piece of room that came free, so that gangs of higher
+// priority waited until the array was over. What a gang can get is left to it; one that all machines
+// of a zone could not take keeps nobody waiting, and one of lower priority neither.
+func TestRoomIsKeptForGangs(t *testing.T) {
+	for _, c := range []struct {
+		tasks    int
+		priority string
+		kept     bool
+	}{{8, "high", true}, {9, "high", false}, {8, "low", false}} {
+		g := newGrown(8, 1) // two of them ordinary, in one zone
+		n := g.n
+		n.mu.Lock()
+		submit := func(spec wire.Submission) {
+			spec.Team, spec.Memory, spec.Image, spec.Estimate, spec.OneZone = "team-0", 1, "img", 40, spec.Kind == wire.Gang
+			n.learnJob(frontend.Stored{At: g.now.UnixMilli(), Spec: &spec}, 1)
+		}
+		held := func(uid string) (count int) {
+			for key := range n.items[teamItem("team-0")].team.Replica().Holds {
+				if key.Job == uid {
+					count++
+				}
+			}
+			return count
+		}
+		submit(wire.Submission{UID: "job-000001", Kind: wire.Batch, Priority: "high", Tasks: 1, CPUs: 8})
+		n.place(g.now)
+		submit(wire.Submission{UID: "job-000002", Kind: wire.Gang, Priority: c.priority, Tasks: c.tasks, CPUs: 8})
+		submit(wire.Submission{UID: "job-000003", Kind: wire.Batch, Priority: "standard", Tasks: 40, CPUs: 1})
+		n.place(g.now)
+		if held("job-000001") != 1 || held("job-000002") != 0 {
+			t.Fatalf("%+v: the gang has %d tasks placed beside what runs", c, held("job-000002"))
+		}
+		if got := held("job-000003"); got != 0 && c.kept || got != 40 && !c.kept {
+			t.Errorf("%+v: %d of 40 tasks of the array were placed", c, got)
+		}
+		n.mu.Unlock()
+		for range 70 {
+			g.second(1) // what ran ends
+		}
+		n.mu.Lock()
+		if done, _ := n.items[teamItem("team-0")].team.Progress("job-000002"); done == 0 && held("job-000002") == 0 && c.tasks == 8 {
+			t.Errorf("%+v: the gang did not start in the room that came free", c)
+		}
+		n.mu.Unlock()
+	}
+}
