Less urgent work is laid out on spot machines while gangs wait for ordinary ones

Change: while a gang that may use no spot machine waits, what is less urgent and may use one is laid out on spot machines alone, as long as there are any to be had.

Test: TestCheapMachinesWhileGangsWait.

--- a/internal/fleet/bin.go
+++ b/internal/fleet/bin.go
@@ -90,10 +90,11 @@
 	cpus, gpus, mem float64
 	spot            bool
 	zone, types     string
+	cheap           bool // on spot machines alone
 }
 
-func shapeOf(s *wire.Submission) shape {
-	x := shape{cpus: s.CPUs, gpus: s.GPUs, mem: s.Memory, spot: s.Spot}
+func shapeOf(s *wire.Submission, cheap bool) shape {
+	x := shape{cpus: s.CPUs, gpus: s.GPUs, mem: s.Memory, spot: s.Spot, cheap: cheap}
 	if s.Zone != nil {
 		x.zone = "=" + *s.Zone
 	}
@@ -110,12 +111,12 @@
 	lines map[shape]*line
 }
 
-// line finds the bins that may take tasks of a job's shape.
-func (l *layout) line(s *wire.Submission) *line {
-	x := shapeOf(s)
+// line finds the bins that may take tasks of a job's shape, or the spot ones of these.
+func (l *layout) line(s *wire.Submission, cheap bool) *line {
+	x := shapeOf(s, cheap)
 	q := l.lines[x]
 	if q == nil {
-		q = &line{spec: s}
+		q = &line{spec: s, cheap: cheap}
 		l.lines[x] = q
 	}
 	fresh := q.known == 0
@@ -140,6 +141,7 @@
 // bin in front has to be looked at again, if it changed.
 type line struct {
 	spec  *wire.Submission // any of the shape
+	cheap bool
 	bins  []candidate
 	known int // bins of the layout that were looked at
 }
@@ -152,7 +154,7 @@
 }
 
 func (l *line) candidate(b *bin) (candidate, bool) {
-	if !allowed(l.spec, b.pool.Type, b.pool.Zone, b.pool.Spot) {
+	if !allowed(l.spec, b.pool.Type, b.pool.Zone, b.pool.Spot) || l.cheap && !b.pool.Spot {
 		return candidate{}, false
 	}
 	start := b.earliest(l.spec, math.Inf(1))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -315,11 +315,18 @@
 		room += b.all
 	}
 	all := layout{bins: bins, lines: map[shape]*line{}}
+	gang := -1 // highest rank of a waiting gang that may use no spot machine
 	for _, d := range demands {
 		if d.Count == 0 {
 			continue
 		}
 		s := d.Spec
+		if s.Kind == wire.Gang && !s.Spot {
+			gang = max(gang, wire.Rank(s.Priority))
+		}
+		// What comes free on ordinary machines is kept for such gangs, however long they wait: less urgent
+		// work was laid out there, nothing was rented for it, and it waited until it was late.
+		cheap := s.Spot && f.opt.SpotShare > 0 && wire.Rank(s.Priority) < gang
 		run := max(s.Estimate, 1)
 		if s.Kind == wire.Service {
 			run = 1e6
@@ -329,7 +336,7 @@
 		if by, ok := f.plans[s.UID]; ok {
 			behind = max(0, now.Sub(by).Seconds())
 		}
-		line := all.line(s)
+		line := all.line(s, cheap)
 		last := 0.0
 		for left := d.Count; left > 0; {
 			start := line.soonest()*inflow.slower(wire.Rank(s.Priority), room) + behind
@@ -339,6 +346,11 @@
 				continue
 			}
 			p, t := f.cheapest(types, &d, want, start, now)
+			if cheap && (t == nil || !p.Spot) {
+				cheap = false
+				line = all.line(s, false)
+				continue
+			}
 			if t == nil {
 				if math.IsInf(start, 1) {
 					break
@@ -355,7 +367,7 @@
 			room += b.all
 			last = max(last, boot)
 			left -= b.take(s, boot, run, left)
-			line = all.line(s)
+			line = all.line(s, cheap)
 		}
 		if by := now.Add(time.Duration(last * float64(time.Second))); by.After(waits[s.UID]) {
 			waits[s.UID] = by
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -170,7 +170,7 @@
 				all.bins = append(all.bins, b)
 				plain = append(plain, &bin{free: slices.Clone(b.free)})
 			}
-			l := all.line(s)
+			l := all.line(s, false)
 			for range 5 {
 				var best *bin
 				want := math.Inf(1)
@@ -305,3 +305,43 @@
 		}
 	}
 }
+
+// TestCheapMachinesWhileGangsWait: an array was laid out on ordinary machines in the room that is kept for a gang
+// of higher priority; nothing was rented for it and it waited until it was late. While such a gang waits, the array
+// gets spot machines in time; where there are none to be had it is laid out on the ordinary ones as before.
+func TestCheapMachinesWhileGangsWait(t *testing.T) {
+	for _, c := range []struct {
+		priority string
+		shut     bool
+		spots    int
+	}{{"high", false, 1}, {"low", false, 0}, {"high", true, 0}} {
+		f, types, now := setup()
+		if c.shut {
+			for _, zone := range types[0].Zones {
+				f.shut[pool{"m8", zone, true}] = now.Add(time.Minute)
+			}
+		}
+		var machines []Machine
+		for i := range 4 { // whose tasks end soon
+			machines = append(machines, Machine{Name: fmt.Sprint("n-", i), Type: "m8", Zone: "a", Heard: now, Since: now.Add(-time.Minute), State: wire.HostRunning, Kept: true,
+				Slots: []Slot{{CPUs: 8, Mem: 64, Left: 15, Pinned: true}}})
+		}
+		gang := Demand{Spec: &wire.Submission{UID: "gang", Kind: wire.Gang, Priority: c.priority, CPUs: 7, Estimate: 10, OneZone: true}, Count: 2, Late: now.Add(40 * time.Second)}
+		array := Demand{Spec: &wire.Submission{UID: "array", Kind: wire.Batch, Priority: "standard", CPUs: 1, Estimate: 10, Spot: true}, Count: 16, Late: now.Add(40 * time.Second)}
+		demands := []Demand{gang, array}
+		if c.priority == "low" {
+			demands = []Demand{array, gang}
+		}
+		spots, others := 0, 0
+		for _, r := range f.Decide(types, machines, demands, nil, now, now).Rent {
+			if r.Spot {
+				spots += r.Count
+			} else {
+				others += r.Count
+			}
+		}
+		if spots != c.spots || others != 0 {
+			t.Errorf("%+v: %d spot machines and %d others rented", c, spots, others)
+		}
+	}
+}
