Gangs that can still start within their goal go before those that no longer can

Change: a gang is due to start by the next of its class's goals for waiting, since all of it starts at once.

--- a/place.go
+++ b/place.go
@@ -41,6 +41,9 @@
 		if by, ok := n.promptly(j.at, now); ok && !borrowed && by.Before(w.latest) {
 			w.latest, w.late = by, false
 		}
+		if by, ok := n.startBy(j, now); ok && j.spec.Kind == wire.Gang && by.Before(w.latest) {
+			w.latest = by // all of it starts at once, so that it can still be in time as a whole
+		}
 		if first = min(first, count); first > 0 {
 			w.first, w.count = true, first
 			list = append(list, w)
--- a/placing_test.go
+++ b/placing_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"topazhollow/internal/frontend"
+	"topazhollow/internal/settings"
 	"topazhollow/internal/wire"
 	"topazhollow/internal/workers"
 )
@@ -105,3 +106,27 @@
 		n.mu.Unlock()
 	}
 }
+
+// TestGangsInTimeGoFirst: gangs wait for room by when they could be complete, so that one that could still
+// start within its goal stood behind those that no longer could.
+func TestGangsInTimeGoFirst(t *testing.T) {
+	g := newGrown(8, 1) // two of them ordinary, in one zone
+	n := g.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.set.Deployment.Objectives = []settings.Objective{{Kind: "finished", Class: "c", Within: 300}, {Kind: "wait", Class: "c", Within: 20}}
+	for uid, age := range map[string]time.Duration{"job-000001": 100 * time.Second, "job-000002": 5 * time.Second} {
+		n.learnJob(frontend.Stored{At: g.now.Add(-age).UnixMilli(), Spec: &wire.Submission{UID: uid, Class: "c", Team: "team-0", Kind: wire.Gang, Priority: "high",
+			Tasks: 8, CPUs: 8, Memory: 1, Image: "img", Estimate: 40, OneZone: true}}, 1)
+	}
+	n.place(g.now)
+	holds := n.items[teamItem("team-0")].team.Replica().Holds
+	for key := range holds {
+		if key.Job != "job-000002" {
+			t.Errorf("%v was placed before the gang that can start in time", key)
+		}
+	}
+	if len(holds) != 8 {
+		t.Errorf("%d tasks placed", len(holds))
+	}
+}
