A gang of one zone is laid out and rented for as a whole

The layout of what waits put their tasks one by one on whatever machine had room soonest, so that they seemed to start in time; what was rented for them went to all zones in turn.

Change: such a gang is laid out in the zone where all of it has room first; if that is late, what it lacks is rented in the zone that lacks least.

--- a/internal/fleet/bin.go
+++ b/internal/fleet/bin.go
@@ -62,27 +62,36 @@
 	return start
 }
 
-// take books tasks from start on, as many as there is room for from then on, one at
-// least and most at most, and says how many.
-func (b *bin) take(s *wire.Submission, start, run float64, most int) int {
-	count := float64(most)
+// fits is how many tasks there is room for from a time on, for good.
+func (b *bin) fits(s *wire.Submission, from float64) int {
+	count := math.Inf(1)
 	cpus, gpus, mem := 0.0, 0.0, 0.0
 	for i, r := range b.free {
 		cpus, gpus, mem = cpus+r.cpus, gpus+r.gpus, mem+r.mem
-		if i+1 < len(b.free) && b.free[i+1].at <= start {
+		if i+1 < len(b.free) && b.free[i+1].at <= from {
 			continue
 		}
+		if r.at > from && i == 0 {
+			return 0 // not there yet
+		}
 		for _, x := range [][2]float64{{cpus, s.CPUs}, {gpus, s.GPUs}, {mem, s.Memory}} {
 			if x[1] > 0 {
 				count = min(count, math.Floor((x[0]+slack)/x[1]))
 			}
 		}
 	}
-	count = max(count, 1)
+	return int(min(max(count, 0), wire.MaxTasks))
+}
+
+// take books tasks from start on, as many as there is room for from then on, one at
+// least and most at most, and says how many.
+func (b *bin) take(s *wire.Submission, start, run float64, most int) int {
+	count := max(min(b.fits(s, start), most), 1)
+	x := float64(count)
 	b.taken++
-	b.add(room{start, -count * s.CPUs, -count * s.GPUs, -count * s.Memory})
-	b.add(room{start + run, count * s.CPUs, count * s.GPUs, count * s.Memory})
-	return int(count)
+	b.add(room{start, -x * s.CPUs, -x * s.GPUs, -x * s.Memory})
+	b.add(room{start + run, x * s.CPUs, x * s.GPUs, x * s.Memory})
+	return count
 }
 
 // shape is what a task asks of a machine: tasks of one shape find the same places.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -336,6 +336,17 @@
 		if by, ok := f.plans[s.UID]; ok {
 			behind = max(0, now.Sub(by).Seconds())
 		}
+		if s.Kind == wire.Gang && s.OneZone && s.Zone == nil {
+			expect := func(at float64) float64 { return at*inflow.slower(wire.Rank(s.Priority), room) + behind }
+			at, rented := f.layGang(&all, types, &d, want, run, max(allowance, 0), expect, now)
+			if rented {
+				delete(f.plans, s.UID) // a new one, with what is rented
+			}
+			if !math.IsInf(at, 1) {
+				waits[s.UID] = now.Add(time.Duration(at * float64(time.Second)))
+			}
+			continue
+		}
 		line := all.line(s, cheap)
 		last := 0.0
 		for left := d.Count; left > 0; {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -345,3 +345,83 @@
 		}
 	}
 }
+
+// TestGangIsLaidOutAsAWhole: tasks of a gang of one zone were laid out one by one on whatever machine had room, so that it
+// seemed to start long before it could, and machines were rented for it in all zones, of which it can use one.
+func TestGangIsLaidOutAsAWhole(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		left       []float64 // seconds until each machine of zone a is free, then of zone b
+		shut       string    // a zone without machines to give
+		tasks      int
+		a, b, late int // rented there, and how late the gang may be
+	}{
+		{"room in time in one zone", []float64{5, 5}, "", 2, 0, 0, 40},
+		{"room in two zones is no room", []float64{5, 100}, "", 2, 1, 0, 40},
+		{"the zone that lacks less", []float64{100, 5}, "", 3, 0, 2, 40},
+		{"the other zone has none to give", []float64{100, 5}, "b", 3, 3, 0, 40},
+		{"it has time", []float64{70, 100}, "", 1, 0, 0, 300},
+	} {
+		f, types, now := setup()
+		if c.shut != "" {
+			f.shut[pool{"m8", c.shut, false}] = now.Add(time.Minute)
+		}
+		var machines []Machine
+		for i, zone := range types[0].Zones {
+			n := 1
+			if i == 0 && c.name == "room in time in one zone" {
+				n = 2
+			}
+			for k := range n {
+				machines = append(machines, Machine{Name: fmt.Sprint("n-", zone, k), Type: "m8", Zone: zone, Heard: now, Since: now.Add(-time.Minute), State: wire.HostRunning, Kept: true,
+					Slots: []Slot{{CPUs: 8, Mem: 64, Left: c.left[i], Pinned: true}}})
+			}
+		}
+		spec := &wire.Submission{UID: "gang", Kind: wire.Gang, Priority: "high", CPUs: 7, Estimate: 10, OneZone: true}
+		got := map[string]int{}
+		for _, r := range f.Decide(types, machines, []Demand{{Spec: spec, Count: c.tasks, Late: now.Add(time.Duration(c.late) * time.Second)}}, nil, now, now).Rent {
+			got[r.Zone] += r.Count
+		}
+		if got["a"] != c.a || got["b"] != c.b {
+			t.Errorf("%s: rented %v, want %d in a and %d in b", c.name, got, c.a, c.b)
+		}
+	}
+}
+
+// TestTogetherModel compares when a gang has room at the same time with a plain walk over time.
+func TestTogetherModel(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 17))
+		var l layout
+		for range 1 + rng.IntN(4) {
+			b := &bin{pool: pool{"m8", []string{"a", "b"}[rng.IntN(2)], false}, free: []room{{float64(rng.IntN(4)), float64(rng.IntN(9)), 0, 100}}}
+			for range rng.IntN(4) {
+				b.add(room{at: float64(4 + rng.IntN(10)), cpus: float64(rng.IntN(4))})
+			}
+			l.bins = append(l.bins, b)
+		}
+		zone, count := "a", 1+rng.IntN(5)
+		s := &wire.Submission{CPUs: float64(1 + rng.IntN(4)), Zone: &zone}
+		want := math.Inf(1)
+		for at := 0.0; at <= 20 && math.IsInf(want, 1); at++ {
+			room := 0
+			for _, b := range l.bins {
+				cpus := 0.0
+				for _, r := range b.free {
+					if r.at <= at {
+						cpus += r.cpus // nothing is taken later
+					}
+				}
+				if b.pool.Zone == zone {
+					room += int(cpus / s.CPUs)
+				}
+			}
+			if room >= count {
+				want = at
+			}
+		}
+		if got := l.together(s, count); got != want {
+			t.Fatalf("seed %d: %d tasks of %g CPUs after %g, plainly %g", seed, count, s.CPUs, got, want)
+		}
+	}
+}
