Requests for machines go by urgency, and not to places that refused one meanwhile

Change: two requests are paced or under way at a time, the others wait for their turn and are dropped if their place refused one since; requests of one look go out in the order of who wants them.

Test: TestRequestsGoByUrgency, mutant caught.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -146,6 +146,11 @@
 	}
 }
 
+// Moot says whether a request that waits for its turn has become pointless: the place refused another one meanwhile.
+func (f *Fleet) Moot(r wire.Rent, now time.Time) bool {
+	return now.Before(f.shut[pool{r.Type, r.Zone, r.Spot}])
+}
+
 func allowed(s *wire.Submission, typ, zone string, spot bool) bool {
 	return (!spot || s.Spot) && (s.Zone == nil || *s.Zone == zone) && (s.Types == nil || slices.Contains(s.Types, typ))
 }
@@ -315,7 +320,8 @@
 		room += b.all
 	}
 	all := layout{bins: bins, lines: map[shape]*line{}}
-	gang := -1 // highest rank of a waiting gang that may use no spot machine
+	there := len(bins) // and on their way; what is wanted comes behind them
+	gang := -1         // highest rank of a waiting gang that may use no spot machine
 	for _, d := range demands {
 		if d.Count == 0 {
 			continue
@@ -385,9 +391,9 @@
 		}
 	}
 	f.plan(waits)
-	for p, n := range want {
+	for _, p := range wanted(want, all.bins[there:]) {
 		// A wave of machines goes out at once; what is beyond that waits for answers.
-		for i := 0; i < maxRents && n > 0; i++ {
+		for i, n := 0, want[p]; i < maxRents && n > 0; i++ {
 			count := min(n, wire.MaxRent)
 			n -= count
 			f.counter++
@@ -398,7 +404,17 @@
 	if len(plan.Rent) > 0 {
 		f.asked = now
 	}
-	slices.SortFunc(plan.Rent, func(a, b wire.Rent) int { return cmp.Compare(a.Request, b.Request) })
+}
+
+// wanted lists the places that machines are wanted from in the order of who wants them, the most urgent first: requests are
+// paced, and were once sent in any order.
+func wanted(want map[pool]int, added []*bin) (list []pool) {
+	for _, b := range added {
+		if want[b.pool] > 0 && !slices.Contains(list, b.pool) {
+			list = append(list, b.pool)
+		}
+	}
+	return list
 }
 
 // open says whether any place may have machines to give.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -425,3 +425,28 @@
 		}
 	}
 }
+
+// TestRequestsGoByUrgency: requests for machines are paced, and went out in any order; those that waited for their turn
+// went to places that had refused one meanwhile, and held up what was needed sooner.
+func TestRequestsGoByUrgency(t *testing.T) {
+	for range 20 { // the order was that of a map
+		f, types, now := setup()
+		types = append(types, wire.MachineType{Name: "g8", CPUs: 8, GPUs: 2, Memory: 64, Price: 9, SpotPrice: 5, Boot: 10, Zones: []string{"a"}})
+		zone := "b"
+		first := Demand{Spec: &wire.Submission{UID: "1", Priority: "high", CPUs: 8, GPUs: 1, Estimate: 10}, Count: 1, Late: now}
+		then := Demand{Spec: &wire.Submission{UID: "2", Priority: "high", CPUs: 8, Estimate: 10, Zone: &zone}, Count: 1, Late: now}
+		last := Demand{Spec: &wire.Submission{UID: "3", Priority: "low", CPUs: 8, Estimate: 10, Spot: true}, Count: 80, Late: now}
+		rents := f.Decide(types, nil, []Demand{first, then, last}, nil, now, now).Rent
+		if len(rents) < 4 || rents[0].Type != "g8" || rents[1].Zone != "b" || rents[1].Spot || !rents[2].Spot || !rents[3].Spot {
+			t.Fatalf("requests %+v", rents)
+		}
+		spot := rents[2]
+		if f.Moot(spot, now) {
+			t.Fatal("a request is pointless before anything was refused")
+		}
+		f.Answered(spot, 0, now, true)
+		if !f.Moot(spot, now) || f.Moot(rents[0], now) || f.Moot(spot, now.Add(time.Minute)) {
+			t.Fatal("a request to a place that refused one is not pointless, or another is, or for ever")
+		}
+	}
+}
--- a/rent.go
+++ b/rent.go
@@ -57,7 +57,8 @@
 	polled  time.Time
 	polling bool
 	started time.Time
-	told    time.Time // when the log last told of the whole fleet
+	turn    chan struct{} // whose turn it is to ask the cloud for machines
+	told    time.Time     // when the log last told of the whole fleet
 }
 
 // tellEvery is how often the log tells of the whole fleet.
@@ -120,7 +121,7 @@
 		}
 		if r == nil || r.since != it.since {
 			lease := settings.Seconds(n.set.Deployment.Workers.Lease)
-			r = &rental{since: it.since, started: now, list: map[string]wire.Host{}, seen: map[string]time.Time{},
+			r = &rental{since: it.since, started: now, turn: make(chan struct{}, rentsOut), list: map[string]wire.Host{}, seen: map[string]time.Time{},
 				rented: map[string]wire.Rent{}, giving: map[string]bool{},
 				f: fleet.New(fmt.Sprintf("%s-%d-%d", n.name, n.inc, it.since), fleet.Options{
 					IdleReturn: settings.Seconds(n.opt.IdleReturn), Warm: n.opt.WarmMachines, Haste: n.opt.Haste, SpotShare: n.opt.SpotShare,
@@ -353,7 +354,26 @@
 	return p != nil && n.live[home].Incarnation == n.record.Nodes[home] && !p.near(now)
 }
 
+// rentsOut is how many requests for machines are paced or under way at a time. The others wait for their turn, and are
+// dropped when it comes if their place has refused one meanwhile: they once held up more urgent ones by a quarter of a minute.
+const rentsOut = 2
+
 func (n *Node) rent(ctx context.Context, r *rental, rent wire.Rent) {
+	select {
+	case r.turn <- struct{}{}:
+		defer func() { <-r.turn }()
+	case <-ctx.Done():
+		return
+	}
+	n.mu.Lock()
+	moot := r.f.Moot(rent, time.Now())
+	if moot {
+		r.f.Answered(rent, 0, time.Now(), false)
+	}
+	n.mu.Unlock()
+	if moot {
+		return
+	}
 	names, err := n.cloud.Rent(ctx, rent)
 	n.mu.Lock()
 	defer n.mu.Unlock()
