--- a/stray_test.go
+++ b/stray_test.go
@@ -3,13 +3,16 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"topazhollow/internal/frontend"
 	"topazhollow/internal/ledger"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
+	"topazhollow/internal/workers"
 )
 
 // roamer is a plain worker: it reports to its home, waits for an answer, and goes
@@ -236,3 +239,65 @@
 		t.Error("a home that heard nothing counts as having heard")
 	}
 }
+
+// TestAbsurdReports: what is no report is refused with the field named, and what a report says of tasks that can't be
+// changes nothing: no job, no task done, no hold, no machine, no doubt of the state service.
+func TestAbsurdReports(t *testing.T) {
+	g := newGrown(0, 1)
+	n := g.n
+	n.home.SetTerm(1, func(string) bool { return true })
+	n.roster.Learn("x", 1, workers.RosterValue{Names: []string{"n-1"}})
+	spec := array(1, 3, "team-0")
+	n.learnJob(frontend.Stored{Spec: spec, At: g.now.UnixMilli()}, 1)
+	team := n.items[teamItem("team-0")].team
+	good := wire.Report{Machine: "n-1", Addr: "127.0.0.1:1", Type: "m32", Zone: "east", Session: 1, Seq: 1, Token: 1, Tasks: []wire.TaskStatus{}}
+	if a := n.report(wire.Encode(good)); a.Status != 200 {
+		t.Fatalf("a good report got %d %s", a.Status, a.Body)
+	}
+	n.place(g.now)
+	state := func() string {
+		done, _ := team.Progress(spec.UID)
+		return fmt.Sprint(len(n.jobs), len(n.machines), len(n.roster.All()), done, len(team.Replica().Holds), n.store.proof, n.store.unchained, n.trusted())
+	}
+	before := state()
+	if held, _ := team.Held(); held == 0 {
+		t.Fatal("nothing was placed that a report could undo")
+	}
+	for field, spoil := range map[string]func(*wire.Report){
+		"estacion": func(r *wire.Report) { r.Machine = "n 1" },
+		"address":  func(r *wire.Report) { r.Addr = "" },
+		"jornada":  func(r *wire.Report) { r.Session = 0 },
+		"modelo":   func(r *wire.Report) { r.Type = "" },
+	} {
+		r := good
+		spoil(&r)
+		if a := n.report(wire.Encode(r)); a.Status != 400 || !strings.Contains(string(a.Body), field) {
+			t.Errorf("%s spoiled: %d %s", field, a.Status, a.Body)
+		}
+	}
+	for _, body := range []string{"", "{", "[]", `{"estacion":7}`, `{"tramos":{}}`} {
+		if a := n.report([]byte(body)); a.Status != 400 {
+			t.Errorf("%q: %d %s", body, a.Status, a.Body)
+		}
+	}
+	seq := good.Seq
+	for _, x := range []wire.TaskStatus{
+		{Task: "", Attempt: 1, State: wire.Running}, {Task: "/0", Attempt: 1, State: wire.Exited, Why: wire.WhyDone},
+		{Task: spec.UID + "/-1", Attempt: 1, State: wire.Exited, Why: wire.WhyDone}, {Task: spec.UID + "/007", Attempt: 1, State: wire.Exited, Why: wire.WhyDone},
+		{Task: spec.UID + "/3", Attempt: 1, State: wire.Exited, Why: wire.WhyDone}, {Task: spec.UID + "/999999999999", Attempt: 1, State: wire.Exited, Why: wire.WhyDone},
+		{Task: spec.UID, Attempt: 1, State: wire.Exited, Why: wire.WhyDone},
+	} {
+		r := good
+		seq++
+		r.Seq, r.Tasks = seq, []wire.TaskStatus{x}
+		n.report(wire.Encode(r))
+		if got := state(); got != before {
+			t.Errorf("%+v: %s, before %s", x, got, before)
+		}
+	}
+	r := good
+	r.Seq, r.Token = seq+1, 1<<60
+	if a := n.report(wire.Encode(r)); a.Status != 503 || state() != before {
+		t.Errorf("a token that nobody gave out: %d, %s, before %s", a.Status, state(), before)
+	}
+}
