No room is kept for a gang that waits for its team's quota

Read once more: a gang whose team has no quota for all of it would have had room kept that it could not take, from other teams' arrays. Test: a fourth case of TestRoomIsKeptForGangs, mutant caught.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -136,7 +136,7 @@
 		m.team.Jobs(func(j *Job) {
 			m.team.Pending(j, m.now, func(i int) bool {
 				x := m.workers[m.rng.IntN(len(m.workers))]
-				return m.team.Fits(j) && !x.dead && m.team.Place(j, i, Spot{x.name, "z", x.session})
+				return m.team.Fits(j, 1) && !x.dead && m.team.Place(j, i, Spot{x.name, "z", x.session})
 			})
 		})
 	case 1: // write before start: orders go out only for what the backup has
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -428,12 +428,8 @@
 	return max(0, j.Spec.Tasks-done-len(j.holds))
 }
 
-// Fits says whether the quota has room for one more task of a job.
-func (t *Team) Fits(j *Job) bool {
-	return t.fits(j, 1)
-}
-
-func (t *Team) fits(j *Job, tasks int) bool {
+// Fits says whether the quota has room for so many more tasks of a job.
+func (t *Team) Fits(j *Job, tasks int) bool {
 	n := float64(tasks)
 	return t.usedCPU+t.alienCPU+n*j.Spec.CPUs <= t.MaxCPUs+slack && t.usedGPU+t.alienGPU+n*j.Spec.GPUs <= t.MaxGPUs+slack
 }
@@ -464,7 +460,7 @@
 // start may be sent once every backup in sync acknowledged the delta.
 func (t *Team) Place(j *Job, index int, at Spot) bool {
 	k := Key{j.Spec.UID, index}
-	if t.counter >= 1<<termShift-1 || t.held[k] != nil || t.isDone(k) || j.Over || !t.Fits(j) {
+	if t.counter >= 1<<termShift-1 || t.held[k] != nil || t.isDone(k) || j.Over || !t.Fits(j, 1) {
 		return false
 	}
 	t.counter++
--- a/place.go
+++ b/place.go
@@ -172,7 +172,7 @@
 	default:
 		fits := n.zoneRule(*w)
 		w.it.team.Pending(w.own, p.now, func(index int) bool {
-			if w.count == 0 || !w.it.team.Fits(w.own) {
+			if w.count == 0 || !w.it.team.Fits(w.own, 1) {
 				return false
 			}
 			h := p.choose(ask, func(h *placement.Host) bool { return w.own.Avoids(h.Name, p.now) || !fits.allows(h) })
@@ -288,6 +288,9 @@
 	n := p.n
 	ask, rule := n.ask(w.spec), n.zoneRule(*w)
 	missing, _ := w.it.team.Gang(w.own)
+	if !w.it.team.Fits(w.own, len(missing)) {
+		return // it waits for its team's quota, not for room
+	}
 	takes := func(h *placement.Host) bool {
 		return ask.Allows(h) && !w.own.Avoids(h.Name, p.now) && rule.allows(h)
 	}
--- a/placing_test.go
+++ b/placing_test.go
@@ -62,32 +62,36 @@
 
 // TestRoomIsKeptForGangs: small tasks of an array took each piece of room that came free, so that gangs of higher
 // priority waited until the array was over. What a gang can get is left to it; one that all machines
-// of a zone could not take keeps nobody waiting, and one of lower priority neither.
+// of a zone could not take keeps nobody waiting, nor does one that waits for its team's quota, nor one of lower priority.
 func TestRoomIsKeptForGangs(t *testing.T) {
 	for _, c := range []struct {
 		tasks    int
 		priority string
+		quota    float64
 		kept     bool
-	}{{8, "high", true}, {9, "high", false}, {8, "low", false}} {
-		g := newGrown(8, 1) // two of them ordinary, in one zone
+	}{{8, "high", 1000, true}, {9, "high", 1000, false}, {8, "low", 1000, false}, {8, "high", 48, false}} {
+		g := newGrown(8, 2) // two of them ordinary, in one zone
 		n := g.n
 		n.mu.Lock()
 		submit := func(spec wire.Submission) {
-			spec.Team, spec.Memory, spec.Image, spec.Estimate, spec.OneZone = "team-0", 1, "img", 40, spec.Kind == wire.Gang
+			spec.Memory, spec.Image, spec.Estimate, spec.OneZone = 1, "img", 40, spec.Kind == wire.Gang
 			n.learnJob(frontend.Stored{At: g.now.UnixMilli(), Spec: &spec}, 1)
 		}
 		held := func(uid string) (count int) {
-			for key := range n.items[teamItem("team-0")].team.Replica().Holds {
-				if key.Job == uid {
-					count++
+			for _, it := range n.items {
+				for key := range it.team.Replica().Holds {
+					if key.Job == uid {
+						count++
+					}
 				}
 			}
 			return count
 		}
-		submit(wire.Submission{UID: "job-000001", Kind: wire.Batch, Priority: "high", Tasks: 1, CPUs: 8})
+		n.items[teamItem("team-0")].team.MaxCPUs = c.quota
+		submit(wire.Submission{UID: "job-000001", Team: "team-0", Kind: wire.Batch, Priority: "high", Tasks: 1, CPUs: 8})
 		n.place(g.now)
-		submit(wire.Submission{UID: "job-000002", Kind: wire.Gang, Priority: c.priority, Tasks: c.tasks, CPUs: 8})
-		submit(wire.Submission{UID: "job-000003", Kind: wire.Batch, Priority: "standard", Tasks: 40, CPUs: 1})
+		submit(wire.Submission{UID: "job-000002", Team: "team-0", Kind: wire.Gang, Priority: c.priority, Tasks: c.tasks, CPUs: 8})
+		submit(wire.Submission{UID: "job-000003", Team: "team-1", Kind: wire.Batch, Priority: "standard", Tasks: 40, CPUs: 1})
 		n.place(g.now)
 		if held("job-000001") != 1 || held("job-000002") != 0 {
 			t.Fatalf("%+v: the gang has %d tasks placed beside what runs", c, held("job-000002"))
@@ -100,7 +104,7 @@
 			g.second(1) // what ran ends
 		}
 		n.mu.Lock()
-		if done, _ := n.items[teamItem("team-0")].team.Progress("job-000002"); done == 0 && held("job-000002") == 0 && c.tasks == 8 {
+		if done, _ := n.items[teamItem("team-0")].team.Progress("job-000002"); done == 0 && held("job-000002") == 0 && c.tasks == 8 && c.quota > 64 {
 			t.Errorf("%+v: the gang did not start in the room that came free", c)
 		}
 		n.mu.Unlock()
