Read once more: one piece for how often a task fits, for refused places, for drawn rehearsals

How many tasks so much room takes was counted in two packages, twice of that added lately: Submission.Times serves both. Whether a place refused lately stands once (shutNow), as does what start is to be expected. A gang's zones and the machines that it may use there are found once a look instead of up to three times. Rehearsals of losses, meetings and overload share their options (drill.Draw), two commands their course, three troubles of one machine their shape, three rehearsals their jobs. No behaviour changes; tests keep their assertions.

--- a/internal/drill/loss.go
+++ b/internal/drill/loss.go
@@ -25,9 +25,9 @@
 	"topazhollow/internal/wire"
 )
 
-// LossOptions are the choices of a rehearsal of losses.
-type LossOptions struct {
-	Program string // that runs a controller by "controller --config FILE"
+// Draw is the choices of a rehearsal of drawn trials.
+type Draw struct {
+	Program string // that runs a controller by "controller --config FILE --script FILE"
 	Dir     string
 	Seed    uint64
 	Trials  int
@@ -52,7 +52,7 @@
 
 // Losses rehearses drawn losses of the state service's data against real controller
 // processes on loopback, each in a region of its own. The trials come in the order of their seeds.
-func Losses(ctx context.Context, o LossOptions) ([]LossTrial, error) {
+func Losses(ctx context.Context, o Draw) ([]LossTrial, error) {
 	trials := make([]LossTrial, o.Trials)
 	err := each(ctx, o.Trials, o.AtOnce, o.Out, func(ctx context.Context, i int) (string, error) {
 		t := &trials[i]
@@ -72,6 +72,12 @@
 	return trials, nil
 }
 
+// array is a job of small tasks, of the one team and the other in turn.
+func array(number, tasks int) *wire.Submission {
+	return &wire.Submission{UID: fmt.Sprintf("job-%06d", number), Class: "c", Team: []string{"red", "blue"}[number%2], Kind: wire.Batch, Priority: "standard",
+		Tasks: tasks, CPUs: 2, Memory: 4, Image: "img", Estimate: 1, Spot: true}
+}
+
 // each carries out trials, some at the same time, and tells what came of each.
 func each(ctx context.Context, trials, atOnce int, out io.Writer, trial func(ctx context.Context, i int) (told string, err error)) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -388,8 +394,9 @@
 // beside it, and sees that everything comes to its end.
 func (g *lossRegion) play(ctx context.Context, t *LossTrial) error {
 	job := func(i int) *wire.Submission {
-		return &wire.Submission{UID: fmt.Sprintf("job-%06d", i), Class: "c", Team: []string{"red", "blue"}[i%2], Kind: wire.Batch, Priority: "standard",
-			Tasks: 4 + g.rng.IntN(8), CPUs: 2, Memory: 4, Image: "img", Estimate: 1, Spot: i%2 == 0}
+		s := array(i, 4+g.rng.IntN(8))
+		s.Spot = i%2 == 0
+		return s
 	}
 	var jobs []*wire.Submission
 	var saved rehearse.Saved
--- a/internal/drill/loss_test.go
+++ b/internal/drill/loss_test.go
@@ -13,7 +13,7 @@
 // or withdrawn is forgotten, and nothing runs twice.
 func TestLosses(t *testing.T) {
 	hold(t, 3, 4, func(t *testing.T, group uint64) ([]drill.LossTrial, error) {
-		return drill.Losses(t.Context(), drill.LossOptions{Program: os.Args[0], Dir: t.TempDir(), Seed: 100 * group, Trials: 4, Out: io.Discard})
+		return drill.Losses(t.Context(), drill.Draw{Program: os.Args[0], Dir: t.TempDir(), Seed: 100 * group, Trials: 4, Out: io.Discard})
 	}, func(t *testing.T, x drill.LossTrial) {
 		if x.Broken != "" {
 			t.Errorf("seed %d: %s, %s: %s", x.Seed, x.Loss, x.Trouble, x.Broken)
--- a/internal/drill/measure.go
+++ b/internal/drill/measure.go
@@ -73,8 +73,9 @@
 	// Half of the CPUs are kept busy, so that there is room for a first start.
 	tasks := max(1, int(quota/2/4)/o.Jobs)
 	job := func(i int) *wire.Submission {
-		return &wire.Submission{UID: fmt.Sprintf("job-%06d", i), Class: "c", Team: []string{"red", "blue"}[i%2], Kind: wire.Batch, Priority: "standard",
-			Tasks: tasks, CPUs: 4, Memory: 8, Image: "img", Estimate: 600, Spot: true}
+		s := array(i, tasks)
+		s.CPUs, s.Memory, s.Estimate = 4, 8, 600
+		return s
 	}
 	slots := make(chan error, 16)
 	for i := range 16 {
--- a/internal/drill/meetings.go
+++ b/internal/drill/meetings.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"path/filepath"
@@ -19,16 +18,6 @@
 	"topazhollow/internal/wire"
 )
 
-// MeetingOptions are the choices of a rehearsal of troubles that meet.
-type MeetingOptions struct {
-	Program string // that runs a controller by "controller --config FILE --script FILE"
-	Dir     string
-	Seed    uint64
-	Trials  int
-	AtOnce  int // regions at the same time; one if 0
-	Out     io.Writer
-}
-
 // MeetingTrial is two or three troubles around one moment and what came of them.
 type MeetingTrial struct {
 	Seed    uint64        `json:"seed"`
@@ -109,33 +98,15 @@
 		wait.For(ctx, lasts)
 		return nil
 	}},
-	{"deaf machine", func(ctx context.Context, g *lossRegion, rng *rand.Rand, _ int, lasts time.Duration) error {
-		if ws := g.cloud.Workers(); len(ws) > 0 {
-			w := ws[rng.IntN(len(ws))]
-			w.Deaf(true)
-			defer w.Deaf(false)
-		}
-		wait.For(ctx, lasts)
-		return nil
-	}},
-	{"machine cut", func(ctx context.Context, g *lossRegion, rng *rand.Rand, _ int, lasts time.Duration) error {
-		if ws := g.cloud.Workers(); len(ws) > 0 {
-			w := ws[rng.IntN(len(ws))]
-			w.Cut(true)
-			defer w.Cut(false)
-		}
-		wait.For(ctx, lasts)
-		return nil
-	}},
-	{"machine heard by one only", func(ctx context.Context, g *lossRegion, rng *rand.Rand, one int, lasts time.Duration) error {
-		if ws := g.cloud.Workers(); len(ws) > 0 {
-			w := ws[rng.IntN(len(ws))]
+	{"deaf machine", onMachine(func(w *rehearse.Worker, _ int, on bool) { w.Deaf(on) })},
+	{"machine cut", onMachine(func(w *rehearse.Worker, _ int, on bool) { w.Cut(on) })},
+	{"machine heard by one only", onMachine(func(w *rehearse.Worker, one int, on bool) {
+		if on {
 			w.Reach(regionNames[one])
-			defer w.Reach()
+		} else {
+			w.Reach()
 		}
-		wait.For(ctx, lasts)
-		return nil
-	}},
+	})},
 	{"one ends", func(ctx context.Context, g *lossRegion, rng *rand.Rand, one int, _ time.Duration) error {
 		g.kill(one)
 		wait.For(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
@@ -175,9 +146,22 @@
 	}},
 }
 
+// onMachine is a trouble of one drawn machine, if there is any.
+func onMachine(set func(w *rehearse.Worker, one int, on bool)) func(context.Context, *lossRegion, *rand.Rand, int, time.Duration) error {
+	return func(ctx context.Context, g *lossRegion, rng *rand.Rand, one int, lasts time.Duration) error {
+		if ws := g.cloud.Workers(); len(ws) > 0 {
+			w := ws[rng.IntN(len(ws))]
+			set(w, one, true)
+			defer set(w, one, false)
+		}
+		wait.For(ctx, lasts)
+		return nil
+	}
+}
+
 // Meetings rehearses drawn troubles that overlap against real controller processes on loopback, each meeting in a region of
 // its own, with jobs whose tasks end far apart and jobs of long tasks that are withdrawn meanwhile.
-func Meetings(ctx context.Context, o MeetingOptions) ([]MeetingTrial, error) {
+func Meetings(ctx context.Context, o Draw) ([]MeetingTrial, error) {
 	trials := make([]MeetingTrial, o.Trials)
 	err := each(ctx, o.Trials, o.AtOnce, o.Out, func(ctx context.Context, i int) (string, error) {
 		t := &trials[i]
@@ -215,13 +199,9 @@
 
 // meet has jobs accepted, troubles around one moment, withdrawals in between, and sees that all comes to its end.
 func (g *lossRegion) meet(ctx context.Context, t *MeetingTrial) error {
-	job := func(number, tasks int) *wire.Submission {
-		return &wire.Submission{UID: fmt.Sprintf("job-%06d", number), Class: "c", Team: []string{"red", "blue"}[number%2], Kind: wire.Batch, Priority: "standard",
-			Tasks: tasks, CPUs: 2, Memory: 4, Image: "img", Estimate: 1, Spot: true}
-	}
 	var jobs, long []*wire.Submission
 	for i := range 4 {
-		jobs, long = append(jobs, job(i, 2+i%2)), append(long, job(firstLong+i, 2))
+		jobs, long = append(jobs, array(i, 2+i%2)), append(long, array(firstLong+i, 2))
 		for _, j := range []*wire.Submission{long[i], jobs[i]} {
 			if err := g.submit(ctx, j); err != nil {
 				return err
@@ -270,7 +250,7 @@
 			return err
 		}
 	}
-	late := job(90, 3)
+	late := array(90, 3)
 	if err := g.submit(ctx, late); err != nil {
 		return err
 	}
--- a/internal/drill/meetings_test.go
+++ b/internal/drill/meetings_test.go
@@ -12,7 +12,7 @@
 // killed and stopped, while users cancel jobs of long tasks. No rule breaks, and all that was not cancelled is done.
 func TestMeetings(t *testing.T) {
 	hold(t, 2, 3, func(t *testing.T, group uint64) ([]drill.MeetingTrial, error) {
-		return drill.Meetings(t.Context(), drill.MeetingOptions{Program: os.Args[0], Dir: t.TempDir(), Seed: 200 * group, Trials: 3, Out: io.Discard})
+		return drill.Meetings(t.Context(), drill.Draw{Program: os.Args[0], Dir: t.TempDir(), Seed: 200 * group, Trials: 3, Out: io.Discard})
 	}, func(t *testing.T, x drill.MeetingTrial) {
 		if len(x.Met) < 2 {
 			t.Errorf("seed %d: only %v met", x.Seed, x.Met)
--- a/internal/drill/overload.go
+++ b/internal/drill/overload.go
@@ -25,13 +25,8 @@
 
 // OverloadOptions are the choices of a rehearsal of overload.
 type OverloadOptions struct {
-	Program string // that runs a controller by "controller --config FILE --script FILE"
-	Dir     string
-	Seed    uint64
-	Trials  int
-	AtOnce  int     // regions at the same time; one if 0
-	Floor   float64 // the controllers' class_floor
-	Out     io.Writer
+	Draw
+	Floor float64 // the controllers' class_floor
 }
 
 // OverloadTrial is one crowd of urgent work over a class of large tasks, and who was served.
--- a/internal/drill/overload_test.go
+++ b/internal/drill/overload_test.go
@@ -22,7 +22,7 @@
 	}{"alone": {0, 0.5}, "all end": {2, 0.5}, "no floors": {0, 0}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			trials, err := drill.Overloads(context.Background(), drill.OverloadOptions{Program: os.Args[0], Dir: t.TempDir(), Seed: x.seed, Trials: 1, Floor: x.floor, Out: io.Discard})
+			trials, err := drill.Overloads(context.Background(), drill.OverloadOptions{Draw: drill.Draw{Program: os.Args[0], Dir: t.TempDir(), Seed: x.seed, Trials: 1, Out: io.Discard}, Floor: x.floor})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/fleet/bin.go
+++ b/internal/fleet/bin.go
@@ -64,7 +64,7 @@
 
 // fits is how many tasks there is room for from a time on, for good.
 func (b *bin) fits(s *wire.Submission, from float64) int {
-	count := math.Inf(1)
+	count := wire.MaxTasks
 	cpus, gpus, mem := 0.0, 0.0, 0.0
 	for i, r := range b.free {
 		cpus, gpus, mem = cpus+r.cpus, gpus+r.gpus, mem+r.mem
@@ -74,13 +74,9 @@
 		if r.at > from && i == 0 {
 			return 0 // not there yet
 		}
-		for _, x := range [][2]float64{{cpus, s.CPUs}, {gpus, s.GPUs}, {mem, s.Memory}} {
-			if x[1] > 0 {
-				count = min(count, math.Floor((x[0]+slack)/x[1]))
-			}
-		}
+		count = min(count, s.Times(cpus, gpus, mem))
 	}
-	return int(min(max(count, 0), wire.MaxTasks))
+	return count
 }
 
 // take books tasks from start on, as many as there is room for from then on, one at
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -148,9 +148,12 @@
 
 // Moot says whether a request that waits for its turn has become pointless: the place refused another one meanwhile.
 func (f *Fleet) Moot(r wire.Rent, now time.Time) bool {
-	return now.Before(f.shut[pool{r.Type, r.Zone, r.Spot}])
+	return f.shutNow(pool{r.Type, r.Zone, r.Spot}, now)
 }
 
+// shutNow says whether a place is left alone, since it refused.
+func (f *Fleet) shutNow(p pool, now time.Time) bool { return now.Before(f.shut[p]) }
+
 func allowed(s *wire.Submission, typ, zone string, spot bool) bool {
 	return (!spot || s.Spot) && (s.Zone == nil || *s.Zone == zone) && (s.Types == nil || slices.Contains(s.Types, typ))
 }
@@ -342,8 +345,8 @@
 		if by, ok := f.plans[s.UID]; ok {
 			behind = max(0, now.Sub(by).Seconds())
 		}
+		expect := func(at float64) float64 { return at*inflow.slower(wire.Rank(s.Priority), room) + behind }
 		if s.Kind == wire.Gang && s.OneZone && s.Zone == nil {
-			expect := func(at float64) float64 { return at*inflow.slower(wire.Rank(s.Priority), room) + behind }
 			at, rented := f.layGang(&all, types, &d, want, run, max(allowance, 0), expect, now)
 			if rented {
 				delete(f.plans, s.UID) // a new one, with what is rented
@@ -356,7 +359,7 @@
 		line := all.line(s, cheap)
 		last := 0.0
 		for left := d.Count; left > 0; {
-			start := line.soonest()*inflow.slower(wire.Rank(s.Priority), room) + behind
+			start := expect(line.soonest())
 			if start <= max(allowance, 0) {
 				last = max(last, start)
 				left -= line.take(run, left)
@@ -421,7 +424,7 @@
 func (f *Fleet) open(types []wire.MachineType, now time.Time) bool {
 	for i := range types {
 		for _, zone := range types[i].Zones {
-			if !now.Before(f.shut[pool{types[i].Name, zone, false}]) || f.opt.SpotShare > 0 && !now.Before(f.shut[pool{types[i].Name, zone, true}]) {
+			if !f.shutNow(pool{types[i].Name, zone, false}, now) || f.opt.SpotShare > 0 && !f.shutNow(pool{types[i].Name, zone, true}, now) {
 				return true
 			}
 		}
@@ -478,7 +481,7 @@
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				p := pool{t.Name, zone, spot}
-				if !allowed(s, t.Name, zone, spot) || now.Before(f.shut[p]) || (spot && f.opt.SpotShare <= 0) || f.boot(p, t) >= start ||
+				if !allowed(s, t.Name, zone, spot) || f.shutNow(p, now) || (spot && f.opt.SpotShare <= 0) || f.boot(p, t) >= start ||
 					(!spot && d.Cheap && s.Spot && !math.IsInf(start, 1)) {
 					continue
 				}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -401,7 +401,7 @@
 			l.bins = append(l.bins, b)
 		}
 		zone, count := "a", 1+rng.IntN(5)
-		s := &wire.Submission{CPUs: float64(1 + rng.IntN(4)), Zone: &zone}
+		s := &wire.Submission{CPUs: float64(1 + rng.IntN(4))}
 		want := math.Inf(1)
 		for at := 0.0; at <= 20 && math.IsInf(want, 1); at++ {
 			room := 0
@@ -420,7 +420,7 @@
 				want = at
 			}
 		}
-		if got := l.together(s, count); got != want {
+		if got := l.gangPlaces([]wire.MachineType{{Zones: []string{zone}}}, s, count)[0].at; got != want {
 			t.Fatalf("seed %d: %d tasks of %g CPUs after %g, plainly %g", seed, count, s.CPUs, got, want)
 		}
 	}
--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -24,28 +24,34 @@
 	return zones
 }
 
-// in is the gang as one that has to run in a zone.
-func in(s *wire.Submission, zone string) *wire.Submission {
-	c := *s
-	c.Zone = &zone
-	return &c
+// gangPlace is a gang in one of the zones that it could run in.
+type gangPlace struct {
+	spec *wire.Submission // as one that has to run there
+	bins []*bin           // that it may use there
+	at   float64          // when all of it first has room there, or infinity
 }
 
-// allowed lists the machines that a job may use.
-func (l *layout) allowed(s *wire.Submission) (bins []*bin) {
-	for _, b := range l.bins {
-		if allowed(s, b.pool.Type, b.pool.Zone, b.pool.Spot) {
-			bins = append(bins, b)
+// gangPlaces lists the zones for so many tasks of a gang.
+func (l *layout) gangPlaces(types []wire.MachineType, s *wire.Submission, count int) (places []gangPlace) {
+	for _, zone := range zonesOf(types) {
+		there := *s
+		there.Zone = &zone
+		p := gangPlace{spec: &there}
+		for _, b := range l.bins {
+			if allowed(p.spec, b.pool.Type, b.pool.Zone, b.pool.Spot) {
+				p.bins = append(p.bins, b)
+			}
 		}
+		p.at = p.together(count)
+		places = append(places, p)
 	}
-	return bins
+	return places
 }
 
-// together is when so many tasks of a job first have room at the same time, or infinity.
-func (l *layout) together(s *wire.Submission, count int) float64 {
-	bins := l.allowed(s)
+// together is when so many tasks first have room at the same time, or infinity.
+func (p *gangPlace) together(count int) float64 {
 	times := []float64{0}
-	for _, b := range bins {
+	for _, b := range p.bins {
 		for _, r := range b.free {
 			times = append(times, r.at)
 		}
@@ -53,7 +59,7 @@
 	slices.Sort(times)
 	times = slices.Compact(times)
 	i, _ := slices.BinarySearchFunc(times, true, func(at float64, _ bool) int {
-		if sum(bins, s, at, count) < count {
+		if p.room(at, count) < count {
 			return -1
 		}
 		return 0
@@ -64,10 +70,10 @@
 	return times[i]
 }
 
-// sum is how many tasks have room from a time on; it stops counting at enough.
-func sum(bins []*bin, s *wire.Submission, at float64, enough int) (n int) {
-	for _, b := range bins {
-		if n += b.fits(s, at); n >= enough {
+// room is how many tasks have room from a time on; it stops counting at enough.
+func (p *gangPlace) room(at float64, enough int) (n int) {
+	for _, b := range p.bins {
+		if n += b.fits(p.spec, at); n >= enough {
 			break
 		}
 	}
@@ -79,47 +85,47 @@
 // by that, and whether machines are rented for it; the time is infinite if there is no room and none to rent.
 func (f *Fleet) layGang(l *layout, types []wire.MachineType, d *Demand, want map[pool]int, run, allowance float64, start func(float64) float64, now time.Time) (at float64, rented bool) {
 	at = math.Inf(1)
-	zone, zones := "", zonesOf(types)
-	soonest := map[string]float64{}
-	for _, z := range zones {
-		soonest[z] = l.together(in(d.Spec, z), d.Count)
-		if soonest[z] < at {
-			zone, at = z, soonest[z]
+	var best *gangPlace
+	places := l.gangPlaces(types, d.Spec, d.Count)
+	for i := range places {
+		if p := &places[i]; p.at < at {
+			best, at = p, p.at
 		}
 	}
 	if start(at) > allowance {
 		least := math.MaxInt
 		var from pool
 		var typ *wire.MachineType
-		for _, z := range zones {
-			dz := *d
-			dz.Spec = in(d.Spec, z)
-			p, t := f.cheapest(types, &dz, want, start(soonest[z]), now)
+		for i := range places {
+			p := &places[i]
+			there := *d
+			there.Spec = p.spec
+			place, t := f.cheapest(types, &there, want, start(p.at), now)
 			if t == nil {
 				continue
 			}
-			lacks := d.Count - sum(l.allowed(dz.Spec), dz.Spec, f.boot(p, t), d.Count)
-			each := max(newBin(p, t, 0).fits(dz.Spec, 0), 1)
+			lacks := d.Count - p.room(f.boot(place, t), d.Count)
+			each := max(p.spec.Times(t.CPUs, t.GPUs, t.Memory), 1)
 			if need := max((lacks+each-1)/each, 1); need < least {
-				least, from, typ = need, p, t
+				best, least, from, typ = p, need, place, t
 			}
 		}
 		if typ != nil {
-			zone, at, rented = from.Zone, f.boot(from, typ), true
+			at, rented = f.boot(from, typ), true
 			want[from] += least
 			for range least {
-				l.bins = append(l.bins, newBin(from, typ, at))
+				b := newBin(from, typ, at)
+				l.bins, best.bins = append(l.bins, b), append(best.bins, b)
 			}
 		}
 	}
-	if math.IsInf(at, 1) {
+	if best == nil {
 		return at, false
 	}
-	s := in(d.Spec, zone)
 	left := d.Count
-	for _, b := range l.allowed(s) {
-		if left > 0 && b.fits(s, at) > 0 {
-			left -= b.take(s, at, run, left)
+	for _, b := range best.bins {
+		if left > 0 && b.fits(best.spec, at) > 0 {
+			left -= b.take(best.spec, at, run, left)
 		}
 	}
 	return at, rented
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -2,11 +2,8 @@
 package placement
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
-
-	"topazhollow/internal/wire"
 )
 
 // Host is a machine that may take tasks.
@@ -62,17 +59,6 @@
 	return h.CPUs+slack >= a.CPUs && h.GPUs+slack >= a.GPUs && h.Memory+slack >= a.Memory
 }
 
-// Times is how many such tasks so much room takes.
-func (a *Ask) Times(cpus, gpus, memory float64) int {
-	times := math.Inf(1)
-	for _, x := range [][2]float64{{cpus, a.CPUs}, {gpus, a.GPUs}, {memory, a.Memory}} {
-		if x[1] > 0 {
-			times = min(times, (x[0]+slack)/x[1])
-		}
-	}
-	return int(min(max(times, 0), wire.MaxTasks))
-}
-
 // Exceeds says that whatever takes this task would take the other as well.
 func (a *Ask) Exceeds(o *Ask) bool {
 	return a.Class == o.Class && a.CPUs >= o.CPUs && a.GPUs >= o.GPUs && a.Memory >= o.Memory && (o.Spot || !a.Spot) &&
--- a/internal/topaz/admission.go
+++ b/internal/topaz/admission.go
@@ -105,7 +105,8 @@
 		return err
 	}
 	defer cancel()
-	trials, err := drill.Overloads(ctx, drill.OverloadOptions{Program: program, Dir: dir, Seed: c.Seed, Trials: c.Trials, AtOnce: c.AtOnce, Floor: c.Floor, Out: r.err})
+	trials, err := drill.Overloads(ctx, drill.OverloadOptions{Floor: c.Floor,
+		Draw: drill.Draw{Program: program, Dir: dir, Seed: c.Seed, Trials: c.Trials, AtOnce: c.AtOnce, Out: r.err}})
 	if err != nil {
 		return err
 	}
--- a/internal/topaz/rehearse.go
+++ b/internal/topaz/rehearse.go
@@ -32,46 +32,40 @@
 	return ctx, cancel, program, dir, nil
 }
 
-type rehearseLossCmd struct {
-	Trials int           `default:"12" help:"How many losses are drawn."`
+// drawnCmd is what rehearsals of drawn trials have in common.
+type drawnCmd struct {
+	Trials int           `default:"12" help:"How many are drawn."`
 	Seed   uint64        `default:"1" help:"Draws them: trial N has the seed plus N."`
 	AtOnce int           `default:"4" help:"Regions at the same time, of three controller processes each."`
 	Most   time.Duration `default:"1h" help:"Give up after this."`
 }
 
-// Run rehearses losses; a broken rule or a job that never ends makes the exit code 1.
-func (c *rehearseLossCmd) Run(r *run) error {
-	ctx, cancel, program, dir, err := r.rehearsal("loss", c.Most)
+// playDrawn plays drawn trials; what they are goes by its plural.
+func playDrawn[T any](r *run, c *drawnCmd, name, what string, play func(context.Context, drill.Draw) ([]T, error), broke func(T) bool) error {
+	ctx, cancel, program, dir, err := r.rehearsal(name, c.Most)
 	if err != nil {
 		return err
 	}
 	defer cancel()
-	trials, err := drill.Losses(ctx, drill.LossOptions{Program: program, Dir: dir, Seed: c.Seed, Trials: c.Trials, AtOnce: c.AtOnce, Out: r.err})
+	trials, err := play(ctx, drill.Draw{Program: program, Dir: dir, Seed: c.Seed, Trials: c.Trials, AtOnce: c.AtOnce, Out: r.err})
 	if err != nil {
 		return err
 	}
-	return verdict(r, "losses", dir, trials, func(t drill.LossTrial) bool { return t.Broken != "" })
+	return verdict(r, what, dir, trials, broke)
 }
 
-type rehearseMeetingsCmd struct {
-	Trials int           `default:"12" help:"How many meetings are drawn."`
-	Seed   uint64        `default:"1" help:"Draws them: trial N has the seed plus N."`
-	AtOnce int           `default:"4" help:"Regions at the same time, of three controller processes each."`
-	Most   time.Duration `default:"1h" help:"Give up after this."`
+type rehearseLossCmd struct{ drawnCmd }
+
+// Run rehearses losses; a broken rule or a job that never ends makes the exit code 1.
+func (c *rehearseLossCmd) Run(r *run) error {
+	return playDrawn(r, &c.drawnCmd, "loss", "losses", drill.Losses, func(t drill.LossTrial) bool { return t.Broken != "" })
 }
 
+type rehearseMeetingsCmd struct{ drawnCmd }
+
 // Run rehearses meetings; a broken rule or a job that never ends makes the exit code 1.
 func (c *rehearseMeetingsCmd) Run(r *run) error {
-	ctx, cancel, program, dir, err := r.rehearsal("meetings", c.Most)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	trials, err := drill.Meetings(ctx, drill.MeetingOptions{Program: program, Dir: dir, Seed: c.Seed, Trials: c.Trials, AtOnce: c.AtOnce, Out: r.err})
-	if err != nil {
-		return err
-	}
-	return verdict(r, "meetings", dir, trials, func(t drill.MeetingTrial) bool { return t.Broken != "" })
+	return playDrawn(r, &c.drawnCmd, "meetings", "meetings", drill.Meetings, func(t drill.MeetingTrial) bool { return t.Broken != "" })
 }
 
 // verdict prints what came of a rehearsal's trials. If any broke something that is the error,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -284,6 +284,18 @@
 	Version uint64             `json:"version"`
 }
 
+// Times is how many of the job's tasks so much room takes.
+func (s *Submission) Times(cpus, gpus, memory float64) int {
+	const slack = 1e-6 // absorbs rounding in sums of amounts
+	times := float64(MaxTasks)
+	for _, x := range [][2]float64{{cpus, s.CPUs}, {gpus, s.GPUs}, {memory, s.Memory}} {
+		if x[1] > 0 {
+			times = min(times, (x[0]+slack)/x[1])
+		}
+	}
+	return int(max(times, 0))
+}
+
 // TaskName is the wire name of a task.
 func TaskName(job string, index int) string { return job + "/" + strconv.Itoa(index) }
 
--- a/place.go
+++ b/place.go
@@ -303,12 +303,12 @@
 	empty, free := map[int]int{}, map[int]int{}
 	for _, m := range n.board {
 		if cpus, gpus, memory, ok := n.capacity(m.view.Type); ok && !m.gone && takes(&m.host) {
-			empty[place(&m.host)] += ask.Times(cpus, gpus, memory)
+			empty[place(&m.host)] += w.spec.Times(cpus, gpus, memory)
 		}
 	}
 	for _, h := range p.hosts {
 		if takes(h) {
-			free[place(h)] += ask.Times(h.CPUs, h.GPUs, h.Memory)
+			free[place(h)] += w.spec.Times(h.CPUs, h.GPUs, h.Memory)
 		}
 	}
 	best, found := -1, false
@@ -317,9 +317,12 @@
 			best, found = zone, true
 		}
 	}
+	if !found {
+		return
+	}
 	left := len(missing)
 	for _, h := range p.hosts {
-		for ; found && left > 0 && place(h) == best && ask.Fits(h) && takes(h); left-- {
+		for ; left > 0 && place(h) == best && ask.Fits(h) && takes(h); left-- {
 			h.Take(ask)
 			rule.take(h)
 		}
--- a/rent.go
+++ b/rent.go
@@ -366,14 +366,12 @@
 		return
 	}
 	n.mu.Lock()
-	moot := r.f.Moot(rent, time.Now())
-	if moot {
-		r.f.Answered(rent, 0, time.Now(), false)
-	}
-	n.mu.Unlock()
-	if moot {
+	if now := time.Now(); r.f.Moot(rent, now) {
+		r.f.Answered(rent, 0, now, false)
+		n.mu.Unlock()
 		return
 	}
+	n.mu.Unlock()
 	names, err := n.cloud.Rent(ctx, rent)
 	n.mu.Lock()
 	defer n.mu.Unlock()
