Rehearsed meetings: one process of a controller at a time, and the seed draws the troubles

The log: node-a started twice within 8 ms; "one ends" and "ends again" had met on it, both ended it and both started it. A process that nobody knew of lived on after the trial. No platform runs two processes of one controller. And the same seed drew other troubles in each run, since how often users had asked by then drew from the same numbers.

Change: ending and starting take turns, one that runs is not started again; the troubles are drawn by numbers of their own, so that a seed names what is played. Seeds of before name other troubles now.

--- a/internal/drill/loss.go
+++ b/internal/drill/loss.go
@@ -118,6 +118,7 @@
 	cloud        *rehearse.Cloud
 	check        *rehearse.Checker
 	listen       []string
+	turns        *sync.Mutex // of who ends or starts a controller
 	nodes        []*process
 	rng          *rand.Rand
 	client       *http.Client
@@ -182,6 +183,7 @@
 		return err
 	}
 	var err error
+	g.turns = &sync.Mutex{}
 	if g.state == nil {
 		if g.state, err = rehearse.NewState(g.size.state.TxnOps, int(g.size.state.ValueKB)); err != nil {
 			return err
@@ -249,6 +251,11 @@
 }
 
 func (g *lossRegion) start(i int) error {
+	g.turns.Lock()
+	defer g.turns.Unlock()
+	if p := g.nodes[i]; p != nil && p.runs() {
+		return nil // two troubles that both ended it must not start it twice: a platform runs one process of a controller
+	}
 	log, err := os.OpenFile(filepath.Join(g.dir, fmt.Sprintf("node-%d.log", i)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -295,20 +302,36 @@
 
 // kill ends a controller without a word.
 func (g *lossRegion) kill(i int) {
-	if p := g.nodes[i]; p != nil && !p.killed {
-		select {
-		case <-p.ended:
-			return // by itself
-		default:
-		}
+	g.turns.Lock()
+	defer g.turns.Unlock()
+	if p := g.nodes[i]; p != nil && p.runs() {
 		p.killed = true
 		_ = p.cmd.Process.Kill() // it may have ended just now
 		<-p.ended
 	}
 }
 
+// runs says whether the process has not ended, and was not ended.
+func (p *process) runs() bool {
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return !p.killed
+	}
+}
+
+// node is a controller's process, the latest if there were several.
+func (g *lossRegion) node(i int) *process {
+	g.turns.Lock()
+	defer g.turns.Unlock()
+	return g.nodes[i]
+}
+
 // ended names a controller that ended by itself.
 func (g *lossRegion) ended() error {
+	g.turns.Lock()
+	defer g.turns.Unlock()
 	for i, p := range g.nodes {
 		if p == nil || p.killed {
 			continue
--- a/internal/drill/meetings.go
+++ b/internal/drill/meetings.go
@@ -136,7 +136,7 @@
 		return nil
 	}},
 	{"standstill", func(ctx context.Context, g *lossRegion, _ *rand.Rand, one int, lasts time.Duration) error {
-		p := g.nodes[one]
+		p := g.node(one)
 		if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
 			return nil // another trouble has ended it
 		}
@@ -212,8 +212,9 @@
 		return err
 	}
 	troubles, during := errgroup.WithContext(ctx)
-	count := 2 + g.rng.IntN(2)
-	for _, k := range g.rng.Perm(len(meetingTroubles))[:count] {
+	draw := rand.New(rand.NewPCG(t.Seed, 37)) // of its own: how often users asked until now depends on the machine
+	count := 2 + draw.IntN(2)
+	for _, k := range draw.Perm(len(meetingTroubles))[:count] {
 		x := meetingTroubles[k]
 		t.Met = append(t.Met, x.name)
 		own := rand.New(rand.NewPCG(t.Seed, uint64(k)))
@@ -231,7 +232,7 @@
 	for i, j := range long { // their users ask until they are told, and go on asking
 		g.check.Withdrawing(j.UID)
 		asks := rand.New(rand.NewPCG(t.Seed, 100+uint64(i)))
-		after := time.Duration(g.rng.IntN(8000)) * time.Millisecond
+		after := time.Duration(draw.IntN(8000)) * time.Millisecond
 		troubles.Go(func() error {
 			wait.For(during, after)
 			return g.until(during, j.UID+" withdrawn", func() bool {
