Tasks that a machine lists count against the team's limit until proven off

Cause: after a take-over without memory the account passed over tasks of jobs it could not describe, and only ordered stops for tasks of jobs that were over: until the stop landed they used quota that nobody counted. And a home called an attempt of an earlier term never sent, though the home of that term may have sent its start.

Change: one rule in internal/ledger/orphan.go: what a view lists counts by its size where known (held and replicated like any attempt), else by the most it can take of its machine, for each team it may be of; an older report releases nothing. The end of a job in the store keeps its team and size. This replaces the special count after a loss of data. A home bars unknown attempts of its own term only.

--- a/home.go
+++ b/home.go
@@ -395,10 +395,11 @@
 		m.idle = now
 	}
 	teams := n.teamsOn(v)
+	unknown := n.oldestUnknown(v)
 	for _, name := range slices.Sorted(maps.Keys(n.items)) {
 		it := n.items[name]
 		if it.phase == ready {
-			if team, _ := teamOf(name); slices.Contains(teams, team) || it.team.Holds(v.Machine) {
+			if team, _ := teamOf(name); slices.Contains(teams, team) || it.team.Holds(v.Machine) || it.team.Reserves(v.Machine) || unknown < it.team.Since() {
 				n.observe(it, v)
 			}
 		} else if it.phase == barrier && it.await[v.Machine] {
@@ -466,34 +467,6 @@
 	}
 }
 
-// lookUp learns what became of a job that a machine lists and that this
-// controller does not know.
-func (n *Node) lookUp(uid string, attempt uint64) {
-	if time.Since(n.store.unknown[uid]) < 10*time.Second {
-		return
-	}
-	if _, known := n.jobs[uid]; known || len(n.lookups) > 64 || n.lookups[uid] {
-		return
-	}
-	n.lookups[uid] = true
-	n.group.Go(func() error {
-		final, found, certain := n.front.LookUp(n.ctx, uid)
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		delete(n.lookups, uid)
-		if _, known := n.jobs[uid]; !known && !found {
-			n.store.unknown[uid] = time.Now()
-			if certain && n.record != nil && (n.record.Generation == 1 || ledger.TermOf(attempt) >= n.record.First) {
-				// A task is started only for a job that was accepted, and an accepted job has one key or the other for ever.
-				n.prove("a worker has a task of a job that the store does not know")
-			}
-		} else if found && !known {
-			n.jobs[uid] = &job{spec: &wire.Submission{UID: uid, Team: final.Team, Tasks: final.Tasks}, ended: time.Now()}
-		}
-		return nil
-	})
-}
-
 // tellViews sends the views that changed to all peers.
 func (n *Node) tellViews() {
 	if len(n.fresh) == 0 {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -31,11 +31,20 @@
 	At   int64            `json:"at"` // time of day of the submission, in ms
 }
 
-// Final is the end of a job in the state service.
+// Final is the end of a job in the state service. What a task takes is kept with it, since tasks that are still on
+// machines use their team's quota and the job's description is gone; it is 0 where only memory tells of the end.
 type Final struct {
-	State string `json:"state"`
-	Tasks int    `json:"tasks"`
-	Team  string `json:"team"`
+	State  string  `json:"state"`
+	Tasks  int     `json:"tasks"`
+	Team   string  `json:"team"`
+	CPUs   float64 `json:"cpus,omitempty"`
+	GPUs   float64 `json:"gpus,omitempty"`
+	Memory float64 `json:"memory,omitempty"` // GB
+}
+
+// EndOf is the end of a job in a state, wire.Done or wire.Withdrawn.
+func EndOf(spec *wire.Submission, state string) Final {
+	return Final{State: state, Tasks: spec.Tasks, Team: spec.Team, CPUs: spec.CPUs, GPUs: spec.GPUs, Memory: spec.Memory}
 }
 
 // Backend is what the frontend needs of its controller.
@@ -212,6 +221,16 @@
 	return *final, true, false
 }
 
+// ReadEnd reads a job's end from the state service, with what its tasks take; found is false if it is not there or
+// the service does not answer.
+func (f *Frontend) ReadEnd(ctx context.Context, uid string) (end Final, found bool) {
+	e, err := f.state.Get(ctx, FinalKey+uid)
+	if err != nil || e == nil || json.Unmarshal(e.Value, &end) != nil {
+		return Final{}, false
+	}
+	return end, true
+}
+
 // nobody answers about a job that the state service does not have: it may be remembered
 // all the same, or have been lost for good.
 func (f *Frontend) nobody(ctx context.Context, uid string) httpx.Answer {
@@ -452,7 +471,7 @@
 		if err := json.Unmarshal(e.Value, &stored); err != nil || stored.Spec == nil {
 			return busy(5)
 		}
-		end := Final{State: wire.Withdrawn, Tasks: stored.Spec.Tasks, Team: stored.Spec.Team}
+		end := EndOf(stored.Spec, wire.Withdrawn)
 		_, err = f.state.Commit(ctx, state.Update{Soon: true,
 			Guards: []wire.Guard{{Key: JobKey + uid, Version: e.Version}},
 			Ops:    []wire.Op{{Delete: JobKey + uid}, {Set: FinalKey + uid, Value: wire.Encode(end)}}})
--- a/internal/ledger/gang_test.go
+++ b/internal/ledger/gang_test.go
@@ -22,7 +22,7 @@
 func listed(m *model, j *Job, id uint64, index int, state, why string) {
 	v := &View{Machine: fmt.Sprintf("m%d", index), Zone: "z", Session: 1, Token: 1}
 	v.Tasks = []TaskView{{Key: Key{j.Spec.UID, index}, Attempt: id, State: state, Why: why}}
-	m.team.Observe(v, m.now, m.mine)
+	m.team.Observe(v, m.now, m)
 }
 
 // TestGangAllOrNone: a gang that does not fit the quota takes nothing of it.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -22,6 +22,20 @@
 	token   uint64
 	tasks   map[Key]TaskView
 	dead    bool
+	hung    bool // executes nothing and says nothing until it goes on
+}
+
+// plainCapacity is what each machine of the model has, in CPUs.
+const plainCapacity = 6
+
+// used sums up what runs on a machine, of all teams or of the model's own.
+func (m *model) used(w *plainWorker, own bool) (cpus float64) {
+	for k, x := range w.tasks {
+		if !w.dead && x.State != wire.Exited && (!own || m.specs[k.Job].Team == "team") {
+			cpus += m.specs[k.Job].CPUs
+		}
+	}
+	return cpus
 }
 
 // message is a start or stop on its way; it may arrive late, even after its
@@ -45,12 +59,45 @@
 	specs    map[string]*wire.Submission
 	active   map[string]bool
 	done     map[Key]bool
-	careless bool // a broken owner that believes silence
+	careless bool                    // a broken owner that believes silence
+	memory   map[string]recollection // what is known of a job that is over; zero: all
+	last     map[string]*View        // the newest view of each machine, as the owner has it
+	late     []*View                 // copies of reports that are still on their way
+	await    map[string]bool         // machines that a take-over without memory waits for; nil: none
+	since    uint64                  // the term of that take-over
+	met      map[string]bool         // what really happened in this run
 }
 
-func (m *model) mine(uid string) (*wire.Submission, bool, bool) {
-	s := m.specs[uid]
-	return s, m.active[uid], s != nil
+// recollection is how much an owner's controller knows of a job that is over.
+type recollection int
+
+const (
+	whole   recollection = iota
+	unsized              // its end, and not what its tasks take
+	nothing
+)
+
+// Job is what the owner's controller knows of a job.
+func (m *model) Job(uid string) JobInfo {
+	spec := m.specs[uid]
+	switch {
+	case spec == nil || m.memory[uid] == nothing:
+		return JobInfo{}
+	case m.memory[uid] == unsized:
+		spec = &wire.Submission{UID: uid, Team: spec.Team, Tasks: spec.Tasks}
+	}
+	return JobInfo{Known: true, Mine: spec.Team == "team", Active: m.active[uid], Spec: spec}
+}
+
+// Unsized is what a machine has beside the listed tasks of known size.
+func (m *model) Unsized(v *View) (cpus, gpus float64) {
+	cpus = plainCapacity
+	for _, x := range v.Tasks {
+		if job := m.Job(x.Job); job.Known && x.State != wire.Exited && m.memory[x.Job] == whole {
+			cpus -= m.specs[x.Job].CPUs
+		}
+	}
+	return cpus, 0
 }
 
 func (m *model) view(w *plainWorker) *View {
@@ -70,6 +117,13 @@
 	if w.dead || x.term < w.token || x.order.Session != w.session {
 		return ""
 	}
+	if x.order.Op == wire.Start && m.used(w, false)+m.specs[x.order.Job].CPUs > plainCapacity {
+		if _, there := w.tasks[x.order.Key]; !there {
+			w.token = x.term
+			w.tasks[x.order.Key] = TaskView{Key: x.order.Key, Attempt: x.order.Attempt, State: wire.Exited, Why: wire.WhyFull}
+		}
+		return ""
+	}
 	w.token = x.term
 	have, there := w.tasks[x.order.Key]
 	switch x.order.Op {
@@ -85,11 +139,7 @@
 		w.tasks[x.order.Key] = TaskView{Key: x.order.Key, Attempt: x.order.Attempt, State: wire.Running}
 		used := 0.0
 		for _, o := range m.workers {
-			for k, t := range o.tasks {
-				if !o.dead && t.State != wire.Exited {
-					used += m.specs[k.Job].CPUs
-				}
-			}
+			used += m.used(o, true)
 		}
 		if used > m.team.MaxCPUs+slack {
 			broken = fmt.Sprintf("quota: %g", used)
@@ -121,8 +171,10 @@
 
 func (m *model) send(w *plainWorker, orders []Order) {
 	for _, o := range orders {
-		if o.Op != wire.Forget { // a home withholds forgets while starts are open
-			m.flying = append(m.flying, message{w, m.term, o})
+		x := message{w, m.term, o}
+		// A home withholds forgets while starts are open, and repeats a command only once the last one is decided.
+		if o.Op != wire.Forget && !slices.Contains(m.flying, x) {
+			m.flying = append(m.flying, x)
 		}
 	}
 }
@@ -131,68 +183,258 @@
 	m.now = m.now.Add(time.Second)
 	at := m.rng.IntN(len(m.workers))
 	w := m.workers[at]
-	switch m.rng.IntN(10) {
-	case 0: // place what may be placed, on any machine
-		m.team.Jobs(func(j *Job) {
-			m.team.Pending(j, m.now, func(i int) bool {
-				x := m.workers[m.rng.IntN(len(m.workers))]
-				return m.team.Fits(j, 1) && !x.dead && m.team.Place(j, i, Spot{x.name, "z", x.session})
-			})
-		})
-	case 1: // write before start: orders go out only for what the backup has
+	switch m.rng.IntN(24) {
+	case 0, 1, 2: // place what may be placed, on any machine
+		if m.await == nil {
+			m.place()
+		}
+	case 3, 4, 5: // write before start: orders go out only for what the backup has
 		m.sync()
-		for name, orders := range m.team.Due(m.backup.Seq, m.now, func(string, uint64) bool { return true }) {
-			for _, x := range m.workers {
-				if x.name == name {
-					m.send(x, orders)
-				}
-			}
+		if m.await == nil {
+			m.order()
 		}
-	case 2, 3: // a message arrives, in any order
-		if len(m.flying) > 0 {
-			i := m.rng.IntN(len(m.flying))
-			x := m.flying[i]
-			m.flying = slices.Delete(m.flying, i, i+1)
-			return m.deliver(x)
-		}
-	case 4, 5: // a report
-		if !w.dead {
-			v := m.view(w)
-			w.token = max(w.token, m.term) // the answer brings the term, after the report
-			m.send(w, m.team.Observe(v, m.now, m.mine))
-		}
-	case 6: // a task completes
-		for k, x := range w.tasks {
-			if x.State == wire.Running && !w.dead {
-				x.State, x.Why = wire.Exited, wire.WhyDone
-				w.tasks[k] = x
-				m.done[k] = true
-				break
-			}
+	case 6, 7, 8, 9, 10: // a message arrives, in any order
+		return m.arrive()
+	case 11, 12, 13: // a report
+		if !w.dead && !w.hung {
+			m.report(w)
 		}
-	case 7: // the worker's lease runs out
-		if m.rng.IntN(4) == 0 {
+	case 14: // a task completes
+		if m.rng.IntN(3) == 0 {
+			m.complete(w)
+		}
+	case 15: // the worker's lease runs out
+		if m.rng.IntN(8) == 0 {
 			w.session++
-			w.tasks = map[Key]TaskView{}
+			w.tasks, w.hung = map[Key]TaskView{}, false
 		}
-	case 8: // a machine dies; the cloud confirms its return
+	case 16: // a machine dies; the cloud confirms its return
 		if m.rng.IntN(12) == 0 {
 			w.dead = true
-			m.team.Gone(w.name)
+			m.gone(w.name)
 			m.workers[at] = &plainWorker{name: w.name + "+", session: 1, tasks: map[Key]TaskView{}}
 		} else if m.careless {
 			m.team.Gone(w.name) // believes that a silent machine is gone
 		}
-	case 9: // the owner crashes; the backup takes over under a raised term
-		if m.rng.IntN(5) == 0 {
+	case 17: // the owner crashes; the backup takes over under a raised term, or nobody remembers anything
+		if m.rng.IntN(4) == 0 && (m.await == nil || m.rng.IntN(6) == 0) {
 			m.sync()
 			m.term++
-			m.takeOver()
+			m.takeOver(m.rng.IntN(2) == 0)
+		}
+	case 18: // a machine hangs, or goes on
+		w.hung = !w.hung && m.rng.IntN(2) == 0
+	case 19, 20: // a user withdraws a job
+		m.withdraw()
+	case 21: // what is known of a job that is over grows
+		if m.rng.IntN(2) == 0 {
+			m.remember()
 		}
+	case 22: // another team's task comes or goes
+		m.foreign(w)
+	case 23: // a copy of an old report arrives
+		m.copyArrives()
 	}
 	return ""
 }
 
+func (m *model) place() {
+	m.team.Jobs(func(j *Job) {
+		m.team.Pending(j, m.now, func(i int) bool {
+			x := m.roomiest(j.Spec.CPUs)
+			return x != nil && m.team.Fits(j, 1) && m.team.Place(j, i, Spot{x.name, "z", x.session})
+		})
+	})
+}
+
+// roomiest is a machine with room for a task as the owner sees it, or any.
+func (m *model) roomiest(cpus float64) *plainWorker {
+	x := m.workers[m.rng.IntN(len(m.workers))]
+	for range 8 {
+		if !x.dead && m.used(x, false)+cpus <= plainCapacity {
+			return x
+		}
+		x = m.workers[m.rng.IntN(len(m.workers))]
+	}
+	return nil
+}
+
+func (m *model) order() {
+	for name, orders := range m.team.Due(m.backup.Seq, m.now, func(string, uint64) bool { return true }) {
+		for _, x := range m.workers {
+			if x.name == name {
+				m.send(x, orders)
+			}
+		}
+	}
+}
+
+func (m *model) arrive() (broken string) {
+	if len(m.flying) == 0 {
+		return ""
+	}
+	i := m.rng.IntN(len(m.flying))
+	x := m.flying[i]
+	if x.to.hung {
+		m.met["a message waits at a machine that hangs"] = true
+		return ""
+	}
+	m.flying = slices.Delete(m.flying, i, i+1)
+	return m.deliver(x)
+}
+
+// report has a worker's report arrive now; a copy of it may arrive once more, any time later.
+func (m *model) report(w *plainWorker) {
+	v := m.view(w)
+	if m.rng.IntN(4) == 0 {
+		m.late = append(m.late, v)
+	}
+	w.token = max(w.token, m.term) // the answer brings the term, after the report
+	m.see(w, v)
+}
+
+// see has the owner take in a view if it is newer than the one it has, as a controller does.
+func (m *model) see(w *plainWorker, v *View) {
+	if last := m.last[v.Machine]; last != nil && !v.Newer(last) {
+		return
+	}
+	m.last[v.Machine] = v
+	if m.await != nil {
+		m.passBarrier()
+		return
+	}
+	m.observe(w, v)
+}
+
+func (m *model) observe(w *plainWorker, v *View) {
+	orders := m.team.Observe(v, m.now, m)
+	if m.team.Reserves(v.Machine) {
+		m.met["quota is reserved for orphaned tasks"] = true
+	}
+	m.send(w, orders)
+}
+
+// passBarrier ends a take-over without memory once each machine was heard under its term.
+func (m *model) passBarrier() {
+	for name := range m.await {
+		if v := m.last[name]; v != nil && v.Token >= m.since {
+			delete(m.await, name)
+		}
+	}
+	if len(m.await) > 0 {
+		return
+	}
+	m.await = nil
+	m.met["a barrier is passed"] = true
+	m.observeAll()
+}
+
+func (m *model) observeAll() {
+	for _, w := range m.workers {
+		if v := m.last[w.name]; v != nil {
+			m.observe(w, v)
+		}
+	}
+}
+
+func (m *model) complete(w *plainWorker) {
+	for k, x := range w.tasks {
+		if x.State == wire.Running && !w.dead && !w.hung && m.specs[k.Job].Team == "team" {
+			x.State, x.Why = wire.Exited, wire.WhyDone
+			w.tasks[k] = x
+			m.done[k] = true
+			break
+		}
+	}
+}
+
+func (m *model) gone(name string) {
+	delete(m.last, name)
+	if m.await == nil {
+		m.team.Gone(name)
+		return
+	}
+	delete(m.await, name)
+	m.passBarrier()
+}
+
+// withdraw ends a job and has another one submitted, so that the team's limit is always asked for.
+func (m *model) withdraw() {
+	if m.rng.IntN(3) > 0 {
+		return
+	}
+	var active []string
+	for uid, s := range m.specs {
+		if m.active[uid] && s.Team == "team" {
+			active = append(active, uid)
+		}
+	}
+	slices.Sort(active)
+	uid := active[m.rng.IntN(len(active))]
+	m.active[uid] = false
+	m.team.EndJob(uid)
+	m.submit()
+	m.observeAllOrWait()
+}
+
+func (m *model) observeAllOrWait() {
+	if m.await == nil {
+		m.observeAll()
+	}
+}
+
+func (m *model) submit() {
+	n := len(m.specs)
+	s := &wire.Submission{UID: fmt.Sprintf("job-%d", n), Team: "team", Kind: wire.Batch, Priority: "standard", Tasks: 6, CPUs: float64(2 + n%2)}
+	m.specs[s.UID], m.active[s.UID] = s, true
+	m.team.AddJob(s, 1, time.Unix(0, 0), nil)
+}
+
+// remember has a job that is over looked up: first how it ended, then what its tasks take.
+func (m *model) remember() {
+	for uid, r := range m.memory {
+		if r == whole {
+			continue
+		}
+		m.memory[uid] = r - 1
+		if m.rng.IntN(2) == 0 {
+			m.memory[uid] = whole
+		}
+		m.observeAllOrWait()
+		return
+	}
+}
+
+// foreign has a task of another team come to a machine or leave it.
+func (m *model) foreign(w *plainWorker) {
+	if w.dead || w.hung {
+		return
+	}
+	k := Key{"foreign", m.rng.IntN(3)}
+	if _, there := w.tasks[k]; there {
+		delete(w.tasks, k)
+	} else if m.used(w, false)+m.specs[k.Job].CPUs <= plainCapacity {
+		w.tasks[k] = TaskView{Key: k, Attempt: AttemptID(m.term, 1<<20), State: wire.Running}
+	}
+}
+
+// copyArrives delivers a copy of an earlier report at a home that may have no memory of newer ones.
+func (m *model) copyArrives() {
+	if len(m.late) == 0 {
+		return
+	}
+	i := m.rng.IntN(len(m.late))
+	v := *m.late[i]
+	m.late = slices.Delete(m.late, i, i+1)
+	for _, w := range m.workers {
+		if w.name == v.Machine {
+			m.met["an old report replaces a newer one"] = m.met["an old report replaces a newer one"] || m.last[v.Machine] != nil && m.last[v.Machine].Term < m.term
+			v.Term = m.term
+			m.see(w, &v)
+		}
+	}
+}
+
 // account compares what the team keeps up to date as things change with a plain
 // count of all that it holds: an attempt that is forgotten there would never get
 // its order.
@@ -230,38 +472,59 @@
 	return ""
 }
 
-func (m *model) takeOver() {
+// takeOver begins a new owner's account: of what the backup has, or without memory, when all controllers ended. Then
+// the ends of jobs are known to nobody until they are looked up, and every machine has to be heard first.
+func (m *model) takeOver(blind bool) {
+	if blind {
+		m.met["a take-over without memory"] = true
+		m.backup = NewReplica()
+		for uid := range m.specs {
+			if !m.active[uid] {
+				m.memory[uid] = unsized + recollection(m.rng.IntN(2))
+			}
+		}
+		m.await, m.since = map[string]bool{}, m.term
+		for _, w := range m.workers {
+			m.await[w.name] = true
+		}
+		m.last = map[string]*View{}
+	}
 	rep := FromCopy(m.backup.Copy())
 	m.team = NewTeam("team", 8, 12, 0, 0, rep, m.term, func(string, ...any) {})
 	for uid, s := range m.specs {
-		if m.active[uid] {
+		if m.active[uid] && s.Team == "team" {
 			m.team.AddJob(s, 1, time.Unix(0, 0), nil)
 		}
 	}
+	m.observeAllOrWait()
 }
 
 func newModel(t *testing.T, seed uint64) *model {
 	m := &model{t: t, rng: rand.New(rand.NewPCG(seed, 7)), seed: seed, now: time.Unix(1000, 0), term: 1, backup: NewReplica(),
 		specs: map[string]*wire.Submission{}, active: map[string]bool{}, done: map[Key]bool{}}
-	for i := range 3 {
+	for i := range 4 {
 		m.workers = append(m.workers, &plainWorker{name: fmt.Sprintf("m%d", i), session: 1, tasks: map[Key]TaskView{}})
 	}
+	m.memory, m.last, m.met = map[string]recollection{}, map[string]*View{}, map[string]bool{}
 	for i := range 3 {
-		s := &wire.Submission{UID: fmt.Sprintf("job-%d", i), Team: "team", Kind: wire.Batch, Priority: "standard", Tasks: 6, CPUs: float64(1 + i)}
+		s := &wire.Submission{UID: fmt.Sprintf("job-%d", i), Team: "team", Kind: wire.Batch, Priority: "standard", Tasks: 6, CPUs: float64(2 + i%2)}
 		m.specs[s.UID], m.active[s.UID] = s, true
 	}
-	m.takeOver()
+	m.specs["foreign"] = &wire.Submission{UID: "foreign", Team: "other", Kind: wire.Batch, Priority: "standard", Tasks: 3, CPUs: 2}
+	m.takeOver(false)
 	return m
 }
 
 // TestOwnerModel runs an owner's account against plain workers with messages in
-// any order, leases that run out, dead machines and take-overs by an in-sync
-// backup. At every start no task may be on two machines and the quota must hold;
+// any order, leases that run out, machines that hang or die, jobs that are withdrawn, old reports, and take-overs by an in-sync
+// backup or without memory, when nobody knows the jobs that are over. At every start no task may be on two machines and the quota must hold;
 // what the account calls done must be done.
 func TestOwnerModel(t *testing.T) {
 	starts := 0
-	for seed := range uint64(400) {
+	met := map[string]bool{}
+	for seed := range uint64(1500) {
 		m := newModel(t, seed)
+		m.met = met
 		for range 400 {
 			broken := m.step()
 			if broken == "" {
@@ -283,6 +546,12 @@
 	if starts == 0 {
 		t.Fatal("the model ran nothing")
 	}
+	for _, what := range []string{"a message waits at a machine that hangs", "quota is reserved for orphaned tasks", "a barrier is passed",
+		"a take-over without memory", "an old report replaces a newer one"} {
+		if !met[what] {
+			t.Errorf("never happened: %s", what)
+		}
+	}
 }
 
 // TestOwnerModelCatches shows that the model fails an owner that takes a silent
@@ -326,11 +595,11 @@
 		t.Fatal("not placed")
 	}
 	v := &View{Machine: "m0", Session: 1, Seq: 1, Token: 1, Tasks: []TaskView{{Key: Key{spec.UID, 0}, Attempt: AttemptID(1, 1), State: wire.Exited, Why: wire.WhyDone}}}
-	if orders := m.team.Observe(v, m.now, m.mine); len(orders) != 0 {
+	if orders := m.team.Observe(v, m.now, m); len(orders) != 0 {
 		t.Fatalf("ordered %v before the bitmap was written", orders)
 	}
 	m.team.Saved(spec.UID, bitset.New(1).Set(0))
-	if orders := m.team.Observe(v, m.now, m.mine); len(orders) != 1 || orders[0].Op != wire.Forget {
+	if orders := m.team.Observe(v, m.now, m); len(orders) != 1 || orders[0].Op != wire.Forget {
 		t.Fatalf("ordered %v after the bitmap was written", orders)
 	}
 }
--- /dev/null
+++ b/internal/ledger/orphan.go
@@ -0,0 +1,136 @@
+package ledger
+
+import (
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// An orphaned task is on a machine though this account did not place it and its job does not call for it: its job
+// is over, or nobody here can describe the job any more, as after all controllers ended. Until it is proven off it
+// uses the quota of its team. One rule covers all such tasks: what a machine lists and has not proven off counts
+// against the limit of every team that it may belong to, by its size where that is known, and else by the most
+// that it can take of its machine.
+
+// JobInfo is what an owner's controller knows of a job that a machine lists.
+type JobInfo struct {
+	Known  bool // false: neither team nor size can be told
+	Mine   bool // it belongs to the account's team
+	Active bool
+	Spec   *wire.Submission // of the account's own jobs; without amounts if only the job's end is known
+}
+
+// Knowledge is what an owner's controller knows beside the account.
+type Knowledge interface {
+	// Job describes a job that a machine lists.
+	Job(uid string) JobInfo
+	// Unsized is the most that the tasks of unknown size can take of a machine together, in CPUs and GPUs.
+	Unsized(v *View) (cpus, gpus float64)
+}
+
+// orphanCount is what one view lists of tasks that the account can't hold as attempts.
+type orphanCount struct {
+	unsized []Ref // of unknown size
+	cpus    float64
+	gpus    float64
+}
+
+// reservation is the part of the quota that orphaned tasks of one machine may use.
+type reservation struct {
+	session uint64
+	seq     uint64 // of the report that listed them
+	unsized []Ref
+	cpus    float64
+	gpus    float64
+}
+
+// orphanAccount keeps the reservations by machine.
+type orphanAccount struct {
+	machines map[string]reservation
+}
+
+func newOrphanAccount() orphanAccount {
+	return orphanAccount{machines: map[string]reservation{}}
+}
+
+// observe replaces what is reserved for a machine by what its view lists. An older report proves nothing about
+// tasks that a newer one listed.
+func (o *orphanAccount) observe(v *View, left orphanCount, known Knowledge) {
+	before, reserved := o.machines[v.Machine]
+	if reserved && (v.Session < before.session || v.Session == before.session && v.Seq < before.seq) {
+		return
+	}
+	if len(left.unsized) > 0 {
+		cpus, gpus := known.Unsized(v)
+		left.cpus += max(0, cpus)
+		left.gpus += max(0, gpus)
+	}
+	if left.cpus == 0 && left.gpus == 0 && len(left.unsized) == 0 {
+		delete(o.machines, v.Machine)
+		return
+	}
+	o.machines[v.Machine] = reservation{session: v.Session, seq: v.Seq, unsized: left.unsized, cpus: left.cpus, gpus: left.gpus}
+}
+
+// gone releases what was reserved for a machine that the cloud confirmed to be gone.
+func (o *orphanAccount) gone(machine string) {
+	delete(o.machines, machine)
+}
+
+// sum adds up all reservations.
+func (o *orphanAccount) sum() (cpus, gpus float64) {
+	for _, r := range o.machines {
+		cpus += r.cpus
+		gpus += r.gpus
+	}
+	return cpus, gpus
+}
+
+// charged is what counts against the quota: held attempts, and what orphaned tasks may use.
+func (t *Team) charged() (cpus, gpus float64) {
+	cpus, gpus = t.orphans.sum()
+	return cpus + t.usedCPU, gpus + t.usedGPU
+}
+
+// Since is the term in which this account began.
+func (t *Team) Since() uint64 { return t.since }
+
+// Reserves says whether quota is reserved for orphaned tasks of a machine.
+func (t *Team) Reserves(machine string) bool {
+	_, reserved := t.orphans.machines[machine]
+	return reserved
+}
+
+// Unsized lists the tasks of a machine whose size the account would have to know.
+func (t *Team) Unsized(machine string) []Ref { return t.orphans.machines[machine].unsized }
+
+// Reserved is the part of the quota that orphaned tasks of unknown size, or beside another attempt of theirs,
+// may use.
+func (t *Team) Reserved() (cpus, gpus float64) { return t.orphans.sum() }
+
+// countUnknown counts a task of a job that nobody here can describe. All attempts of this team that were made since
+// this account began are its own, so that only an earlier one may be the team's.
+func (t *Team) countUnknown(left *orphanCount, x *TaskView) {
+	if x.State != wire.Exited && TermOf(x.Attempt) < t.since {
+		left.unsized = append(left.unsized, x.Ref())
+	}
+}
+
+// holdOrphan counts a task of a job of this team that is to be stopped. It is held like any other attempt, so
+// that backups know it too; false if that can't be and it is counted beside the held ones.
+func (t *Team) holdOrphan(left *orphanCount, v *View, x *TaskView, spec *wire.Submission, now time.Time) bool {
+	sized := spec.CPUs > 0 || spec.GPUs > 0
+	switch {
+	case !sized:
+		left.unsized = append(left.unsized, x.Ref())
+		return false
+	case t.held[x.Key] != nil:
+		left.cpus += spec.CPUs
+		left.gpus += spec.GPUs
+		return false
+	}
+	a := t.adopt(v, x, spec, now)
+	a.stop = true
+	t.todo[a] = true
+	return true
+}
--- /dev/null
+++ b/internal/ledger/orphan_test.go
@@ -0,0 +1,96 @@
+package ledger
+
+import (
+	"testing"
+
+	"topazhollow/internal/wire"
+)
+
+// orphans is a machine's view with tasks of a job, by attempt number.
+func orphans(job string, seq uint64, attempts ...uint64) *View {
+	v := &View{Machine: "m0", Session: 1, Seq: seq, Token: 2, Term: 2}
+	for i, attempt := range attempts {
+		v.Tasks = append(v.Tasks, TaskView{Key: Key{job, i}, Attempt: attempt, State: wire.Running})
+	}
+	return v
+}
+
+// secondTerm is a model whose owner began without memory under term 2.
+func secondTerm(t *testing.T) *model {
+	m := newModel(t, 1)
+	m.term = 2
+	m.takeOver(true)
+	m.await = nil
+	return m
+}
+
+func charged(t *testing.T, m *model, want float64, when string) {
+	t.Helper()
+	if cpus, _ := m.team.charged(); cpus != want {
+		t.Errorf("%s: %g CPUs count against the limit, want %g", when, cpus, want)
+	}
+}
+
+// TestUnknownTasksCountByTheirMachine: tasks of a job that nobody can describe count as all that their machine has,
+// then by their size once that is found, and no longer once the machine's newer report lists them no more.
+func TestUnknownTasksCountByTheirMachine(t *testing.T) {
+	m := secondTerm(t)
+	m.specs["job-7"] = &wire.Submission{UID: "job-7", Team: "team", Tasks: 2, CPUs: 1}
+	view := orphans("job-7", 5, AttemptID(1, 1), AttemptID(1, 2))
+	m.memory["job-7"] = nothing
+	if orders := m.team.Observe(view, m.now, m); len(orders) != 0 {
+		t.Errorf("tasks that may be another team's get %v", orders)
+	}
+	charged(t, m, plainCapacity, "unknown")
+	m.memory["job-7"] = unsized
+	if orders := m.team.Observe(view, m.now, m); len(orders) != 2 || orders[0].Op != wire.Stop {
+		t.Errorf("tasks of a job that is over get %v", orders)
+	}
+	charged(t, m, plainCapacity, "of unknown size")
+	m.memory["job-7"] = whole
+	m.team.Observe(view, m.now, m)
+	charged(t, m, 2, "of known size")
+	if len(m.team.Replica().Holds) != 2 {
+		t.Errorf("backups know %d of the tasks", len(m.team.Replica().Holds))
+	}
+	m.team.Observe(orphans("job-7", 6), m.now, m)
+	charged(t, m, 0, "listed no more")
+}
+
+// TestOlderReportReleasesNothing: an older report, at a home that knows no newer one, proves nothing about tasks that
+// a newer one listed.
+func TestOlderReportReleasesNothing(t *testing.T) {
+	m := secondTerm(t)
+	m.specs["job-7"] = &wire.Submission{UID: "job-7", Team: "team", Tasks: 1, CPUs: 1}
+	m.memory["job-7"] = nothing
+	m.team.Observe(orphans("job-7", 5, AttemptID(1, 1)), m.now, m)
+	m.team.Observe(orphans("job-7", 4), m.now, m)
+	charged(t, m, plainCapacity, "after an older report")
+	m.team.Gone("m0")
+	charged(t, m, 0, "after the machine's end")
+}
+
+// TestOtherTeamsTasksDontCount: neither tasks of another team's job count, nor unknown ones of attempts that were made
+// since this account began, which made all later attempts of its team itself.
+func TestOtherTeamsTasksDontCount(t *testing.T) {
+	m := secondTerm(t)
+	m.team.Observe(orphans("foreign", 5, AttemptID(1, 1)), m.now, m)
+	charged(t, m, 0, "another team's")
+	m.team.Observe(orphans("job-8", 6, AttemptID(2, 1)), m.now, m)
+	charged(t, m, 0, "made since this account began")
+}
+
+// TestSecondAttemptCountsBesideTheHeldOne: a task that a machine lists while another attempt of it is held counts too,
+// and is stopped.
+func TestSecondAttemptCountsBesideTheHeldOne(t *testing.T) {
+	m := secondTerm(t)
+	j := m.team.Job("job-0")
+	if !m.team.Place(j, 0, Spot{"m1", "z", 1}) {
+		t.Fatal("not placed")
+	}
+	orders := m.team.Observe(orphans("job-0", 5, AttemptID(1, 9)), m.now, m)
+	if len(orders) != 1 || orders[0].Op != wire.Stop {
+		t.Errorf("the second attempt gets %v", orders)
+	}
+	charged(t, m, 2*j.Spec.CPUs, "two attempts of a task")
+}
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -128,21 +128,21 @@
 	CPUs    float64 // guaranteed
 	GPUs    float64
 
-	rep      *Replica
-	jobs     map[string]*Job
-	order    []*Job // the same, most urgent first
-	held     map[Key]*attempt
-	on       map[string]map[Key]*attempt // by machine
-	todo     map[*attempt]bool           // those that may need an order: not listed yet, or to be stopped
-	moved    map[string]bool             // machines whose attempts changed since they were last asked for
-	usedCPU  float64
-	usedGPU  float64
-	alienCPU float64 // what attempts may use that nobody can describe
-	alienGPU float64
-	floors   map[string]float64 // by class, CPUs of the quota that others leave to it
-	out      []Delta
+	rep     *Replica
+	jobs    map[string]*Job
+	order   []*Job // the same, most urgent first
+	held    map[Key]*attempt
+	on      map[string]map[Key]*attempt // by machine
+	todo    map[*attempt]bool           // those that may need an order: not listed yet, or to be stopped
+	moved   map[string]bool             // machines whose attempts changed since they were last asked for
+	usedCPU float64
+	usedGPU float64
+	orphans orphanAccount
+	floors  map[string]float64 // by class, CPUs of the quota that others leave to it
+	out     []Delta
 
 	term    uint64
+	since   uint64 // the term in which this account began: it made every later attempt of the team
 	counter uint64
 	log     func(event string, args ...any)
 }
@@ -162,7 +162,7 @@
 // NewTeam starts an account from a replica, in a term. Attempts in the replica
 // stay held until they are seen or proven off.
 func NewTeam(name string, cpus, maxCPUs, gpus, maxGPUs float64, rep *Replica, term uint64, log func(string, ...any)) *Team {
-	t := &Team{Name: name, CPUs: cpus, MaxCPUs: maxCPUs, GPUs: gpus, MaxGPUs: maxGPUs, rep: rep, term: term,
+	t := &Team{Name: name, CPUs: cpus, MaxCPUs: maxCPUs, GPUs: gpus, MaxGPUs: maxGPUs, rep: rep, term: term, since: term, orphans: newOrphanAccount(),
 		jobs: map[string]*Job{}, held: map[Key]*attempt{}, on: map[string]map[Key]*attempt{},
 		todo: map[*attempt]bool{}, moved: map[string]bool{}, log: log}
 	for _, h := range rep.Holds {
@@ -269,10 +269,6 @@
 	}
 }
 
-// Alien books what tasks may use that nobody can describe, as after the state service
-// lost their jobs: it counts against the quota, since it may be this team's.
-func (t *Team) Alien(cpus, gpus float64) { t.alienCPU, t.alienGPU = cpus, gpus }
-
 // Merge takes in finished tasks of an active job that were remembered elsewhere.
 func (t *Team) Merge(uid string, done *bitset.BitSet) {
 	if j := t.jobs[uid]; j != nil && j.Spec.Kind == wire.Service {
@@ -431,7 +427,8 @@
 // Fits says whether the quota has room for so many more tasks of a job.
 func (t *Team) Fits(j *Job, tasks int) bool {
 	n := float64(tasks)
-	return t.usedCPU+t.alienCPU+n*j.Spec.CPUs <= t.MaxCPUs+slack && t.usedGPU+t.alienGPU+n*j.Spec.GPUs <= t.MaxGPUs+slack
+	cpus, gpus := t.charged()
+	return cpus+n*j.Spec.CPUs <= t.MaxCPUs+slack && gpus+n*j.Spec.GPUs <= t.MaxGPUs+slack
 }
 
 // Doubt books whether a job is held to fail on every machine. Such a job asks for
@@ -574,37 +571,35 @@
 	return names
 }
 
-// Observe takes in a machine's view and gives the orders that follow from it.
-// spec finds any job that was ever active and whether it is over.
-func (t *Team) Observe(v *View, now time.Time, mine func(job string) (spec *wire.Submission, active, ok bool)) []Order {
+// Observe takes in a machine's view and gives the orders that follow from it. Whatever the view lists and this
+// account may have to answer for counts against the team's limit from then on, until it is proven off.
+func (t *Team) Observe(v *View, now time.Time, known Knowledge) []Order {
 	var orders []Order
 	seen := map[Key]bool{}
+	var left orphanCount
 	for i := range v.Tasks {
 		x := &v.Tasks[i]
-		a := t.held[x.Key]
-		if a != nil && a.Machine == v.Machine && a.Attempt == x.Attempt && a.Session == v.Session {
+		if t.listed(v, x, now) {
 			seen[x.Key] = true
-			if x.State == Ordered {
-				continue
-			}
-			if x.State == wire.Exited {
-				t.exited(a, x, now)
-			} else {
-				if a.listed.IsZero() {
-					a.listed = now
-				}
-				t.setState(a, x.State)
+			if x.State != wire.Exited {
 				continue
 			}
 		}
-		spec, active, ok := mine(x.Job)
-		if !ok || x.State == Ordered {
+		if x.State == Ordered {
+			continue
+		}
+		job := known.Job(x.Job)
+		if job.Known && !job.Mine {
+			continue
+		}
+		if !job.Known {
+			t.countUnknown(&left, x)
 			continue
 		}
 		order := Order{Key: x.Key, Attempt: x.Attempt, Session: v.Session}
 		switch {
 		case x.State == wire.Exited:
-			if x.Why == wire.WhyDone && active && x.Index < spec.Tasks {
+			if x.Why == wire.WhyDone && job.Active && x.Index < job.Spec.Tasks {
 				t.done(x.Key)
 				if j := t.jobs[x.Job]; j == nil || !j.saved.Test(uint(x.Index)) {
 					continue // forgotten only once the state service knows
@@ -612,14 +607,43 @@
 			}
 			order.Op = wire.Forget
 			orders = append(orders, order)
-		case active && t.held[x.Key] == nil && !t.isDone(x.Key) && x.Index < spec.Tasks:
-			t.adopt(v, x, spec, now)
+		case job.Active && t.held[x.Key] == nil && !t.isDone(x.Key) && x.Index < job.Spec.Tasks:
+			t.adopt(v, x, job.Spec, now)
 			seen[x.Key] = true
 		default:
+			if t.holdOrphan(&left, v, x, job.Spec, now) {
+				seen[x.Key] = true
+			}
 			order.Op = wire.Stop
 			orders = append(orders, order)
 		}
 	}
+	t.orphans.observe(v, left, known)
+	t.releaseProven(v, seen)
+	return orders
+}
+
+// listed takes in what a view says of an attempt that this account holds there; false if it holds none.
+func (t *Team) listed(v *View, x *TaskView, now time.Time) bool {
+	a := t.held[x.Key]
+	if a == nil || a.Machine != v.Machine || a.Attempt != x.Attempt || a.Session != v.Session {
+		return false
+	}
+	switch x.State {
+	case Ordered:
+	case wire.Exited:
+		t.exited(a, x, now)
+	default:
+		if a.listed.IsZero() {
+			a.listed = now
+		}
+		t.setState(a, x.State)
+	}
+	return true
+}
+
+// releaseProven ends the holds on a machine that its view proves to be off.
+func (t *Team) releaseProven(v *View, seen map[Key]bool) {
 	for _, a := range t.sortedOn(v.Machine) {
 		switch {
 		case v.Session < a.Session || seen[a.Key]:
@@ -633,7 +657,6 @@
 			t.off(a, "later term")
 		}
 	}
-	return orders
 }
 
 func (t *Team) sortedOn(machine string) []*attempt {
@@ -649,7 +672,7 @@
 
 // adopt takes up an attempt found on a machine that the account did not hold,
 // as after a full barrier.
-func (t *Team) adopt(v *View, x *TaskView, spec *wire.Submission, now time.Time) {
+func (t *Team) adopt(v *View, x *TaskView, spec *wire.Submission, now time.Time) *attempt {
 	a := &attempt{Hold: Hold{Key: x.Key, Attempt: x.Attempt, Machine: v.Machine, Zone: v.Zone, Session: v.Session,
 		CPUs: spec.CPUs, GPUs: spec.GPUs, Memory: spec.Memory}, listed: now}
 	t.hold(a)
@@ -657,6 +680,7 @@
 	a.seq = t.emit(Delta{Place: []Hold{a.Hold}})
 	t.setState(a, x.State)
 	t.log("attempt adopted", "task", a.Job, "index", a.Index, "attempt", a.Attempt, "machine", a.Machine)
+	return a
 }
 
 // exited books the end of an attempt.
@@ -692,6 +716,7 @@
 	for _, a := range t.sortedOn(machine) {
 		t.off(a, "machine returned")
 	}
+	t.orphans.gone(machine)
 }
 
 // resend is how long an order may take before it is given again.
@@ -848,7 +873,7 @@
 // Demands lists what the team would place if there were room, most urgent first, and for each
 // class what is beyond the quota.
 func (t *Team) Demands(now time.Time) []Demand {
-	cpus, gpus := t.usedCPU+t.alienCPU, t.usedGPU+t.alienGPU
+	cpus, gpus := t.charged()
 	var out, probes []Demand
 	beyond := 0.0 // CPU seconds that the quota has no room for now
 	over := map[string]int{}
--- a/internal/workers/home.go
+++ b/internal/workers/home.go
@@ -157,6 +157,9 @@
 			m.changed()
 		case wire.Stop:
 			if !m.lists(o.Ref()) {
+				if s == nil && ledger.TermOf(o.Attempt) != h.term {
+					continue // a home of its term may have sent its start: only a report under a later one proves it off
+				}
 				if s == nil || (!s.barred && !s.listed && m.settled(s)) {
 					m.unqueue(wire.Start, o.Ref())
 					m.starts[o.Ref()] = &start{order: o, barred: true}
--- a/internal/workers/home_test.go
+++ b/internal/workers/home_test.go
@@ -89,6 +89,28 @@
 	}
 }
 
+// TestStartOfAnEarlierTermIsNotBarred: a stop for an attempt of an earlier term that the machine does not list is no
+// proof that its start was never sent: the home of that term may have sent it, and it may still arrive.
+func TestStartOfAnEarlierTermIsNotBarred(t *testing.T) {
+	h, m := home(t)
+	o := startOf("job-1")
+	o.Attempt = ledger.AttemptID(1, 5)
+	h.Take(1, "m", []ledger.Order{o})
+	m.Sent(m.Send(), false, true)
+	h.SetTerm(2, func(string) bool { return true })
+	o.Op = wire.Stop
+	h.Take(2, "m", []ledger.Order{o})
+	if v := h.View("m"); len(v.Barred) != 0 {
+		t.Fatalf("view bars %v, which the home of an earlier term sent", v.Barred)
+	}
+	// The same stop for an attempt of the home's own term, of which no start came, is proof.
+	o.Attempt = ledger.AttemptID(2, 1)
+	h.Take(2, "m", []ledger.Order{o})
+	if v := h.View("m"); len(v.Barred) != 1 {
+		t.Fatalf("view bars %v, want the attempt that this home never sent", v.Barred)
+	}
+}
+
 // TestOtherTermIsRefused: a home carries no order of another term, so that a
 // replaced owner's starts end with their term.
 func TestOtherTermIsRefused(t *testing.T) {
--- a/node.go
+++ b/node.go
@@ -529,6 +529,7 @@
 	if j == nil {
 		j = &job{spec: s.Spec, at: time.UnixMilli(s.At), active: true}
 		n.jobs[s.Spec.UID] = j
+		n.reobserveReserved(s.Spec.UID)
 	}
 	j.version = max(j.version, version)
 	if it := n.items[teamItem(s.Spec.Team)]; it != nil && it.phase != loading && it.team.Job(s.Spec.UID) == nil {
--- /dev/null
+++ b/orphan.go
@@ -0,0 +1,140 @@
+package topazhollow
+
+import (
+	"math"
+	"time"
+
+	"topazhollow/internal/frontend"
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/wire"
+)
+
+// What this controller knows of orphaned tasks: those that machines list though no account placed them or their job
+// is over. The accounts count them against the quota (internal/ledger); here is how a job's end is looked up.
+
+// teamKnowledge is what this controller can tell the account of a team.
+type teamKnowledge struct {
+	n    *Node
+	team string
+}
+
+// Job describes a job by what is followed here, or else by its remembered end.
+func (k teamKnowledge) Job(uid string) ledger.JobInfo {
+	if j := k.n.jobs[uid]; j != nil {
+		return ledger.JobInfo{Known: true, Mine: j.spec.Team == k.team, Active: j.active, Spec: j.spec}
+	}
+	if end, ended := k.n.front.Final(uid); ended {
+		return ledger.JobInfo{Known: true, Mine: end.Team == k.team, Spec: endedSpec(uid, end)}
+	}
+	return ledger.JobInfo{}
+}
+
+// Unsized is what a machine has beside the listed tasks of known size.
+func (k teamKnowledge) Unsized(v *ledger.View) (cpus, gpus float64) {
+	cpus, gpus, _, ok := k.n.capacity(v.Type)
+	if !ok {
+		return math.Inf(1), math.Inf(1)
+	}
+	for _, t := range v.Tasks {
+		if t.State != wire.Exited {
+			c, g, _ := k.n.size(t.Job)
+			cpus, gpus = cpus-c, gpus-g
+		}
+	}
+	return cpus, gpus
+}
+
+// endedSpec is what is left of a job's description after its end.
+func endedSpec(uid string, end frontend.Final) *wire.Submission {
+	return &wire.Submission{UID: uid, Team: end.Team, Tasks: end.Tasks, CPUs: end.CPUs, GPUs: end.GPUs, Memory: end.Memory}
+}
+
+// sized says whether it is known what a job's tasks take.
+func sized(spec *wire.Submission) bool { return spec.CPUs > 0 || spec.GPUs > 0 }
+
+// oldestUnknown is the earliest term of the listed attempts whose jobs nobody here can describe; the greatest
+// number if there are none.
+func (n *Node) oldestUnknown(v *ledger.View) uint64 {
+	oldest := uint64(math.MaxUint64)
+	for _, t := range v.Tasks {
+		if t.State != wire.Exited && n.jobs[t.Job] == nil {
+			oldest = min(oldest, ledger.TermOf(t.Attempt))
+		}
+	}
+	return oldest
+}
+
+// reobserveReserved has accounts that reserve quota for tasks of a job look again at their machines, once it
+// became known.
+func (n *Node) reobserveReserved(uid string) {
+	for name := range n.lists[uid] {
+		for _, it := range n.items {
+			if it.phase == ready && it.team.Reserves(name) {
+				n.observe(it, n.machines[name].view)
+			}
+		}
+	}
+}
+
+const (
+	// lookUpAgain is after what time a job that was not found, or not with its size, is looked up again.
+	lookUpAgain = 10 * time.Second
+	// maxLookUps bounds the look-ups under way.
+	maxLookUps = 64
+)
+
+// lookUp learns what became of a job that a machine lists and that this controller can't describe.
+func (n *Node) lookUp(uid string, attempt uint64) {
+	if j := n.jobs[uid]; j != nil && (j.active || sized(j.spec)) {
+		return
+	}
+	if n.lookups[uid] || len(n.lookups) >= maxLookUps || time.Since(n.store.unknown[uid]) < lookUpAgain {
+		return
+	}
+	n.lookups[uid] = true
+	n.group.Go(func() error {
+		end, found, absent := n.front.LookUp(n.ctx, uid)
+		if found && end.CPUs == 0 && end.GPUs == 0 {
+			if stored, ok := n.front.ReadEnd(n.ctx, uid); ok {
+				end = stored
+			}
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.lookups, uid)
+		if found {
+			n.learnEnd(uid, end)
+		} else {
+			n.notFound(uid, attempt, absent)
+		}
+		return nil
+	})
+}
+
+// learnEnd takes in the end of a job that was looked up.
+func (n *Node) learnEnd(uid string, end frontend.Final) {
+	spec := endedSpec(uid, end)
+	j := n.jobs[uid]
+	switch {
+	case j == nil:
+		n.jobs[uid] = &job{spec: spec, ended: time.Now()}
+	case !j.active && !sized(j.spec):
+		j.spec = spec
+	}
+	if !sized(spec) {
+		n.store.unknown[uid] = time.Now()
+	}
+	n.reobserveReserved(uid)
+}
+
+// notFound books that a job has no end in the state service; absent: it is surely not there as active either.
+func (n *Node) notFound(uid string, attempt uint64, absent bool) {
+	if n.jobs[uid] != nil {
+		return
+	}
+	n.store.unknown[uid] = time.Now()
+	if absent && n.record != nil && (n.record.Generation == 1 || ledger.TermOf(attempt) >= n.record.First) {
+		// A task is started only for a job that was accepted, and an accepted job has one key or the other for ever.
+		n.prove("a worker has a task of a job that the store does not know")
+	}
+}
--- a/owner.go
+++ b/owner.go
@@ -261,16 +261,13 @@
 		return
 	}
 	team, _ := teamOf(it.name)
-	orders := it.team.Observe(v, time.Now(), func(uid string) (*wire.Submission, bool, bool) {
-		j := n.jobs[uid]
-		if j == nil || j.spec.Team != team {
-			return nil, false, false
-		}
-		return j.spec, j.active, true
-	})
+	orders := it.team.Observe(v, time.Now(), teamKnowledge{n, team})
 	if len(orders) > 0 {
 		n.order(v.Machine, orders)
 	}
+	for _, ref := range it.team.Unsized(v.Machine) {
+		n.lookUp(ref.Job, ref.Attempt)
+	}
 }
 
 // reobserve looks again at the machines that hold tasks of a job.
@@ -442,9 +439,7 @@
 	if !n.entitled(now) {
 		return
 	}
-	cpus, gpus := n.alien()
 	for _, it := range n.items {
-		it.team.Alien(cpus, gpus)
 		it.team.Keep(n.floorsOf(it))
 	}
 	n.place(now)
@@ -689,7 +684,7 @@
 func (n *Node) commitDone(ctx context.Context, it *item, j *ledger.Job, version, written uint64) {
 	uid := j.Spec.UID
 	team, _ := teamOf(it.name)
-	end := frontend.Final{State: wire.Done, Tasks: j.Spec.Tasks, Team: team}
+	end := frontend.EndOf(j.Spec, wire.Done)
 	_, err := n.state.Commit(ctx, state.Update{
 		Guards: []wire.Guard{{Key: frontend.JobKey + uid, Version: written}, {Key: controlKey, Version: version}},
 		Ops:    []wire.Op{{Delete: frontend.JobKey + uid}, {Set: frontend.FinalKey + uid, Value: wire.Encode(end)}}})
--- a/sync_test.go
+++ b/sync_test.go
@@ -201,7 +201,7 @@
 		for i := range 2 { // one more task of each completes, job 1 is written first
 			uid := fmt.Sprintf("job-%06d", 1-i)
 			v := &ledger.View{Machine: "m", Session: 1, Tasks: []ledger.TaskView{{Key: ledger.Key{Job: uid, Index: round}, Attempt: 1, State: wire.Exited, Why: wire.WhyDone}}}
-			it.team.Observe(v, n.began, func(string) (*wire.Submission, bool, bool) { return array(1-i, 10, "red"), true, true })
+			it.team.Observe(v, n.began, teamKnowledge{n, "red"})
 			for _, p := range it.book.Plan(it.team.Unsaved(), it.team.Finished) {
 				key := fmt.Sprint(pagesPath(name), p.Number)
 				store[key] = wire.Entry{Key: key, Value: wire.Encode(p.Parts), Version: p.Version + 1}
--- a/writeback.go
+++ b/writeback.go
@@ -358,21 +358,6 @@
 	})
 }
 
-// alien is what undescribed tasks may take, counted against every team's limit: all that
-// their machines have.
-func (n *Node) alien() (cpus, gpus float64) {
-	if n.generation() <= 1 {
-		return 0, 0
-	}
-	for _, m := range n.machines {
-		if !m.gone && m.view != nil && n.undescribed(m.view) {
-			c, g, _, _ := n.capacity(m.view.Type)
-			cpus, gpus = cpus+c, gpus+g
-		}
-	}
-	return cpus, gpus
-}
-
 func (n *Node) storeStatus() rebuild.Status {
 	phase, _, sign := n.store.watch.Phase()
 	signs, losses := n.store.watch.Counts()
