Rehearsal: lost answers, mute and hung machines, late commands, histories of answers

Need: meetings of two troubles that no test covers need stand-ins that bring them about and a check over all answers. internal/history records what users asked and were told, and finds answers older than an earlier one; it agrees with a plain model over 20,000 drawn histories. The stand-ins lose answers of transactions carried out at once, keep and deliver reports, mute or hang machines, hold commands up, let tasks save; the checker looks at zones (together, apart) and at overlapping answers.

--- /dev/null
+++ b/internal/history/history_test.go
@@ -0,0 +1,156 @@
+package history
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"topazhollow/internal/wire"
+)
+
+// slowCheck is the plain model: it compares every answer with every other one.
+func slowCheck(calls []Call) map[uint64]string {
+	broken := map[uint64]string{}
+	for _, c := range calls {
+		if c.Returned == 0 {
+			continue
+		}
+		if rule := slowRule(c, calls); rule != "" {
+			broken[c.Returned] = rule
+		}
+	}
+	return broken
+}
+
+func isKnown(c Call) bool  { return c.Returned > 0 && (c.Status == 200 || c.Status == 201) }
+func isFinal(c Call) bool  { return isKnown(c) && (c.State == wire.Done || c.State == wire.Withdrawn) }
+func isActive(c Call) bool { return isKnown(c) && !isFinal(c) }
+func isUnknown(c Call) bool {
+	return c.Returned > 0 && (c.Status == 404 || c.Kind == Submit && (c.Status == 400 || c.Status == 422))
+}
+
+func slowRule(c Call, calls []Call) string {
+	some := func(holds func(other Call) bool) bool {
+		return slices.ContainsFunc(calls, func(o Call) bool { return o.Job == c.Job && holds(o) })
+	}
+	earlier := func(o Call) bool { return o.Returned > 0 && o.Returned < c.Invoked }
+	switch {
+	case isUnknown(c) && some(func(o Call) bool { return earlier(o) && isKnown(o) }):
+		return Forgotten
+	case !isKnown(c):
+		return ""
+	case !some(func(o Call) bool { return o.Kind == Submit && o.Invoked < c.Returned }):
+		return Invented
+	case isActive(c) && some(func(o Call) bool { return earlier(o) && isFinal(o) }):
+		return WentBack
+	case isFinal(c) && slowFirstFinal(c, calls) != c.State:
+		return WentBack
+	case isFinal(c) && c.State == wire.Withdrawn && !some(func(o Call) bool { return o.Kind == Cancel && o.Invoked < c.Returned }):
+		return WentBack
+	case isActive(c) && c.Kind == Cancel:
+		return Unsettled
+	case c.Status == 201 && some(func(o Call) bool { return earlier(o) && isKnown(o) }):
+		return AcceptedTwice
+	}
+	return ""
+}
+
+// slowFirstFinal is the state of the job's first final answer.
+func slowFirstFinal(c Call, calls []Call) string {
+	first := c
+	for _, o := range calls {
+		if o.Job == c.Job && isFinal(o) && o.Returned < first.Returned {
+			first = o
+		}
+	}
+	return first.State
+}
+
+// drawCalls records overlapping requests with answers drawn at random.
+func drawCalls(rng *rand.Rand) []Call {
+	var log Log
+	var open []int
+	statuses := []int{200, 200, 200, 201, 404, 422, 503}
+	states := []string{wire.Pending, wire.Running, wire.Done, wire.Withdrawn}
+	for range 2 + rng.IntN(24) {
+		if len(open) > 0 && rng.IntN(2) == 0 {
+			k := rng.IntN(len(open))
+			log.Return(open[k], statuses[rng.IntN(len(statuses))], states[rng.IntN(len(states))])
+			open = slices.Delete(open, k, k+1)
+			continue
+		}
+		kind := []Kind{Submit, Ask, Cancel}[rng.IntN(3)]
+		open = append(open, log.Invoke(rng.IntN(3), kind, fmt.Sprintf("job-%d", rng.IntN(2))))
+	}
+	return log.Calls()
+}
+
+// TestCheckAgreesWithModel: drawn histories, most of which break something, are judged as by the plain model.
+func TestCheckAgreesWithModel(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 14))
+	seen := map[string]int{}
+	for round := range 20000 {
+		calls := drawCalls(rng)
+		want, got := slowCheck(calls), map[uint64]string{}
+		for _, v := range Check(calls) {
+			got[v.Answer.Returned] = v.Rule
+			seen[v.Rule]++
+		}
+		if fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Fatalf("round %d: %v, the model says %v, of\n%v", round, got, want, calls)
+		}
+		if len(want) == 0 {
+			seen[""]++
+		}
+	}
+	for _, rule := range []string{Forgotten, WentBack, AcceptedTwice, Invented, Unsettled, ""} {
+		if seen[rule] == 0 {
+			t.Errorf("no history with %q was drawn", rule)
+		}
+	}
+}
+
+// record builds a history in which each request is answered before the next one is sent.
+func record(steps ...Call) []Call {
+	var log Log
+	for _, s := range steps {
+		log.Return(log.Invoke(s.Node, s.Kind, "job-1"), s.Status, s.State)
+	}
+	return log.Calls()
+}
+
+// TestOverlappingAnswersMayDiffer: an answer binds only requests sent after it arrived.
+func TestOverlappingAnswersMayDiffer(t *testing.T) {
+	var log Log
+	submit := log.Invoke(0, Submit, "job-1")
+	early := log.Invoke(1, Ask, "job-1")
+	log.Return(submit, 201, wire.Pending)
+	log.Return(early, 404, "")
+	if found := Check(log.Calls()); len(found) > 0 {
+		t.Errorf("a question sent before the acceptance arrived is bound by it: %v", found)
+	}
+	log.Return(log.Invoke(2, Ask, "job-1"), 404, "")
+	if found := Check(log.Calls()); len(found) != 1 || found[0].Rule != Forgotten {
+		t.Errorf("a question sent after it is not: %v", found)
+	}
+}
+
+// TestOlderAnswersOfOtherNodes: each kind of older answer is found, whichever controller gives it.
+func TestOlderAnswersOfOtherNodes(t *testing.T) {
+	accepted := Call{Node: 0, Kind: Submit, Status: 201, State: wire.Pending}
+	cancelled := Call{Node: 1, Kind: Cancel, Status: 200, State: wire.Withdrawn}
+	for rule, calls := range map[string][]Call{
+		Forgotten:     record(accepted, Call{Node: 1, Kind: Ask, Status: 404}),
+		WentBack:      record(accepted, cancelled, Call{Node: 2, Kind: Ask, Status: 200, State: wire.Running}),
+		AcceptedTwice: record(accepted, Call{Node: 1, Kind: Submit, Status: 201, State: wire.Pending}),
+		Invented:      record(Call{Node: 1, Kind: Ask, Status: 200, State: wire.Pending}),
+		Unsettled:     record(accepted, Call{Node: 1, Kind: Cancel, Status: 200, State: wire.Running}),
+		"":            record(accepted, Call{Node: 1, Kind: Ask, Status: 503}, cancelled, Call{Node: 2, Kind: Submit, Status: 200, State: wire.Withdrawn}),
+	} {
+		found := Check(calls)
+		if rule == "" && len(found) > 0 || rule != "" && (len(found) != 1 || found[0].Rule != rule) {
+			t.Errorf("%q: %v", rule, found)
+		}
+	}
+}
--- a/internal/rehearse/check.go
+++ b/internal/rehearse/check.go
@@ -17,11 +17,16 @@
 	mu      sync.Mutex
 	limits  map[string]float64 // CPUs by team
 	jobs    map[string]*truth
-	on      map[string]string // task -> machine
+	on      map[string]place // what is on machines, by task
 	Broken  []string
 	Started int
 }
 
+// place is where a task is.
+type place struct {
+	machine, zone string
+}
+
 type truth struct {
 	spec      *wire.Submission
 	accepted  bool
@@ -34,7 +39,7 @@
 
 // NewChecker is a checker with the teams' limits.
 func NewChecker(limits map[string]float64) *Checker {
-	return &Checker{limits: limits, jobs: map[string]*truth{}, on: map[string]string{}}
+	return &Checker{limits: limits, jobs: map[string]*truth{}, on: map[string]place{}}
 }
 
 func (c *Checker) fault(rule, format string, args ...any) {
@@ -45,11 +50,11 @@
 func (c *Checker) Rules() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for task, machine := range c.on {
+	for task, at := range c.on {
 		uid, _, _ := wire.SplitTask(task)
 		if t := c.jobs[uid]; t != nil && c.late(t) && !t.overdue {
 			t.overdue = true
-			c.fault("ran_cancelled", "%s is on %s", task, machine)
+			c.fault("ran_cancelled", "%s is on %s", task, at.machine)
 		}
 	}
 	return append([]string(nil), c.Broken...)
@@ -79,10 +84,44 @@
 	return nil
 }
 
-// Told notes what a user was told of a job by a status code and a state.
+// Known is what users had been told of a job when a request was sent; only that binds its answer.
+type Known struct {
+	accepted bool
+	final    string
+}
+
+// Asking gives what users were told of a job so far, for the answer to a request that is sent now.
+func (c *Checker) Asking(uid string) Known {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known(uid)
+}
+
+func (c *Checker) known(uid string) Known {
+	t := c.jobs[uid]
+	if t == nil {
+		return Known{}
+	}
+	return Known{accepted: t.accepted, final: t.final}
+}
+
+// Told notes what a user was told of a job by a status code and a state, in answer to a request that no other one
+// about the job overlapped.
 func (c *Checker) Told(uid string, status int, state string, repeat bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.answered(uid, c.known(uid), status, state, repeat)
+}
+
+// Answered is Told for requests that may overlap: before is what Asking gave when this one was sent.
+func (c *Checker) Answered(uid string, before Known, status int, state string, repeat bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered(uid, before, status, state, repeat)
+}
+
+func (c *Checker) answered(uid string, before Known, status int, state string, repeat bool) {
+	final := state == wire.Done || state == wire.Withdrawn
 	t := c.jobs[uid]
 	switch {
 	case t == nil && status == 200:
@@ -90,17 +129,17 @@
 		return
 	case t == nil:
 		return
-	case status == 404 && t.accepted, repeat && t.accepted && (status == 400 || status == 422):
+	case status == 404 && before.accepted, repeat && before.accepted && (status == 400 || status == 422):
 		c.fault("forgotten", "%s got %d", uid, status)
 	case status == 200 || status == 201:
 		t.accepted = true
-		if t.final != "" && state != t.final {
+		if before.final != "" && state != before.final || final && t.final != "" && state != t.final {
 			c.fault("went_back", "%s: %s after %s", uid, state, t.final)
 		}
 		if state == wire.Withdrawn && !t.withdrawn {
 			c.fault("went_back", "%s withdrawn, but not by its user", uid)
 		}
-		if state == wire.Done || state == wire.Withdrawn {
+		if final {
 			if t.final == "" {
 				t.told = time.Now()
 			}
@@ -116,7 +155,9 @@
 func (c *Checker) Withdrawing(uid string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.jobs[uid].withdrawn = true
+	if t := c.jobs[uid]; t != nil {
+		t.withdrawn = true
+	}
 }
 
 // Start notes that a task got onto a machine.
@@ -127,9 +168,9 @@
 	uid, _, _ := wire.SplitTask(task)
 	t := c.jobs[uid]
 	if other, there := c.on[task]; there {
-		c.fault("ran_twice", "%s on %s and %s", task, other, machine)
+		c.fault("ran_twice", "%s on %s and %s", task, other.machine, machine)
 	}
-	c.on[task] = machine
+	c.on[task] = place{machine, zone}
 	if t == nil {
 		c.fault("invented", "%s runs", task)
 		return
@@ -140,6 +181,7 @@
 	if (spot && !t.spec.Spot) || (t.spec.Zone != nil && *t.spec.Zone != zone) || (t.spec.Types != nil && !contains(t.spec.Types, typ)) {
 		c.fault("wrong_place", "%s on %s", task, machine)
 	}
+	c.checkZones(t.spec, zone)
 	used := 0.0
 	for other := range c.on {
 		u, _, _ := wire.SplitTask(other)
@@ -152,6 +194,22 @@
 	}
 }
 
+// checkZones checks a job's tasks on machines against its wishes for zones, after one started in a zone.
+func (c *Checker) checkZones(spec *wire.Submission, zone string) {
+	zones := map[string]int{}
+	for task, at := range c.on {
+		if uid, _, _ := wire.SplitTask(task); uid == spec.UID {
+			zones[at.zone]++
+		}
+	}
+	if spec.OneZone && len(zones) > 1 {
+		c.fault("wrong_place", "%s is in %d zones at a time", spec.UID, len(zones))
+	}
+	if most := (spec.Tasks + 1) / 2; spec.Spread && zones[zone] > most {
+		c.fault("wrong_place", "%s has %d of %d tasks in one zone", spec.UID, zones[zone], spec.Tasks)
+	}
+}
+
 func contains(list []string, s string) bool {
 	for _, x := range list {
 		if x == s {
@@ -179,6 +237,18 @@
 	return c.Started
 }
 
+// OnOf counts a job's tasks that are on machines.
+func (c *Checker) OnOf(uid string) (count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for task := range c.on {
+		if job, _, _ := wire.SplitTask(task); job == uid {
+			count++
+		}
+	}
+	return count
+}
+
 // On counts the tasks that are on machines.
 func (c *Checker) On() int {
 	c.mu.Lock()
--- a/internal/rehearse/check_test.go
+++ b/internal/rehearse/check_test.go
@@ -29,7 +29,29 @@
 			c.Start("job-1/1", "m1", "t", "east", false)
 			c.Start("job-1/2", "m1", "t", "east", false)
 		},
-		"wrong_place":          func(c *Checker) { c.Start("job-1/0", "m1", "t", "west", false) },
+		"wrong_place": func(c *Checker) { c.Start("job-1/0", "m1", "t", "west", false) },
+		"wrong_place: two zones": func(c *Checker) {
+			together := &wire.Submission{UID: "job-2", Team: "red", Tasks: 3, CPUs: 1, OneZone: true}
+			c.Submitting(together)
+			c.Start("job-2/0", "m1", "t", "east", false)
+			c.Start("job-2/1", "m2", "t", "west", false)
+		},
+		"wrong_place: not apart": func(c *Checker) {
+			apart := &wire.Submission{UID: "job-2", Team: "red", Tasks: 3, CPUs: 1, Spread: true}
+			c.Submitting(apart)
+			for i, machine := range []string{"m1", "m1", "m2"} {
+				c.Start(wire.TaskName("job-2", i), machine, "t", "east", false)
+			}
+		},
+		"went_back: both final": func(c *Checker) {
+			c.Withdrawing("job-1")
+			before := c.Asking("job-1")
+			for i := range 3 {
+				c.End(wire.TaskName("job-1", i), true)
+			}
+			c.Answered("job-1", before, 200, wire.Withdrawn, false)
+			c.Answered("job-1", before, 200, wire.Done, false)
+		},
 		"ran_cancelled":        func(c *Checker) { withdrawn(c); c.Start("job-1/0", "m1", "t", "east", false) },
 		"ran_cancelled: stays": func(c *Checker) { c.Start("job-1/0", "m1", "t", "east", false); withdrawn(c) },
 		"forgotten":            func(c *Checker) { c.Told("job-1", 201, wire.Pending, false); c.Told("job-1", 404, "", false) },
--- a/internal/rehearse/cloud.go
+++ b/internal/rehearse/cloud.go
@@ -65,6 +65,18 @@
 	}
 }
 
+// Take takes a machine away without notice, with everything on it.
+func (c *Cloud) Take(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h := c.hosts[name]; h != nil {
+		if h.worker != nil {
+			h.worker.End()
+		}
+		delete(c.hosts, name)
+	}
+}
+
 // Workers lists the machines that are up.
 func (c *Cloud) Workers() []*Worker {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/rehearse/faults.go
@@ -0,0 +1,267 @@
+package rehearse
+
+import (
+	"bytes"
+	"net/http"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// hungStep is how often a machine that hangs looks whether it goes on.
+const hungStep = 20 * time.Millisecond
+
+// keptReports bounds the copies of reports that a worker keeps.
+const keptReports = 200
+
+// faults are what keeps a machine's messages and tasks from their way.
+type faults struct {
+	gone  bool            // the machine is
+	cut   bool            // nothing passes
+	deaf  bool            // reports arrive; answers and direct commands are lost
+	mute  bool            // no report arrives; direct commands do
+	hung  bool            // the machine does nothing
+	reach map[string]bool // the controllers that its reports come to; nil: all
+
+	again   func() time.Duration // when a copy of a report is delivered once more
+	repeats int                  // late copies that were delivered
+	keep    bool                 // copies of reports
+	hold    int                  // the next so many reports are kept instead of being delivered
+	kept    [][]byte
+
+	slow     func() time.Duration // for how long a direct command is held up
+	waiting  []wire.Direct        // commands that came while the machine hung
+	obeyed   int                  // commands that were held up and executed
+	outdated int                  // those whose token or session did not match any more
+}
+
+// unreached says whether no direct request comes through.
+func (f *faults) unreached() bool { return f.gone || f.cut || f.deaf || f.reach != nil }
+
+// silent says whether reports do not come to a controller.
+func (f *faults) silent(node string) bool {
+	return f.gone || f.cut || f.mute || f.reach != nil && !f.reach[node]
+}
+
+// Cut takes the worker's network away or gives it back.
+func (w *Worker) Cut(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults.cut = on
+}
+
+// Deaf has answers to the worker's reports and direct commands lost; its reports arrive.
+func (w *Worker) Deaf(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults.deaf = on
+}
+
+// Mute keeps the worker from reaching any controller; direct commands reach it.
+func (w *Worker) Mute(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults.mute = on
+}
+
+// Hang stops the machine, or has it go on. It reports nothing, its tasks make no end, and direct commands wait
+// without an answer; within its lease it executes these once it goes on.
+func (w *Worker) Hang(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults.hung = on
+	if on {
+		return
+	}
+	waiting := w.faults.waiting
+	w.faults.waiting = nil
+	for i := range waiting {
+		w.obeyLate(&waiting[i])
+	}
+}
+
+// Reach bounds which controllers the worker and its machine can be reached by; none given: all. Direct
+// commands come from any of them, so that a bound shuts them out altogether.
+func (w *Worker) Reach(nodes ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults.reach = nil
+	for _, n := range nodes {
+		if w.faults.reach == nil {
+			w.faults.reach = map[string]bool{}
+		}
+		w.faults.reach[n] = true
+	}
+}
+
+// Again has copies of reports delivered once more after a time; 0: not that one, nil: none.
+func (w *Worker) Again(after func() time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults.again = after
+}
+
+// Repeats counts the late copies of reports that were delivered.
+func (w *Worker) Repeats() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faults.repeats
+}
+
+// KeepCopies keeps a copy of each report that is sent from now on, for Deliver.
+func (w *Worker) KeepCopies(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults.keep = on
+}
+
+// HoldReports has the next so many reports held up on their way until Deliver.
+func (w *Worker) HoldReports(count int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults.hold = count
+}
+
+// Kept counts the reports that wait for Deliver.
+func (w *Worker) Kept() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.faults.kept)
+}
+
+// Deliver sends what was kept of reports to each of some controllers, in the order in which it was made; nobody
+// hears the answers. It gives how many arrived.
+func (w *Worker) Deliver(nodes ...string) (arrived int) {
+	w.mu.Lock()
+	kept := w.faults.kept
+	w.faults.kept = nil
+	w.mu.Unlock()
+	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for _, node := range nodes {
+		for _, body := range kept {
+			if w.repeat(client, "http://"+w.nodes[node]+wire.PathReport, body) {
+				arrived++
+			}
+		}
+	}
+	return arrived
+}
+
+// SlowCommands has direct commands held up for a time, unanswered, and then executed once if token and session
+// match; 0: not that one, nil: none.
+func (w *Worker) SlowCommands(hold func() time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults.slow = hold
+}
+
+// LateCommands counts the requests with commands that were held up, here or by a machine that hung, and executed,
+// and those that were refused by then.
+func (w *Worker) LateCommands() (obeyed, outdated int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faults.obeyed, w.faults.outdated
+}
+
+func (w *Worker) hangs() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faults.hung
+}
+
+// hears says whether the answer to a report comes through.
+func (w *Worker) hears() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.faults.deaf && !w.faults.hung
+}
+
+// passes says whether direct commands come through now; otherwise they may be executed later.
+func (w *Worker) passes(d *wire.Direct) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.faults.unreached() {
+		return true // and are refused there
+	}
+	if w.faults.hung {
+		w.faults.waiting = append(w.faults.waiting, *d)
+		return false
+	}
+	if w.faults.slow == nil {
+		return true
+	}
+	held := w.faults.slow()
+	if held > 0 {
+		time.AfterFunc(held, func() { w.arrivesLate(d) })
+	}
+	return held <= 0
+}
+
+// arrivesLate executes direct commands that were held up.
+func (w *Worker) arrivesLate(d *wire.Direct) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.faults.gone:
+	case w.faults.hung:
+		w.faults.waiting = append(w.faults.waiting, *d)
+	default:
+		w.obeyLate(d)
+	}
+}
+
+func (w *Worker) obeyLate(d *wire.Direct) {
+	if w.obey(d) {
+		w.faults.obeyed++
+	} else {
+		w.faults.outdated++
+	}
+}
+
+// nextReport makes a report for a controller and says whether it arrives there now.
+func (w *Worker) nextReport(client *http.Client, node string) (body []byte, session uint64, arrives bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	body = wire.Encode(w.report())
+	arrives = !w.faults.silent(node)
+	held := arrives && w.faults.hold > 0
+	if held {
+		w.faults.hold--
+	}
+	if (held || arrives && w.faults.keep) && len(w.faults.kept) < keptReports {
+		w.faults.kept = append(w.faults.kept, body)
+	}
+	w.copyLater(client, node, body)
+	return body, w.session, arrives && !held
+}
+
+// copyLater has a copy of a report delivered once more, if that is wished for.
+func (w *Worker) copyLater(client *http.Client, node string, body []byte) {
+	if w.faults.again == nil || w.faults.silent(node) {
+		return
+	}
+	if after := w.faults.again(); after > 0 {
+		url := "http://" + w.nodes[node] + wire.PathReport
+		time.AfterFunc(after, func() { w.repeat(client, url, body) })
+	}
+}
+
+// repeat delivers a copy of an earlier report; nobody hears the answer.
+func (w *Worker) repeat(client *http.Client, url string, body []byte) (arrived bool) {
+	w.mu.Lock()
+	cut := w.faults.cut
+	w.mu.Unlock()
+	if cut {
+		return false
+	}
+	resp, err := client.Post(url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults.repeats++
+	return true
+}
--- a/internal/rehearse/state.go
+++ b/internal/rehearse/state.go
@@ -91,6 +91,9 @@
 	late    func() time.Duration // for how long a transaction is held up; 0: not at all
 	applied int                  // transactions that were carried out late
 	met     int                  // late ones whose guards did not hold any more
+
+	unanswered func(t *wire.Txn) bool // picks transactions whose answer is lost
+	lost       []wire.Txn             // that changed something, and whose answer was lost
 }
 
 type doorKey struct{}
@@ -153,6 +156,20 @@
 	return d.applied, d.met
 }
 
+// Unanswered has the transactions that a function picks carried out at once, but their answers lost; nil: none.
+func (d *Door) Unanswered(pick func(t *wire.Txn) bool) {
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	d.unanswered = pick
+}
+
+// Lost lists the transactions that changed something, and whose answer was lost.
+func (d *Door) Lost() []wire.Txn {
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	return slices.Clone(d.lost)
+}
+
 // Addr is the stand-in's address.
 func (s *State) Addr() string { return s.addr }
 
@@ -374,30 +391,58 @@
 		reply(w, 400, wire.Error{Error: "malformed"})
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if d, ok := r.Context().Value(doorKey{}).(*Door); ok && d.late != nil {
-		if hold := d.late(); hold > 0 {
-			time.AfterFunc(hold, func() {
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				switch status, _ := s.apply(&t); {
-				case status == 200 && len(t.Then) > 0:
-					d.applied++
-				case status == 409:
-					d.met++
-				}
-			})
-			s.mu.Unlock()
-			<-r.Context().Done() // no answer: the other side gives up
-			s.mu.Lock()
-			panic(http.ErrAbortHandler)
-		}
+	door, _ := r.Context().Value(doorKey{}).(*Door)
+	if hold := door.hold(); hold > 0 {
+		time.AfterFunc(hold, func() { door.carryLate(&t) })
+		giveNoAnswer(r)
+	}
+	status, answer, lost := door.carry(&t)
+	if lost {
+		giveNoAnswer(r)
 	}
-	status, answer := s.apply(&t)
 	reply(w, status, answer)
 }
 
+// giveNoAnswer leaves a request open until the other side gives up.
+func giveNoAnswer(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// hold draws for how long the next transaction is held up.
+func (d *Door) hold() time.Duration {
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	if d.late == nil {
+		return 0
+	}
+	return d.late()
+}
+
+// carryLate carries a transaction out that was held up.
+func (d *Door) carryLate(t *wire.Txn) {
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	switch status, _ := d.s.apply(t); {
+	case status == 200 && len(t.Then) > 0:
+		d.applied++
+	case status == 409:
+		d.met++
+	}
+}
+
+// carry carries a transaction out and says whether its answer is lost.
+func (d *Door) carry(t *wire.Txn) (status int, answer any, lost bool) {
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	lost = d.unanswered != nil && d.unanswered(t)
+	status, answer = d.s.apply(t)
+	if lost && status == 200 && len(t.Then) > 0 {
+		d.lost = append(d.lost, *t)
+	}
+	return status, answer, lost
+}
+
 // Carried lists the transactions that changed something, in their order.
 func (s *State) Carried() []wire.Txn {
 	s.mu.Lock()
--- a/internal/rehearse/worker.go
+++ b/internal/rehearse/worker.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"topazhollow/internal/settings"
 	"topazhollow/internal/wire"
 )
 
@@ -35,11 +37,7 @@
 	wake            chan struct{}
 
 	mu      sync.Mutex
-	cut     bool
-	deaf    bool
-	reach   map[string]bool // the controllers that its reports come to; nil: all
-	again   func() time.Duration
-	repeats int // late copies of reports that were delivered
+	faults  faults
 	session uint64
 	seq     uint64
 	token   uint64
@@ -68,6 +66,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w.stop = cancel
 	go w.run(ctx)
+	go w.watchLease(ctx)
 	return w, nil
 }
 
@@ -85,48 +84,6 @@
 	w.session++
 }
 
-// Cut takes the worker's network away or gives it back.
-func (w *Worker) Cut(on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cut = on
-}
-
-// Deaf has answers to the worker's reports and direct commands lost; its reports arrive.
-func (w *Worker) Deaf(on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.deaf = on
-}
-
-// Reach bounds which controllers the worker and its machine can be reached by; none given: all. Direct
-// commands come from any of them, so that a bound shuts them out altogether.
-func (w *Worker) Reach(nodes ...string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.reach = nil
-	for _, n := range nodes {
-		if w.reach == nil {
-			w.reach = map[string]bool{}
-		}
-		w.reach[n] = true
-	}
-}
-
-// Again has copies of reports delivered once more after a time; 0: not that one, nil: none.
-func (w *Worker) Again(after func() time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.again = after
-}
-
-// Repeats counts the late copies of reports that were delivered.
-func (w *Worker) Repeats() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.repeats
-}
-
 // Running lists the tasks on the machine.
 func (w *Worker) Running() (tasks []string) {
 	w.mu.Lock()
@@ -146,7 +103,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.killAll()
-	w.cut = true
+	w.faults.gone = true
 }
 
 func (w *Worker) killAll() {
@@ -173,33 +130,44 @@
 	return r
 }
 
-// unreached says whether no direct request comes through.
-func (w *Worker) unreached() bool { return w.cut || w.deaf || w.reach != nil }
-
 func (w *Worker) do(rw http.ResponseWriter, r *http.Request) {
 	var d wire.Direct
 	if !read(r, &d) || d.Token == 0 {
 		reply(rw, 400, wire.Error{Error: "malformed"})
 		return
 	}
+	if !w.passes(&d) {
+		giveNoAnswer(r)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.unreached() {
+	if w.faults.unreached() {
 		panic(http.ErrAbortHandler)
 	}
-	if d.Token < w.token || d.Session != w.session {
+	if !w.obey(&d) {
 		reply(rw, 409, w.report())
 		return
 	}
+	reply(rw, 200, w.report())
+}
+
+// obey executes direct commands if their token and session match.
+func (w *Worker) obey(d *wire.Direct) bool {
+	if d.Token < w.token || d.Session != w.session {
+		return false
+	}
 	w.token = d.Token
 	w.execute(d.Commands)
-	reply(rw, 200, w.report())
+	return true
 }
 
 func (w *Worker) inspect(rw http.ResponseWriter, r *http.Request) {
+	if w.hangs() {
+		giveNoAnswer(r)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.unreached() {
+	if w.faults.unreached() {
 		panic(http.ErrAbortHandler)
 	}
 	reply(rw, 200, w.report())
@@ -224,7 +192,7 @@
 			}
 		case wire.Stop:
 			if t != nil && t.Attempt == c.Attempt && t.State != wire.Exited {
-				w.exit(t, wire.WhyStopped)
+				w.stopTask(t, c.Grace)
 			}
 		case wire.Forget:
 			if t != nil && t.Attempt == c.Attempt && t.State == wire.Exited {
@@ -234,6 +202,56 @@
 	}
 }
 
+// stopTask ends a task, or has it save first if it can and is given the time. A task that saves ends at once by a
+// second stop without grace.
+func (w *Worker) stopTask(t *wire.TaskStatus, grace *float64) {
+	given := 0.0
+	if grace != nil {
+		given = *grace
+	}
+	uid, _, _ := wire.SplitTask(t.Task)
+	spec := w.check.Spec(uid)
+	saves := spec != nil && spec.Kind != wire.Gang && spec.Checkpoint > 0 && spec.Save > 0
+	switch {
+	case t.State == wire.Saving && given > 0:
+	case t.State == wire.Running && saves && given >= spec.Save:
+		w.save(t, settings.Seconds(spec.Save))
+	default:
+		w.exit(t, wire.WhyStopped)
+	}
+}
+
+// save has a task save its progress, after which it exits.
+func (w *Worker) save(t *wire.TaskStatus, takes time.Duration) {
+	t.State = wire.Saving
+	if timer := w.timers[t.Task]; timer != nil {
+		timer.Stop()
+	}
+	w.after(t.Task, t.Attempt, takes, func(t *wire.TaskStatus) {
+		if t.State == wire.Saving {
+			t.Saved = true
+			w.exit(t, wire.WhyStopped)
+		}
+	})
+}
+
+// after does something with an attempt after a time, unless it is gone by then. A machine that hangs does it once
+// it goes on.
+func (w *Worker) after(task string, attempt uint64, passes time.Duration, do func(t *wire.TaskStatus)) {
+	w.timers[task] = time.AfterFunc(passes, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		t := w.tasks[task]
+		switch {
+		case t == nil || t.Attempt != attempt:
+		case w.faults.hung:
+			w.after(task, attempt, hungStep, do)
+		default:
+			do(t)
+		}
+	})
+}
+
 func (w *Worker) exit(t *wire.TaskStatus, why string) {
 	t.State, t.Why = wire.Exited, why
 	w.check.End(t.Task, why == wire.WhyDone)
@@ -273,73 +291,25 @@
 	if w.ended[task] {
 		run = 0
 	}
-	w.timers[task] = time.AfterFunc(run, func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if t := w.tasks[task]; t != nil && t.Attempt == attempt && t.State == wire.Running {
+	w.after(task, attempt, run, func(t *wire.TaskStatus) {
+		if t.State == wire.Running {
 			w.ended[task] = true
 			w.exit(t, wire.WhyDone)
 		}
 	})
 }
 
+// run sends reports to one controller after the other until one answers, and stays there.
 func (w *Worker) run(ctx context.Context) {
 	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	at := 0
 	for ctx.Err() == nil {
-		w.mu.Lock()
-		if time.Since(w.alive) > w.per.Lease {
-			w.killAll()
-			w.session++
-			w.alive = time.Now()
-		}
-		body, session := wire.Encode(w.report()), w.session
-		cut := w.cut || w.reach != nil && !w.reach[w.order[at]]
-		later, url := time.Duration(0), "http://"+w.nodes[w.order[at]]+wire.PathReport
-		if w.again != nil {
-			later = w.again()
-		}
-		w.mu.Unlock()
-		if cut {
-			at = (at + 1) % len(w.order)
-		} else if later > 0 {
-			time.AfterFunc(later, func() { w.repeat(client, url, body) })
-		}
-		sent := time.Now()
 		next := w.per.Report
-		if !cut {
-			resp, err := client.Post(url, "application/json", bytes.NewReader(body))
-			at = (at + 1) % len(w.order)
-			w.mu.Lock()
-			deaf := w.deaf
-			w.mu.Unlock()
-			if err == nil && deaf {
-				resp.Body.Close()
-			} else if err == nil {
-				var a wire.ReportAnswer
-				var m wire.Moved
-				switch resp.StatusCode {
-				case 200:
-					at = (at + len(w.order) - 1) % len(w.order)
-					_ = json.NewDecoder(resp.Body).Decode(&a)
-					w.mu.Lock()
-					if a.Token >= w.token && a.Token > 0 && w.session == session && !w.cut {
-						w.token = a.Token
-						w.alive = sent
-						w.execute(a.Commands)
-					}
-					w.mu.Unlock()
-				case 421:
-					_ = json.NewDecoder(resp.Body).Decode(&m)
-					for i, n := range w.order {
-						if n == m.ReportTo {
-							at, next = i, 10*time.Millisecond
-						}
-					}
-				}
-				resp.Body.Close()
-			}
+		if w.hangs() {
+			next = hungStep
+		} else {
+			at, next = w.reportOnce(client, at)
 		}
 		select {
 		case <-time.After(next):
@@ -350,20 +320,67 @@
 	}
 }
 
-// repeat delivers a copy of an earlier report; nobody hears the answer.
-func (w *Worker) repeat(client *http.Client, url string, body []byte) {
-	w.mu.Lock()
-	cut := w.cut
-	w.mu.Unlock()
-	if cut {
-		return
+// reportOnce sends one report to a controller, by its index, and gives to whom and when the next one goes.
+func (w *Worker) reportOnce(client *http.Client, at int) (to int, next time.Duration) {
+	node := w.order[at]
+	sent := time.Now()
+	body, session, arrives := w.nextReport(client, node)
+	to, next = (at+1)%len(w.order), w.per.Report
+	if !arrives {
+		return to, next
 	}
-	resp, err := client.Post(url, "application/json", bytes.NewReader(body))
+	resp, err := client.Post("http://"+w.nodes[node]+wire.PathReport, "application/json", bytes.NewReader(body))
 	if err != nil {
-		return
+		return to, next
 	}
-	resp.Body.Close()
+	defer resp.Body.Close()
+	switch {
+	case !w.hears():
+	case resp.StatusCode == http.StatusOK:
+		var a wire.ReportAnswer
+		_ = json.NewDecoder(resp.Body).Decode(&a) // without a token it is dropped
+		w.takeAnswer(&a, session, sent)
+		return at, next
+	case resp.StatusCode == http.StatusMisdirectedRequest:
+		var m wire.Moved
+		_ = json.NewDecoder(resp.Body).Decode(&m) // without a name the next one is tried
+		if i := slices.Index(w.order, m.ReportTo); i >= 0 {
+			return i, 10 * time.Millisecond
+		}
+	}
+	return to, next
+}
+
+// takeAnswer renews the lease and executes commands, unless the answer is to be dropped.
+func (w *Worker) takeAnswer(a *wire.ReportAnswer, session uint64, sent time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.repeats++
+	if a.Token >= w.token && a.Token > 0 && w.session == session && !w.faults.cut {
+		w.token = a.Token
+		w.alive = sent
+		w.execute(a.Commands)
+	}
+}
+
+// watchLease ends all tasks and the session once the last answered report was sent too long ago.
+func (w *Worker) watchLease(ctx context.Context) {
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-tick.C:
+			w.checkLease()
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (w *Worker) checkLease() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Since(w.alive) > w.per.Lease && !w.faults.gone {
+		w.killAll()
+		w.session++
+		w.alive = time.Now()
+	}
 }
--- a/node_test.go
+++ b/node_test.go
@@ -46,6 +46,11 @@
 }
 
 func openRegion(t *testing.T, run time.Duration, workers settings.Workers) *region {
+	return openRegionRunning(t, func(string) time.Duration { return run }, workers)
+}
+
+// openRegionRunning opens a region whose tasks run for times of their own.
+func openRegionRunning(t *testing.T, run func(task string) time.Duration, workers settings.Workers) *region {
 	r := &region{t: t, pipes: rehearse.Paths{}, rng: rand.New(rand.NewPCG(1, 2)), httpc: &http.Client{Timeout: 4 * time.Second}}
 	r.check = rehearse.NewChecker(map[string]float64{"red": 24, "blue": 16})
 	var err error
@@ -62,7 +67,7 @@
 			}
 		}
 	}
-	per := rehearse.Periods{Report: settings.Seconds(workers.Report), Lease: settings.Seconds(workers.Lease), Run: func(string) time.Duration { return run }}
+	per := rehearse.Periods{Report: settings.Seconds(workers.Report), Lease: settings.Seconds(workers.Lease), Run: run}
 	types := []wire.MachineType{{Name: "m8", CPUs: 8, Memory: 64, Price: 2, SpotPrice: 1, Boot: 1, Zones: []string{"east", "west"}}}
 	r.cloud, err = rehearse.NewCloud(types, 6, func(name, typ, zone string, spot bool) (*rehearse.Worker, error) {
 		return rehearse.NewWorker(name, typ, zone, spot, listen, names, per, r.check)
