--- /dev/null
+++ b/quota_test.go
@@ -0,0 +1,67 @@
+package topazhollow
+
+import (
+	"testing"
+	"time"
+
+	"topazhollow/internal/rehearse"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/wire"
+)
+
+// onMachine counts the tasks of a job that a machine runs.
+func onMachine(w *rehearse.Worker, job string) (count int) {
+	for _, task := range w.Running() {
+		if uid, _, _ := wire.SplitTask(task); uid == job {
+			count++
+		}
+	}
+	return count
+}
+
+// answerOnce has a machine execute one direct command and hold up all later ones for good, with no report getting
+// through: it then hangs within its lease, with its tasks on it.
+func answerOnce(w *rehearse.Worker) {
+	w.Mute(true)
+	answered := false
+	w.SlowCommands(func() time.Duration {
+		if answered {
+			return time.Hour
+		}
+		answered = true
+		return 0
+	})
+}
+
+// TestCancelledTasksOfAHungMachineCountAfterAllEnded: a team's job at its limit is cancelled while one of its machines
+// can't be reached, and all controllers end. Nobody remembers the job. The machine answers the first direct command of the
+// new owner, which ends the barrier, and hangs before its tasks are stopped. The team's next job may use only what
+// is left of the limit until they are gone, and all of it then.
+func TestCancelledTasksOfAHungMachineCountAfterAllEnded(t *testing.T) {
+	r := openRegion(t, time.Hour, settings.Workers{Report: 0.2, Lease: 12, GangWait: 10, GangPeer: 4, Cancel: 30})
+	first, next := array(700, 12, "red"), array(702, 12, "red")
+	r.submit(first)
+	r.until("the first job fills the limit", func() bool { return r.check.OnOf(first.UID) == 12 })
+	r.submit(next)
+	var hung *rehearse.Worker
+	for _, w := range r.cloud.Workers() {
+		if onMachine(w, first.UID) > 0 {
+			hung = w
+		}
+	}
+	left := onMachine(hung, first.UID)
+	hung.Cut(true)
+	r.withdraw(first.UID)
+	for i := range r.nodes {
+		r.crash(i)
+	}
+	answerOnce(hung)
+	hung.Cut(false)
+	for i := range r.nodes {
+		r.start(i)
+	}
+	r.until("the next job runs beside tasks of the cancelled one", func() bool {
+		return r.check.OnOf(next.UID) == 12-left && r.check.OnOf(first.UID) == left
+	})
+	r.until("the next job has the whole limit", func() bool { return r.check.OnOf(next.UID) == 12 })
+}
