--- a/quota_test.go
+++ b/quota_test.go
@@ -39,9 +39,11 @@
 // is left of the limit until they are gone, and all of it then.
 func TestCancelledTasksOfAHungMachineCountAfterAllEnded(t *testing.T) {
 	r := openRegion(t, time.Hour, settings.Workers{Report: 0.2, Lease: 12, GangWait: 10, GangPeer: 4, Cancel: 30})
-	first, next := array(700, 12, "red"), array(702, 12, "red")
+	first, next, other := array(700, 12, "red"), array(702, 12, "red"), array(704, 5, "blue")
 	r.submit(first)
 	r.until("the first job fills the limit", func() bool { return r.check.OnOf(first.UID) == 12 })
+	r.submit(other) // its machines have room for what should not start yet
+	r.until("another team's job runs", func() bool { return r.check.OnOf(other.UID) == 5 })
 	r.submit(next)
 	var hung *rehearse.Worker
 	for _, w := range r.cloud.Workers() {
