A job's end that comes before its acceptance stays its end, in every generation

Cause: learnJob asked for a remembered end only after a loss, and a deletion of a job not known yet left no trace. An end told by a peer overtakes a slow read of the state service; of concurrent reads a later one is taken in first; the answer to the acceptance comes last. Then the job was active for good where an outage kept the deletion away: started and renewed after its confirmed withdrawal. Also: a job accepted while all keys are read again was taken for ended, since the list is older than it.

--- a/control.go
+++ b/control.go
@@ -163,7 +163,8 @@
 		}
 	}
 	for uid, j := range n.jobs {
-		if j.active && j.version > 0 && !seen[frontend.JobKey+uid] {
+		// One that was accepted after the list began may not be in it.
+		if j.active && j.version > 0 && j.version <= revision && !seen[frontend.JobKey+uid] {
 			n.endJob(uid)
 			n.confirmEnd(uid, j)
 		}
--- a/node.go
+++ b/node.go
@@ -513,18 +513,21 @@
 // aloneAfter is after what silence of all peers a controller without a lease sends its users away.
 const aloneAfter = 5 * time.Second
 
-// learnJob takes up an active job. Owners place it at the next tick.
+// learnJob takes up an active job, unless it is known to be over: its end may have come first, from a
+// peer or by a later read of the state service. Owners place it at the next tick.
 func (n *Node) learnJob(s frontend.Stored, version uint64) {
-	j := n.jobs[s.Spec.UID]
-	delete(n.store.tentative, s.Spec.UID)
-	if j != nil && !j.active || j == nil && n.generation() > 1 && n.ended(s.Spec.UID) {
-		if version > 0 && n.generation() > 1 && n.ended(s.Spec.UID) { // an end beats active
-			if j == nil {
-				n.jobs[s.Spec.UID] = &job{spec: s.Spec, at: time.UnixMilli(s.At), ended: time.Now()}
-			}
-			n.store.bury[s.Spec.UID] = burial{version, time.Now()}
+	uid := s.Spec.UID
+	j := n.jobs[uid]
+	delete(n.store.tentative, uid)
+	if j == nil && n.ended(uid) {
+		j = &job{spec: s.Spec, at: time.UnixMilli(s.At), ended: time.Now()}
+		n.jobs[uid] = j
+	}
+	if j != nil && !j.active {
+		if version > 0 && n.generation() > 1 && n.ended(uid) { // an end beats active
+			n.store.bury[uid] = burial{version, time.Now()}
 		}
-		return // it ended already
+		return
 	}
 	if j == nil {
 		j = &job{spec: s.Spec, at: time.UnixMilli(s.At), active: true}
@@ -552,10 +555,16 @@
 	return ended
 }
 
-// endJob books that a job is over: nothing of it may start any more.
+// endJob books that a job is over: nothing of it may start any more. One that is not known yet
+// stays over when its acceptance is read.
 func (n *Node) endJob(uid string) {
 	j := n.jobs[uid]
-	if j == nil || !j.active {
+	if j == nil {
+		end, _ := n.front.Final(uid)
+		n.jobs[uid] = &job{spec: &wire.Submission{UID: uid, Team: end.Team, Tasks: end.Tasks}, ended: time.Now()}
+		return
+	}
+	if !j.active {
 		return
 	}
 	j.active, j.ended = false, time.Now()
--- /dev/null
+++ b/over_test.go
@@ -0,0 +1,79 @@
+package topazhollow
+
+import (
+	"testing"
+	"time"
+
+	"topazhollow/internal/frontend"
+	"topazhollow/internal/wire"
+)
+
+// stored is a job's key in the state service, as the changes tell it.
+func stored(uid string, version uint64) wire.Change {
+	spec := &wire.Submission{UID: uid, Team: "team-0", Kind: wire.Batch, Priority: "high", Tasks: 1, CPUs: 1, Memory: 1, Image: "img-1", Estimate: 40}
+	return wire.Change{Set: frontend.JobKey + uid, Value: wire.Encode(frontend.Stored{Spec: spec, At: time.Now().UnixMilli()}), Version: version}
+}
+
+// TestEndBeforeAcceptance: a job's end may be known before its acceptance is read. Taken up as active then, its
+// tasks were started and kept alive through an outage of any length after the withdrawal had been confirmed.
+func TestEndBeforeAcceptance(t *testing.T) {
+	end := frontend.Final{State: wire.Withdrawn, Tasks: 1, Team: "team-0"}
+	const uid = "job-000900"
+	for what, learn := range map[string]func(n *Node){
+		"a peer tells of the withdrawal, then an earlier read comes": func(n *Node) {
+			n.onHold("node-b", &holdMsg{From: 1, Ends: []frontendEnd{{uid, end}}})
+			n.changed(stored(uid, 7))
+		},
+		"a later read comes before an earlier one": func(n *Node) {
+			n.changed(wire.Change{Delete: frontend.JobKey + uid, Version: 9})
+			n.changed(stored(uid, 7))
+		},
+		"the answer to its acceptance comes last": func(n *Node) {
+			n.changed(wire.Change{Delete: frontend.JobKey + uid, Version: 9})
+			var s frontend.Stored
+			if err := wire.Decode(stored(uid, 7).Value, &s); err != nil {
+				t.Fatal(err)
+			}
+			n.learnJob(s, 7)
+		},
+		"in order": func(n *Node) {
+			n.changed(stored(uid, 7))
+			n.changed(wire.Change{Delete: frontend.JobKey + uid, Version: 9})
+			n.changed(stored(uid, 7))
+		},
+	} {
+		g := newGrown(1, 1)
+		n := g.n
+		n.mu.Lock()
+		learn(n)
+		if j := n.jobs[uid]; j == nil || j.active || n.items[teamItem("team-0")].team.Job(uid) != nil {
+			t.Errorf("%s: the job is active", what)
+		}
+		r := wire.Report{Machine: g.names[0], Addr: "127.0.0.1:1", Type: "m32", Zone: "east", Session: 1, Seq: 10, Token: 1,
+			Tasks: []wire.TaskStatus{{Task: uid + "/0", Attempt: 1, State: wire.Running}}}
+		if stops, ok := n.renewal(&r, g.now.Add(time.Second)); !ok || len(stops) != 1 {
+			t.Errorf("%s: its machine is renewed %v with %d stops", what, ok, len(stops))
+		}
+		n.mu.Unlock()
+	}
+}
+
+// TestListOlderThanAcceptance: a job accepted while all keys are read again, in pages, is in none of them and
+// stays active. It was taken for ended and never ran.
+func TestListOlderThanAcceptance(t *testing.T) {
+	g := newGrown(1, 1)
+	n := g.n
+	n.mu.Lock()
+	n.changed(stored("job-000901", 12))
+	n.changed(stored("job-000902", 9))
+	n.reset(nil, 10)
+	first, second := n.jobs["job-000901"], n.jobs["job-000902"]
+	n.mu.Unlock()
+	if !first.active {
+		t.Error("a job that was accepted after the list began is taken for ended")
+	}
+	if second.active {
+		t.Error("a job that the list lacks is still active")
+	}
+	_ = n.group.Wait()
+}
