--- a/renewal.go
+++ b/renewal.go
@@ -4,54 +4,57 @@
 	"time"
 
 	"topazhollow/internal/frontend"
+	"topazhollow/internal/leasegrant"
 	"topazhollow/internal/ledger"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
+	"topazhollow/internal/workers"
 )
 
-// Every answer that renews a worker's lease passes here, entitled or not. It may go out only while the lease ends
-// before a withdrawal that is not known here could have run out of time (internal/horizon), and it
-// stops what the machine lists of jobs that are known to be over. So after each renewal a machine runs nothing that
-// was withdrawn before the horizon, and the rest is gone in time however long nobody hears anything more.
+// Every answer that renews a worker's lease passes here, entitled or not; internal/leasegrant decides.
 
 // renewal decides about the answer to a report: whether it may renew the machine's lease, and
 // what it must stop with it.
 func (n *Node) renewal(r *wire.Report, now time.Time) (stops []wire.Command, ok bool) {
-	since := time.Time{}
-	if n.homeOf(r.Machine) != n.name && !(n.lease.Valid(now) && n.entitled(now)) {
-		// A start that is held up on its way from the machine's home was sent after that
-		// last heard it, and in an outage no raised term voids it.
-		if since = n.machine(r.Machine).homed; since.IsZero() {
-			return nil, false
-		}
+	position := leasegrant.Position{
+		Home:     n.homeOf(r.Machine) == n.name,
+		Leased:   n.lease.Valid(now) && n.entitled(now),
+		HomeWord: n.machine(r.Machine).homed,
 	}
-	if !n.horizon.Renews(now, since) {
-		return nil, false
+	grant := leasegrant.Decide(r, now, position, &leaseKnowledge{n, n.home.Get(r.Machine)})
+	if grant.Unknown != nil {
+		n.lookUp(grant.Unknown.Job, grant.Unknown.Attempt)
 	}
-	stops = []wire.Command{} // an answer names them even if there are none
-	home := n.home.Get(r.Machine)
-	for _, t := range r.Tasks {
-		uid, index, _ := wire.SplitTask(t.Task)
-		if t.State == wire.Exited {
-			continue
-		}
-		j := n.jobs[uid]
-		switch {
-		case j != nil && j.active:
-		case j != nil || n.ended(uid):
-			stops = append(stops, wire.Command{Op: wire.Stop, Task: t.Task, Attempt: t.Attempt, Grace: new(float64)})
-		case n.generation() > 1 && ledger.TermOf(t.Attempt) < n.record.First:
-			// Lost with the store's data: nobody can tell, and it runs on.
-		case home != nil && home.Ordered(ledger.Ref{Key: ledger.Key{Job: uid, Index: index}, Attempt: t.Attempt}):
-			// Its owner knows it, who ordered it here in this term.
-		default:
-			n.lookUp(uid, t.Attempt)
-			return nil, false // it may have been withdrawn long ago
-		}
+	return grant.Stops, grant.Renew
+}
+
+// leaseKnowledge is the controller as leasegrant sees it.
+type leaseKnowledge struct {
+	n    *Node
+	home *workers.Machine // as its home knows the machine; nil: it never reported here
+}
+
+func (k *leaseKnowledge) Job(uid string) leasegrant.JobState {
+	j := k.n.jobs[uid]
+	switch {
+	case k.n.ended(uid), j != nil && !j.active:
+		return leasegrant.Over
+	case j != nil:
+		return leasegrant.Active
 	}
-	return stops, true
+	return leasegrant.Unknown
 }
 
+func (k *leaseKnowledge) Ordered(attempt ledger.Ref) bool {
+	return k.home != nil && k.home.Ordered(attempt)
+}
+
+func (k *leaseKnowledge) Lost(attempt uint64) bool {
+	return k.n.generation() > 1 && ledger.TermOf(attempt) < k.n.record.First
+}
+
+func (k *leaseKnowledge) Renews(now, since time.Time) bool { return k.n.horizon.Renews(now, since) }
+
 // confirming tells the peers of a withdrawal before a user is told of it for the first time here.
 func (n *Node) confirming(uid string, end frontend.Final) {
 	m := holdMsg{Ends: []frontendEnd{{uid, end}}}
