--- a/node.go
+++ b/node.go
@@ -562,7 +562,7 @@
 	j := n.jobs[uid]
 	if j == nil {
 		end, _ := n.front.Final(uid)
-		n.jobs[uid] = &job{spec: &wire.Submission{UID: uid, Team: end.Team, Tasks: end.Tasks}, ended: time.Now()}
+		n.jobs[uid] = &job{spec: endedSpec(uid, end), ended: time.Now()}
 		return
 	}
 	if !j.active {
