Staticcheck is a declared tool and part of the whole check

Need: findings of staticcheck were nobody's duty. Its two findings are mended: a field of httpx's header that nothing used, and bbolt's deprecated name of an error that is the same value.

--- a/internal/blob/store.go
+++ b/internal/blob/store.go
@@ -23,6 +23,7 @@
 
 	"github.com/klauspost/compress/zstd"
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 
 	"topazhollow/internal/wal"
 )
@@ -208,7 +209,7 @@
 		return nil
 	}
 	err := open()
-	if errors.Is(err, bolt.ErrTimeout) {
+	if errors.Is(err, bolterrors.ErrTimeout) {
 		return fmt.Errorf("blob: another process has %s open: %w", s.opt.Dir, err)
 	}
 	if err != nil { // unreadable: the log has it all
--- a/internal/httpx/parse.go
+++ b/internal/httpx/parse.go
@@ -49,7 +49,6 @@
 	length     int64
 	chunked    bool
 	close      bool
-	http10     bool
 	retryAfter int
 }
 
--- a/test.sh
+++ b/test.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
-# The whole check: formatting, vet, the deploy file's build, tests.
+# The whole check: formatting, vet, staticcheck, the deploy file's build, tests.
 set -eu
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l .)
 if [ -n "$unformatted" ]; then echo "not gofmt'ed: $unformatted" >&2; exit 1; fi
 go vet ./...
+go tool staticcheck ./...
 sh -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/service.toml)"
 target/topazhollow --version
 go test -race -count=1 ./...
