--- a/internal/arch/arch.go
+++ b/internal/arch/arch.go
@@ -35,6 +35,7 @@
 		"internal/fleet",
 		"internal/ledger",
 		"internal/workers",
+		"internal/leasegrant",
 		"internal/cloud",
 		"internal/peer",
 		"internal/state",
@@ -43,6 +44,7 @@
 	{"library", []string{""}},
 	{"tools", []string{
 		"internal/arch",
+		"internal/history",
 		"internal/rehearse",
 		"internal/blob",
 		"internal/keeper",
