Quota is collected for the most urgent job that can't begin

Change: while the most urgent job that holds nothing can't begin, what it needs to begin is reserved. A begun array gets no more than before.

Measured (TestQuotaIsReservedForTheMostUrgent fails before, passes after). What is left waits behind gangs that have quota and no room yet.

--- /dev/null
+++ b/internal/ledger/quota_test.go
@@ -0,0 +1,86 @@
+package ledger
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// placeDemanded places what the team demands, each task on a machine of its own, as far as the quota has room.
+func placeDemanded(team *Team, now time.Time) {
+	for _, demand := range team.Demands(now) {
+		job := team.Job(demand.Spec.UID)
+		if demand.Spec.Kind == wire.Gang {
+			missing, attempt := team.Gang(job)
+			spots := map[int]Spot{}
+			for _, index := range missing {
+				spots[index] = Spot{Machine: "m", Zone: "z", Session: 1}
+			}
+			team.PlaceGang(job, attempt, spots)
+			continue
+		}
+		left := demand.Count
+		team.Pending(job, now, func(index int) bool {
+			left--
+			return left >= 0 && team.Place(job, index, Spot{Machine: "m", Zone: "z", Session: 1})
+		})
+	}
+}
+
+// endOne has the worker end the lowest running task of a job.
+func endOne(team *Team, uid string) {
+	job := team.Job(uid)
+	held := team.heldOf(job)[0]
+	team.exited(held, &TaskView{Key: held.Key, Attempt: held.Attempt, State: wire.Exited, Why: wire.WhyDone}, time.Unix(1000, 0))
+}
+
+// TestQuotaIsReservedForTheMostUrgent: tasks of a less urgent job end one by one at the team's limit. What they free is
+// collected for an urgent job whose tasks are larger, instead of going to the next small tasks each time.
+func TestQuotaIsReservedForTheMostUrgent(t *testing.T) {
+	const quota = 8
+	tests := []struct {
+		name   string
+		urgent wire.Submission
+	}{
+		{"array", wire.Submission{Kind: wire.Batch, Tasks: 1, CPUs: 4}},
+		{"gang", wire.Submission{Kind: wire.Gang, Tasks: 2, CPUs: 3}},
+		{"gang larger than half the quota", wire.Submission{Kind: wire.Gang, Tasks: 2, CPUs: 4}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			team := NewTeam("team", 0, quota, 0, math.Inf(1), NewReplica(), 1, func(string, ...any) {})
+			small := &wire.Submission{UID: "job-000001", Kind: wire.Batch, Priority: "standard", Tasks: 100, CPUs: 1}
+			team.AddJob(small, 1, now, nil)
+			placeDemanded(team, now)
+			urgent := test.urgent
+			urgent.UID, urgent.Priority = "job-000002", "high"
+			team.AddJob(&urgent, 2, now, nil)
+			needed := urgent.Tasks * int(urgent.CPUs)
+			for range needed {
+				endOne(team, small.UID)
+				placeDemanded(team, now)
+			}
+			if held := len(team.Job(urgent.UID).holds); held != urgent.Tasks {
+				t.Fatalf("%d of %d urgent tasks hold quota after %d CPUs came free", held, urgent.Tasks, needed)
+			}
+		})
+	}
+}
+
+// TestQuotaOfABegunJobIsNotReserved: an array that has begun goes on by what its own tasks free; what is too small for one
+// of its tasks stays with others.
+func TestQuotaOfABegunJobIsNotReserved(t *testing.T) {
+	now := time.Unix(1000, 0)
+	team := NewTeam("team", 0, 10, 0, math.Inf(1), NewReplica(), 1, func(string, ...any) {})
+	large := &wire.Submission{UID: "job-000001", Kind: wire.Batch, Priority: "high", Tasks: 10, CPUs: 4}
+	small := &wire.Submission{UID: "job-000002", Kind: wire.Batch, Priority: "standard", Tasks: 10, CPUs: 1}
+	team.AddJob(large, 1, now, nil)
+	team.AddJob(small, 2, now, nil)
+	placeDemanded(team, now)
+	if large, small := len(team.Job(large.UID).holds), len(team.Job(small.UID).holds); large != 2 || small != 2 {
+		t.Fatalf("%d large and %d small tasks hold quota, want 2 of each", large, small)
+	}
+}
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -870,6 +870,24 @@
 	return by, all
 }
 
+// startsAtOnce is how many of a job's unstarted tasks need quota at the same time for it to begin; 0 once it has begun.
+func (j *Job) startsAtOnce(left int) int {
+	switch {
+	case len(j.holds) > 0:
+		return 0
+	case j.Spec.Kind == wire.Gang:
+		return left
+	default:
+		return min(left, 1)
+	}
+}
+
+// reserve adds to the taken part of a quota what a job needs to begin, or as much of it as the limit leaves. Else less
+// urgent jobs with smaller tasks would take each piece that comes free, and the job would never have enough at once.
+func reserve(taken, needed, limit float64) float64 {
+	return min(taken+needed, max(taken, limit))
+}
+
 // Demands lists what the team would place if there were room, most urgent first, and for each
 // class what is beyond the quota.
 func (t *Team) Demands(now time.Time) []Demand {
@@ -894,8 +912,13 @@
 		own := lacks[j.Spec.Class]
 		fit := min(left, most(t.MaxCPUs-cpus-(kept-own), j.Spec.CPUs), most(t.MaxGPUs-gpus, j.Spec.GPUs))
 		within := min(fit, most(t.CPUs-cpus, j.Spec.CPUs), most(t.GPUs-gpus, j.Spec.GPUs))
-		cpus += float64(fit) * j.Spec.CPUs
-		gpus += float64(fit) * j.Spec.GPUs
+		if atOnce := j.startsAtOnce(left); fit < atOnce {
+			cpus = reserve(cpus, float64(atOnce)*j.Spec.CPUs, t.MaxCPUs-(kept-own))
+			gpus = reserve(gpus, float64(atOnce)*j.Spec.GPUs, t.MaxGPUs)
+		} else {
+			cpus += float64(fit) * j.Spec.CPUs
+			gpus += float64(fit) * j.Spec.GPUs
+		}
 		if own > 0 {
 			used := min(own, float64(fit)*j.Spec.CPUs)
 			lacks[j.Spec.Class] -= used
