--- a/internal/drill/meetings.go
+++ b/internal/drill/meetings.go
@@ -2,17 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"path/filepath"
 	"strings"
-	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"topazhollow/internal/history"
 	"topazhollow/internal/rehearse"
 	"topazhollow/internal/wait"
 	"topazhollow/internal/wire"
@@ -36,129 +36,6 @@
 // checkSlack is what a busy machine may add to the time of a cancellation before the rehearsal calls it broken.
 const checkSlack = time.Second
 
-// meetingTroubles are what is drawn: each begins, lasts for a time, and ends.
-var meetingTroubles = []struct {
-	name string
-	play func(ctx context.Context, g *lossRegion, rng *rand.Rand, one int, lasts time.Duration) error
-}{
-	{"refused", func(ctx context.Context, g *lossRegion, _ *rand.Rand, one int, lasts time.Duration) error {
-		g.doors[one].Refuse(true)
-		defer g.doors[one].Refuse(false)
-		wait.For(ctx, lasts)
-		return nil
-	}},
-	{"no state, no peers", func(ctx context.Context, g *lossRegion, _ *rand.Rand, one int, lasts time.Duration) error {
-		g.doors[one].Refuse(true)
-		g.pipes.Apart(one, true)
-		defer g.doors[one].Refuse(false)
-		defer g.pipes.Apart(one, false)
-		wait.For(ctx, lasts)
-		return nil
-	}},
-	{"links refused", func(ctx context.Context, g *lossRegion, _ *rand.Rand, _ int, lasts time.Duration) error {
-		for i := range g.nodes {
-			g.pipes.Apart(i, true)
-			defer g.pipes.Apart(i, false)
-		}
-		wait.For(ctx, lasts)
-		return nil
-	}},
-	{"outage", func(ctx context.Context, g *lossRegion, _ *rand.Rand, _ int, lasts time.Duration) error {
-		g.state.Outage(true)
-		defer g.state.Outage(false)
-		wait.For(ctx, 2*lasts)
-		return nil
-	}},
-	{"late writes", func(ctx context.Context, g *lossRegion, rng *rand.Rand, _ int, lasts time.Duration) error {
-		var mu sync.Mutex
-		for _, d := range g.doors {
-			d.Late(func() time.Duration {
-				mu.Lock()
-				defer mu.Unlock()
-				if rng.IntN(3) > 0 {
-					return 0
-				}
-				return time.Duration(200+rng.IntN(6000)) * time.Millisecond
-			})
-			defer d.Late(nil)
-		}
-		wait.For(ctx, lasts)
-		return nil
-	}},
-	{"late reports", func(ctx context.Context, g *lossRegion, rng *rand.Rand, _ int, lasts time.Duration) error {
-		var mu sync.Mutex
-		for _, w := range g.cloud.Workers() {
-			w.Again(func() time.Duration {
-				mu.Lock()
-				defer mu.Unlock()
-				return time.Duration(rng.IntN(2)*(500+rng.IntN(7000))) * time.Millisecond
-			})
-			defer w.Again(nil)
-		}
-		wait.For(ctx, lasts)
-		return nil
-	}},
-	{"deaf machine", onMachine(func(w *rehearse.Worker, _ int, on bool) { w.Deaf(on) })},
-	{"machine cut", onMachine(func(w *rehearse.Worker, _ int, on bool) { w.Cut(on) })},
-	{"machine heard by one only", onMachine(func(w *rehearse.Worker, one int, on bool) {
-		if on {
-			w.Reach(regionNames[one])
-		} else {
-			w.Reach()
-		}
-	})},
-	{"one ends", func(ctx context.Context, g *lossRegion, rng *rand.Rand, one int, _ time.Duration) error {
-		g.kill(one)
-		wait.For(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
-		return g.start(one)
-	}},
-	{"all end", func(ctx context.Context, g *lossRegion, rng *rand.Rand, _ int, _ time.Duration) error {
-		for i := range g.nodes {
-			g.kill(i)
-		}
-		wait.For(ctx, time.Duration(rng.IntN(1000))*time.Millisecond)
-		for i := range g.nodes {
-			if err := g.start(i); err != nil {
-				return err
-			}
-		}
-		return nil
-	}},
-	{"ends again", func(ctx context.Context, g *lossRegion, rng *rand.Rand, one int, _ time.Duration) error {
-		for range 3 {
-			g.kill(one)
-			wait.For(ctx, time.Duration(rng.IntN(300))*time.Millisecond)
-			if err := g.start(one); err != nil {
-				return err
-			}
-			wait.For(ctx, time.Duration(rng.IntN(1500))*time.Millisecond)
-		}
-		return nil
-	}},
-	{"standstill", func(ctx context.Context, g *lossRegion, _ *rand.Rand, one int, lasts time.Duration) error {
-		p := g.node(one)
-		if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
-			return nil // another trouble has ended it
-		}
-		wait.For(ctx, lasts)
-		_ = p.cmd.Process.Signal(syscall.SIGCONT) // as above
-		return nil
-	}},
-}
-
-// onMachine is a trouble of one drawn machine, if there is any.
-func onMachine(set func(w *rehearse.Worker, one int, on bool)) func(context.Context, *lossRegion, *rand.Rand, int, time.Duration) error {
-	return func(ctx context.Context, g *lossRegion, rng *rand.Rand, one int, lasts time.Duration) error {
-		if ws := g.cloud.Workers(); len(ws) > 0 {
-			w := ws[rng.IntN(len(ws))]
-			set(w, one, true)
-			defer set(w, one, false)
-		}
-		wait.For(ctx, lasts)
-		return nil
-	}
-}
-
 // Meetings rehearses drawn troubles that overlap against real controller processes on loopback, each meeting in a region of
 // its own, with jobs whose tasks end far apart and jobs of long tasks that are withdrawn meanwhile.
 func Meetings(ctx context.Context, o Draw) ([]MeetingTrial, error) {
@@ -197,72 +74,120 @@
 	return time.Second + time.Duration(index%3)*4*time.Second
 }
 
-// meet has jobs accepted, troubles around one moment, withdrawals in between, and sees that all comes to its end.
+// meet has jobs accepted, troubles around one moment, cancellations and close looks in between, and sees that all
+// comes to its end.
 func (g *lossRegion) meet(ctx context.Context, t *MeetingTrial) error {
-	var jobs, long []*wire.Submission
+	m := &meeting{lossRegion: g, users: rehearse.NewUsers(g.listen, g.check), seed: t.Seed}
+	defer m.users.Close()
 	for i := range 4 {
-		jobs, long = append(jobs, array(i, 2+i%2)), append(long, array(firstLong+i, 2))
-		for _, j := range []*wire.Submission{long[i], jobs[i]} {
-			if err := g.submit(ctx, j); err != nil {
-				return err
-			}
+		m.short, m.long = append(m.short, array(i, 2+i%2)), append(m.long, array(firstLong+i, 2))
+		if err := errors.Join(m.accept(ctx, m.long[i]), m.accept(ctx, m.short[i])); err != nil {
+			return err
 		}
 	}
 	if err := g.until(ctx, "tasks run", func() bool { return g.check.On() > 6 }); err != nil {
 		return err
 	}
+	if err := m.trouble(ctx, t); err != nil {
+		return err
+	}
+	began := time.Now()
+	if err := m.settle(ctx); err != nil {
+		return err
+	}
+	t.Settled = time.Since(began)
+	if err := g.until(ctx, "nothing is left on machines", func() bool { return g.check.On() == 0 }); err != nil {
+		return err
+	}
+	if found := history.Check(m.users.Log().Calls()); len(found) > 0 {
+		return fmt.Errorf("%d answers contradict earlier ones, as %v", len(found), found[0])
+	}
+	return nil
+}
+
+// meeting is one drawn meeting while it is played.
+type meeting struct {
+	*lossRegion
+	users       *rehearse.Users
+	seed        uint64
+	short, long []*wire.Submission // jobs that end by themselves, and jobs that are cancelled
+}
+
+// patience bounds what a user repeats.
+const patience = 90 * time.Second
+
+// draws gives numbers of one user's own: how often others asked until now depends on the machine.
+func (m *meeting) draws(user uint64) *rand.Rand { return rand.New(rand.NewPCG(m.seed, 100+user)) }
+
+// repeat does something that a user repeats until it is answered.
+func (m *meeting) repeat(ctx context.Context, what string, until func(ctx context.Context) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	if !until(ctx) {
+		return fmt.Errorf("never came true: %s", what)
+	}
+	return nil
+}
+
+func (m *meeting) accept(ctx context.Context, job *wire.Submission) error {
+	return m.repeat(ctx, job.UID+" accepted", func(ctx context.Context) bool { return m.users.SubmitUntil(ctx, m.rng, job) })
+}
+
+// trouble plays two or three drawn troubles that overlap, while users cancel the long jobs and look closely at all.
+func (m *meeting) trouble(ctx context.Context, t *MeetingTrial) error {
 	troubles, during := errgroup.WithContext(ctx)
-	draw := rand.New(rand.NewPCG(t.Seed, 37)) // of its own: how often users asked until now depends on the machine
+	draw := rand.New(rand.NewPCG(m.seed, 37))
 	count := 2 + draw.IntN(2)
 	for _, k := range draw.Perm(len(meetingTroubles))[:count] {
 		x := meetingTroubles[k]
 		t.Met = append(t.Met, x.name)
-		own := rand.New(rand.NewPCG(t.Seed, uint64(k)))
+		own := rand.New(rand.NewPCG(m.seed, uint64(k)))
 		// The same controller for most of them: troubles of one meet there.
-		one, after := int(t.Seed%3), time.Duration(own.IntN(4000))*time.Millisecond
+		one, after := int(m.seed%3), time.Duration(own.IntN(4000))*time.Millisecond
 		if own.IntN(4) == 0 {
 			one = own.IntN(3)
 		}
 		lasts := time.Duration(3000+own.IntN(9000)) * time.Millisecond
 		troubles.Go(func() error {
 			wait.For(during, after)
-			return x.play(during, g, own, one, lasts)
+			return x.play(during, m.lossRegion, own, one, lasts)
 		})
 	}
-	for i, j := range long { // their users ask until they are told, and go on asking
-		g.check.Withdrawing(j.UID)
-		asks := rand.New(rand.NewPCG(t.Seed, 100+uint64(i)))
+	for i, job := range m.long {
 		after := time.Duration(draw.IntN(8000)) * time.Millisecond
 		troubles.Go(func() error {
 			wait.For(during, after)
-			return g.until(during, j.UID+" withdrawn", func() bool {
-				status, st := g.askOf(asks, "POST", wire.PathSubmit+"/"+j.UID+"/withdraw", struct{}{})
-				g.check.Told(j.UID, status, st.State, false)
-				return status == http.StatusOK
-			})
+			return m.cancelAndLook(during, uint64(i), job)
 		})
 	}
-	if err := troubles.Wait(); err != nil {
+	return troubles.Wait()
+}
+
+// closeLooks is how often each controller is asked within milliseconds.
+const closeLooks = 3
+
+// cancelAndLook has a job cancelled, and all controllers asked for it and another job at once.
+func (m *meeting) cancelAndLook(ctx context.Context, user uint64, job *wire.Submission) error {
+	if err := m.repeat(ctx, job.UID+" cancelled", func(ctx context.Context) bool { return m.users.CancelUntil(ctx, m.draws(user), job.UID) }); err != nil {
 		return err
 	}
-	began := time.Now()
-	for _, j := range jobs {
-		if err := g.reaches(ctx, j.UID, wire.Done); err != nil {
-			return err
-		}
-	}
+	m.users.LookClosely(job, closeLooks)
+	m.users.LookClosely(m.short[user], closeLooks)
+	return nil
+}
+
+// settle sees every job end, and one that comes after all troubles.
+func (m *meeting) settle(ctx context.Context) error {
 	late := array(90, 3)
-	if err := g.submit(ctx, late); err != nil {
+	if err := m.accept(ctx, late); err != nil {
 		return err
 	}
-	if err := g.reaches(ctx, late.UID, wire.Done); err != nil {
-		return err
-	}
-	for _, j := range long {
-		if err := g.reaches(ctx, j.UID, wire.Withdrawn); err != nil {
+	for i, job := range append(append(m.short, late), m.long...) {
+		rng := m.draws(uint64(20 + i))
+		if err := m.repeat(ctx, job.UID+" ends", func(ctx context.Context) bool { return m.users.EndUntil(ctx, rng, job.UID) }); err != nil {
 			return err
 		}
+		m.users.LookClosely(job, 1)
 	}
-	t.Settled = time.Since(began)
-	return g.until(ctx, "nothing is left on machines", func() bool { return g.check.On() == 0 })
+	return nil
 }
--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -31,6 +31,7 @@
 
 	slow     func() time.Duration // for how long a direct command is held up
 	waiting  []wire.Direct        // commands that came while the machine hung
+	held     int                  // commands that were held up, by now or for good
 	obeyed   int                  // commands that were held up and executed
 	outdated int                  // those whose token or session did not match any more
 }
@@ -156,12 +157,12 @@
 	w.faults.slow = hold
 }
 
-// LateCommands counts the requests with commands that were held up, here or by a machine that hung, and executed,
-// and those that were refused by then.
-func (w *Worker) LateCommands() (obeyed, outdated int) {
+// LateCommands counts the requests with commands that were held up, on the way or by a machine that hung; of them
+// those that were executed, and those that were refused by then.
+func (w *Worker) LateCommands() (held, obeyed, outdated int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.faults.obeyed, w.faults.outdated
+	return w.faults.held, w.faults.obeyed, w.faults.outdated
 }
 
 func (w *Worker) hangs() bool {
@@ -186,6 +187,7 @@
 	}
 	if w.faults.hung {
 		w.faults.waiting = append(w.faults.waiting, *d)
+		w.faults.held++
 		return false
 	}
 	if w.faults.slow == nil {
@@ -193,6 +195,7 @@
 	}
 	held := w.faults.slow()
 	if held > 0 {
+		w.faults.held++
 		time.AfterFunc(held, func() { w.arrivesLate(d) })
 	}
 	return held <= 0
--- a/internal/rehearse/faults_test.go
+++ b/internal/rehearse/faults_test.go
@@ -77,7 +77,7 @@
 	}
 	b.until("executed", func() bool { return b.check.On() == 1 })
 	b.w.SlowCommands(nil)
-	if obeyed, outdated := b.w.LateCommands(); obeyed != 1 || outdated != 0 || b.check.Starts() != 1 {
+	if _, obeyed, outdated := b.w.LateCommands(); obeyed != 1 || outdated != 0 || b.check.Starts() != 1 {
 		t.Errorf("obeyed %d, outdated %d, started %d", obeyed, outdated, b.check.Starts())
 	}
 }
@@ -96,7 +96,7 @@
 				b.until("the lease is over", func() bool { b.w.mu.Lock(); defer b.w.mu.Unlock(); return b.w.session > 1 })
 			}
 			b.w.Hang(false)
-			obeyed, outdated := b.w.LateCommands()
+			_, obeyed, outdated := b.w.LateCommands()
 			if want := lease == time.Hour; (obeyed == 1) != want || (outdated == 1) == want || (b.check.On() == 1) != want {
 				t.Errorf("obeyed %d, outdated %d, on the machine %d", obeyed, outdated, b.check.On())
 			}
--- a/internal/rehearse/worker.go
+++ b/internal/rehearse/worker.go
@@ -73,6 +73,9 @@
 // Name is the machine's name.
 func (w *Worker) Name() string { return w.name }
 
+// Place gives the machine's zone and whether it is a spot machine.
+func (w *Worker) Place() (zone string, spot bool) { return w.zone, w.spot }
+
 // Addr is where the worker takes commands.
 func (w *Worker) Addr() string { return w.addr }
 
--- /dev/null
+++ b/meeting_answer_test.go
@@ -0,0 +1,151 @@
+package topazhollow
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"topazhollow/internal/frontend"
+	"topazhollow/internal/rehearse"
+	"topazhollow/internal/wire"
+)
+
+// sets says whether a transaction sets a key below a prefix to a value that holds a text.
+func sets(txn *wire.Txn, prefix, text string) bool {
+	for _, o := range txn.Then {
+		if strings.HasPrefix(o.Set, prefix) && strings.Contains(string(o.Value), text) {
+			return true
+		}
+	}
+	return false
+}
+
+// writeKinds are all that controllers write to the state service.
+var writeKinds = map[string]func(txn *wire.Txn) bool{
+	"acceptance":     func(txn *wire.Txn) bool { return sets(txn, frontend.JobKey, "") },
+	"end":            func(txn *wire.Txn) bool { return sets(txn, frontend.FinalKey, wire.Done) },
+	"cancellation":   func(txn *wire.Txn) bool { return sets(txn, frontend.FinalKey, wire.Withdrawn) },
+	"page":           func(txn *wire.Txn) bool { return writes(txn, "b/") },
+	"roster":         func(txn *wire.Txn) bool { return writes(txn, machineKey) },
+	"control record": func(txn *wire.Txn) bool { return writes(txn, controlKey) },
+	"lease key":      func(txn *wire.Txn) bool { return writes(txn, nodeKey) },
+}
+
+// loseAnswers has the answers to so many transactions of a kind lost, at whatever controller sends them.
+func (s *scene) loseAnswers(kind func(*wire.Txn) bool, count int) {
+	var mu sync.Mutex
+	for _, d := range s.doors {
+		d.Unanswered(func(txn *wire.Txn) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			if count == 0 || !kind(txn) {
+				return false
+			}
+			count--
+			return true
+		})
+	}
+}
+
+// lost counts the transactions of a kind that were carried out and not answered.
+func (s *scene) lost(kind func(*wire.Txn) bool) (count int) {
+	for _, d := range s.doors {
+		for _, txn := range d.Lost() {
+			if kind(&txn) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// TestLostAnswers: a transaction of each kind is carried out at once and only its answer is lost, while all controllers
+// read what it wrote, users ask at all of them, and one controller ends and comes back. What was written counts once:
+// nothing is accepted, ended or cancelled otherwise, and no write is taken for a loss of the service's data.
+func TestLostAnswers(t *testing.T) {
+	t.Parallel()
+	for name, kind := range writeKinds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := openScene(t, sceneRun)
+			s.members(3)
+			s.loseAnswers(kind, 3)
+			for i := range 6 {
+				job := uneven(i, 3, []string{"red", "blue"}[i%2])
+				if i%3 == 0 {
+					job = endless(i, 2, job.Team)
+				}
+				s.beside(func() { s.lives(job, i%3 == 0) })
+			}
+			s.until("machines work", func() bool { return s.check.Starts() > 0 })
+			leader := s.leader(teamItem("red"))
+			s.crash(leader)
+			s.start(leader)
+			s.settle()
+			s.until("an answer of the kind was lost", func() bool { return s.lost(kind) > 0 })
+			s.members(3)
+			for _, o := range s.overviews() {
+				if o.Store.Generation != 1 {
+					t.Errorf("an unanswered write was taken for a loss: generation %d", o.Store.Generation)
+				}
+			}
+		})
+	}
+}
+
+// TestCommandsOfAFormerLeader: direct commands are held up on their way, unanswered, while their sender ends or is
+// refused by the state service, and arrive after the next leader's. They are executed only if token and session still
+// match, nothing runs twice, and no job is lost by it.
+func TestCommandsOfAFormerLeader(t *testing.T) {
+	t.Parallel()
+	for name, depose := range map[string]func(s *scene, leader int) (undo func()){
+		"ends": func(s *scene, leader int) func() {
+			s.crash(leader)
+			return func() { s.start(leader) }
+		},
+		"is refused": func(s *scene, leader int) func() {
+			s.doors[leader].Refuse(true)
+			s.pipes.Apart(leader, true)
+			return func() { s.doors[leader].Refuse(false); s.pipes.Apart(leader, false) }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := openScene(t, sceneRun)
+			s.members(3)
+			s.enter(endless(1, 4, "red"))
+			s.enter(endless(2, 4, "blue"))
+			s.until("machines work", func() bool { return s.check.On() == 8 })
+			machines := s.cloud.Workers()
+			for i, w := range machines {
+				rng := draws(uint64(i))
+				w.SlowCommands(func() time.Duration { return time.Duration(4000+rng.IntN(3000)) * time.Millisecond })
+			}
+			for i := range 4 {
+				s.beside(func() { s.enter(array(10+i, 2, []string{"red", "blue"}[i%2])) })
+			}
+			s.cancel(endless(1, 4, "red").UID)
+			s.until("commands are on their way", func() bool { held, _ := lateCommands(machines); return held > 0 })
+			leader, before := s.leader(teamItem("red")), s.term()
+			undo := depose(s, leader)
+			for _, w := range machines {
+				w.SlowCommands(nil) // the next leader's are not held up
+			}
+			s.until("another term", func() bool { return s.term() > before })
+			_, atTerm := lateCommands(machines)
+			s.until("commands arrived after it", func() bool { _, late := lateCommands(machines); return late > atTerm })
+			undo()
+			s.settle()
+		})
+	}
+}
+
+// lateCommands counts the requests with commands to some machines that were held up, and those that arrived since.
+func lateCommands(machines []*rehearse.Worker) (held, arrived int) {
+	for _, w := range machines {
+		h, obeyed, outdated := w.LateCommands()
+		held, arrived = held+h, arrived+obeyed+outdated
+	}
+	return held, arrived
+}
--- a/meeting_look_test.go
+++ b/meeting_look_test.go
@@ -48,6 +48,7 @@
 // accepted, ended or confirmed as cancelled, beside a trouble that lets controllers know different things. No
 // controller answers something older than any of them did.
 func TestCloseLooks(t *testing.T) {
+	t.Parallel()
 	for name, trouble := range map[string]func(s *scene){
 		"quiet": func(*scene) {},
 		"answers of the service are lost": func(s *scene) {
@@ -121,6 +122,7 @@
 // TestEndMeetsUsers: a cancellation, a question and a repeated submission come at the moment at which a job's last task
 // ends, with no other trouble. All answers agree on one end.
 func TestEndMeetsUsers(t *testing.T) {
+	t.Parallel()
 	s := openScene(t, sceneRun)
 	s.members(3)
 	for i := range 16 {
@@ -148,6 +150,7 @@
 // TestRefusals: what can't run or lacks a field is refused with 422 or 400, the repetition of an unfinished job is not,
 // whatever it says, and the cancellation of a job that is done answers so; at every controller and beside a leader's end.
 func TestRefusals(t *testing.T) {
+	t.Parallel()
 	s := openScene(t, sceneRun)
 	s.members(3)
 	running, over := endless(1, 2, "red"), array(2, 1, "blue")
--- a/scene_test.go
+++ b/scene_test.go
@@ -33,6 +33,9 @@
 // firstEndless is the number from which on jobs have tasks that never end by themselves.
 const firstEndless = 500
 
+// firstUneven is the number from which on, up to the endless ones, jobs have tasks that end far apart.
+const firstUneven = 400
+
 // jobNumber is the number in a task's or job's name.
 func jobNumber(name string) (number int) {
 	_, _ = fmt.Sscanf(name, "job-%d", &number) // 0 if it has none
@@ -41,10 +44,15 @@
 
 // sceneRun has tasks run for a moment or endlessly, by their job's number.
 func sceneRun(task string) time.Duration {
-	if jobNumber(task) >= firstEndless {
+	const brief = 300 * time.Millisecond
+	_, index, _ := wire.SplitTask(task)
+	switch number := jobNumber(task); {
+	case number >= firstEndless:
 		return time.Hour
+	case number >= firstUneven:
+		return brief + time.Duration(index)*1500*time.Millisecond
 	}
-	return 300 * time.Millisecond
+	return brief
 }
 
 // openScene opens a region in which a lease takes 4 s and a cancellation may take 10 s.
@@ -58,6 +66,7 @@
 	}
 	s.users = rehearse.NewUsers(listen, r.check)
 	t.Cleanup(s.users.Close)
+	t.Cleanup(s.tellIfFailed)
 	return s
 }
 
@@ -181,6 +190,9 @@
 // endless is a job whose tasks run until they are stopped.
 func endless(i, tasks int, team string) *wire.Submission { return array(firstEndless+i, tasks, team) }
 
+// uneven is a job whose tasks end far apart.
+func uneven(i, tasks int, team string) *wire.Submission { return array(firstUneven+i, tasks, team) }
+
 // machinesOf lists the machines that run a task of a job.
 func (s *scene) machinesOf(uid string) (on []*rehearse.Worker) {
 	for _, w := range s.cloud.Workers() {
@@ -205,3 +217,20 @@
 	resp.Body.Close()
 	return resp.StatusCode
 }
+
+// tellIfFailed logs what runs where, and what the controllers know, at the end of a test that failed.
+func (s *scene) tellIfFailed() {
+	if !s.t.Failed() {
+		return
+	}
+	for _, w := range s.cloud.Workers() {
+		zone, spot := w.Place()
+		s.t.Log(w.Name(), zone, spot, w.Running())
+	}
+	for _, o := range s.overviews() {
+		s.t.Logf("%s: term %d, entitled %v, members %v, owners %v, items %+v, machines %+v", o.Node, o.Term, o.Entitled, o.Members, o.Owners, o.Items, o.Machines)
+	}
+	for _, job := range s.accepted {
+		s.t.Logf("%s of %s: %d of %d tasks on machines", job.UID, job.Team, s.check.OnOf(job.UID), job.Tasks)
+	}
+}
