The fleet is asked for a one-zone array's missing tasks in the zone of the others

Cause: a demand named the job alone, so the missing tasks of an array that shares a zone were laid out on idle machines of any zone. With its own zone full nothing was rented there and the task waited for ever beside idle machines that it may not use. Change: a demand names the zone that the job's tasks on machines bind it to (arrays and services; gangs are asked for as a whole).

--- a/rent.go
+++ b/rent.go
@@ -64,6 +64,16 @@
 // tellEvery is how often the log tells of the whole fleet.
 const tellEvery = 20 * time.Second
 
+// specIn is a job's description with its tasks bound to a zone; "" binds nothing.
+func specIn(spec *wire.Submission, zone string) *wire.Submission {
+	if zone == "" {
+		return spec
+	}
+	bound := *spec
+	bound.Zone = &zone
+	return &bound
+}
+
 // tellFleet logs what the fleet looks like, so that an incident can be followed
 // from the log alone.
 func (n *Node) tellFleet(r *rental, machines []fleet.Machine, demands []fleet.Demand, plan *fleet.Plan, now time.Time) {
@@ -143,7 +153,7 @@
 		add := func(list []demand) {
 			for _, d := range list {
 				if j := n.jobs[d.Job]; j != nil && j.active {
-					demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count, Beyond: d.Beyond, Late: n.due(j, now).Add(-time.Duration(d.Behind) * time.Millisecond),
+					demands = append(demands, fleet.Demand{Spec: specIn(j.spec, d.Zone), Count: d.Count, Beyond: d.Beyond, Late: n.due(j, now).Add(-time.Duration(d.Behind) * time.Millisecond),
 						Cheap: wire.Rank(j.spec.Priority) == 0 && len(n.goals(j)) == 0})
 				}
 			}
--- a/talk.go
+++ b/talk.go
@@ -76,6 +76,7 @@
 	Behind   int64   `json:"behind,omitempty"`   // ms that the team's quota takes for what waits beyond it
 	Beyond   float64 `json:"beyond,omitempty"`   // CPUs that the job's class asks for beyond the quota; then Count is 0
 	First    int     `json:"first,omitempty"`    // of the tasks, that go before what is more urgent
+	Zone     string  `json:"zone,omitempty"`     // the only one for the tasks, since the others of the job are there
 }
 
 // evictMsg asks the owner of a task to stop it, to give its room to a job that
@@ -478,13 +479,26 @@
 		first := n.goFirst(it, list, now)
 		for i, d := range list {
 			if !d.Probe {
-				out = append(out, demand{Job: d.Spec.UID, Count: d.Count, Borrowed: d.Borrowed, Behind: d.Behind.Milliseconds(), First: first[i], Beyond: d.Beyond})
+				out = append(out, demand{Job: d.Spec.UID, Count: d.Count, Borrowed: d.Borrowed, Behind: d.Behind.Milliseconds(), First: first[i], Beyond: d.Beyond, Zone: boundZone(it.team, d.Spec)})
 			}
 		}
 	}
 	return out
 }
 
+// boundZone is the zone that tasks of an array or service have to be in because others of the job are; "" if none.
+// A gang's missing tasks are asked for as a whole.
+func boundZone(team *ledger.Team, spec *wire.Submission) string {
+	job := team.Job(spec.UID)
+	if job == nil || !spec.OneZone || spec.Kind == wire.Gang {
+		return ""
+	}
+	for zone := range team.Zones(job) {
+		return zone
+	}
+	return ""
+}
+
 // draining is the machines that no task should go to.
 func (n *Node) draining() map[string]bool {
 	if n.items[tenure.Fleet] != nil {
