A start in a report's answer is settled by the worker's own next report only

Cause: any newer sequence number settled it, also that of the answer to a direct command, which may overtake the answer to the report on another connection. A stop in between made the home say that the start was never sent, so its quota and its task were free while it could still arrive; a forget let it run a second time.

Change: the home keeps the greatest number that the worker itself sent.

--- a/home.go
+++ b/home.go
@@ -276,12 +276,22 @@
 	return ok
 }
 
-// hear takes in a worker's report, from itself or from the answer to a /do.
+// hear takes in a report that a worker sent.
 func (n *Node) hear(r *wire.Report, now time.Time) {
-	newer, changed := n.home.Heard(r, now)
-	if !newer {
-		return
+	if newer, changed := n.home.Heard(r, now); newer {
+		n.heard(r, changed, now)
+	}
+}
+
+// hearAnswer takes in the report in a worker's answer to a direct command.
+func (n *Node) hearAnswer(r *wire.Report, now time.Time) {
+	if newer, changed := n.home.HeardAnswer(r, now); newer {
+		n.heard(r, changed, now)
 	}
+}
+
+// heard books what a machine's newest report says.
+func (n *Node) heard(r *wire.Report, changed bool, now time.Time) {
 	x := n.machine(r.Machine)
 	x.heard, x.homed = now, now
 	if !n.roster.Has(r.Machine) {
@@ -550,7 +560,7 @@
 	var r wire.Report
 	answered := err == nil && (resp.Status == 200 || resp.Status == 409) && wire.Decode(resp.Body, &r) == nil && r.Machine == name
 	if answered && n.home.Get(name) == m {
-		n.hear(&r, now)
+		n.hearAnswer(&r, now)
 	}
 	if !answered {
 		n.log.Info("commands not answered", "machine", name, "commands", len(cmds), "err", err)
--- a/internal/workers/home.go
+++ b/internal/workers/home.go
@@ -20,8 +20,8 @@
 	queued bool   // waits here
 	open   bool   // a /do with it is under way
 	stray  bool   // a /do with it was never answered: it may still arrive in this term
-	after  uint64 // sent in the answer to this report: known once a later one came
-	sent   bool
+	answer bool   // sent in an answer to a report
+	after  uint64 // that report: what became of the answer is known once the worker itself sent a later one
 	listed bool
 	barred bool // will never be sent
 	forgot bool // a forget was queued: never to be sent again
@@ -29,16 +29,17 @@
 
 // Machine is a machine at its home.
 type Machine struct {
-	Report wire.Report // the newest
+	Report wire.Report // the newest, from the worker itself or from its answer to a command
 	Heard  time.Time   // when a report last came
 	Busy   bool        // a /do is under way
 	Deaf   bool        // the last /do failed: only report answers until it is heard again
 
-	starts map[ledger.Ref]*start
-	queue  []wire.Command
-	urgent bool
-	rev    uint64
-	view   *ledger.View
+	reported uint64 // the greatest sequence number of this session that the worker itself sent
+	starts   map[ledger.Ref]*start
+	queue    []wire.Command
+	urgent   bool
+	rev      uint64
+	view     *ledger.View
 }
 
 // Size tells what a task of a job takes.
@@ -89,9 +90,20 @@
 // Drop forgets a machine that is gone or reports elsewhere.
 func (h *Home) Drop(name string) { delete(h.machines, name) }
 
-// Heard takes in a report or the report in a command's answer. It says whether
-// it was newer than what was known and whether anything in it changed.
+// Heard takes in a report that the worker itself sent. It says whether it was newer than what was known and
+// whether anything in it changed. A worker keeps one report in flight at a time, so it executed the commands in the
+// answer to the report before, or never will.
 func (h *Home) Heard(r *wire.Report, now time.Time) (newer, changed bool) {
+	newer, changed = h.HeardAnswer(r, now)
+	if m := h.machines[r.Machine]; m.Report.Session == r.Session {
+		m.reported = max(m.reported, r.Seq)
+	}
+	return newer, changed
+}
+
+// HeardAnswer takes in the report in the answer to a direct command. The answer to the worker's own last report may
+// still be on its way to it.
+func (h *Home) HeardAnswer(r *wire.Report, now time.Time) (newer, changed bool) {
 	m := h.machines[r.Machine]
 	if m == nil {
 		m = &Machine{starts: map[ledger.Ref]*start{}}
@@ -103,7 +115,7 @@
 		!slices.Equal(r.Tasks, m.Report.Tasks)
 	if r.Session != m.Report.Session {
 		m.starts = map[ledger.Ref]*start{}
-		m.queue, m.urgent = nil, false
+		m.queue, m.urgent, m.reported = nil, false, 0
 	}
 	m.Report = *r
 	m.Heard = now
@@ -121,9 +133,12 @@
 
 // settled says that no start command for the attempt can still arrive.
 func (m *Machine) settled(s *start) bool {
-	return !s.open && !s.stray && (!s.sent || m.Report.Seq > s.after)
+	return !s.open && !s.stray && !m.inAnswer(s)
 }
 
+// inAnswer says that the answer with the start may still be on its way to the worker.
+func (m *Machine) inAnswer(s *start) bool { return s.answer && m.reported <= s.after }
+
 // Take accepts an owner's orders for a machine under a term. It reports whether
 // commands should go out at once.
 func (h *Home) Take(term uint64, machine string, orders []ledger.Order) bool {
@@ -146,7 +161,7 @@
 				if !h.fits(m, o) {
 					s.barred = true
 				}
-			case s.barred || s.forgot || s.listed || s.queued || s.open || (s.sent && m.Report.Seq <= s.after):
+			case s.barred || s.forgot || s.listed || s.queued || s.open || m.inAnswer(s):
 				continue // repeated only when the last sending is decided; a stray one does no harm
 			}
 			if !s.barred {
@@ -257,7 +272,7 @@
 	m.queue, m.urgent, m.Busy = nil, false, true
 	for _, c := range cmds {
 		if s := m.starts[refOf(c.Task, c.Attempt)]; c.Op == wire.Start && s != nil {
-			s.queued, s.sent, s.open = false, true, true
+			s.queued, s.open = false, true
 		}
 	}
 	return cmds
@@ -272,7 +287,6 @@
 		if s := m.starts[refOf(c.Task, c.Attempt)]; c.Op == wire.Start && s != nil {
 			s.open = false
 			s.stray = s.stray || (left && !answered)
-			s.sent = s.sent && left
 		}
 	}
 	m.changed()
@@ -288,7 +302,7 @@
 	m.queue, m.urgent = nil, false
 	for _, c := range cmds {
 		if s := m.starts[refOf(c.Task, c.Attempt)]; c.Op == wire.Start && s != nil {
-			s.queued, s.sent, s.after = false, true, m.Report.Seq
+			s.queued, s.answer, s.after = false, true, m.Report.Seq
 		}
 	}
 	return cmds
--- a/internal/workers/home_test.go
+++ b/internal/workers/home_test.go
@@ -111,6 +111,45 @@
 	}
 }
 
+// TestStartInAnAnswerIsSettledByTheNextReport: a start that went out with the answer to a report may be on its way while
+// a direct command overtakes it. Only the worker's own next report tells what became of the answer.
+func TestStartInAnAnswerIsSettledByTheNextReport(t *testing.T) {
+	h, m := home(t)
+	o := startOf("job-1")
+	h.Take(1, "m", []ledger.Order{o})
+	if cmds := m.Answer(); len(cmds) != 1 {
+		t.Fatalf("answers %v", cmds)
+	}
+	h.HeardAnswer(report(2), time.Unix(2, 0))
+	o.Op = wire.Stop
+	h.Take(1, "m", []ledger.Order{o})
+	if v := h.View("m"); len(v.Barred) != 0 {
+		t.Fatalf("view bars %v, which may still arrive", v.Barred)
+	}
+	forget := o
+	forget.Op = wire.Forget
+	h.HeardAnswer(report(3, wire.TaskStatus{Task: "job-1/0", Attempt: 5, State: wire.Exited, Why: wire.WhyError}), time.Unix(3, 0))
+	h.Take(1, "m", []ledger.Order{forget})
+	if cmds := m.Answer(); len(cmds) != 0 {
+		t.Fatalf("answers %v beside a start in flight", cmds)
+	}
+}
+
+// TestLostAnswerIsBarred: once the worker itself reported again without the task, the answer with its start was lost,
+// and the home can say that it will never be sent.
+func TestLostAnswerIsBarred(t *testing.T) {
+	h, m := home(t)
+	o := startOf("job-1")
+	h.Take(1, "m", []ledger.Order{o})
+	m.Answer()
+	h.Heard(report(2), time.Unix(2, 0))
+	o.Op = wire.Stop
+	h.Take(1, "m", []ledger.Order{o})
+	if v := h.View("m"); len(v.Barred) != 1 {
+		t.Fatalf("view bars %v, want the lost start", v.Barred)
+	}
+}
+
 // TestOtherTermIsRefused: a home carries no order of another term, so that a
 // replaced owner's starts end with their term.
 func TestOtherTermIsRefused(t *testing.T) {
--- a/knock.go
+++ b/knock.go
@@ -102,7 +102,7 @@
 		n.mu.Lock()
 		if n.knocked.term == k.term && n.record.Term == k.term {
 			if answered {
-				n.hear(&r, time.Now())
+				n.hearAnswer(&r, time.Now())
 				n.noteView(name)
 				n.tellViews()
 			} else {
