Provisioning is a package of its own: events in, actions out

Change: internal/provisioning keeps the account of machines that are listed, rented and returned (typed events, typed actions, no I/O); the root keeps a thin driver (provisioning.go), the inputs from what the node knows (fleetview.go) and the catalog (catalog.go). No change of behaviour meant.

Tests: two in the root make the account instead of the struct, with the same assertions; three new ones.

--- /dev/null
+++ b/catalog.go
@@ -0,0 +1,42 @@
+package topazhollow
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"topazhollow/internal/tenure"
+)
+
+// How long the machine types of the last read are used: by the fleet's owner, which needs
+// their prices, by the others, and after a read that failed.
+const (
+	ownerCatalogLife = 30 * time.Second
+	catalogLife      = 5 * time.Minute
+	catalogRetry     = time.Second
+)
+
+// readCatalog keeps the machine types known.
+func (n *Node) readCatalog(ctx context.Context) error {
+	for ctx.Err() == nil {
+		types, err := n.cloud.Catalog(ctx)
+		n.mu.Lock()
+		wait := catalogLife
+		if err == nil && len(types) > 0 {
+			n.types = types
+			n.recount(maps.Keys(n.machines))
+			n.wake()
+		} else {
+			n.log.Info("catalog not read", "err", err)
+			wait = catalogRetry
+		}
+		if n.items[tenure.Fleet] != nil {
+			wait = min(wait, ownerCatalogLife)
+		}
+		n.mu.Unlock()
+		if !pause(ctx, wait) {
+			return nil
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/fleetview.go
@@ -0,0 +1,242 @@
+package topazhollow
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"topazhollow/internal/fleet"
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/provisioning"
+	"topazhollow/internal/wire"
+)
+
+// What the fleet's owner knows, as inputs of its decisions.
+
+// endlessRun is the run time in seconds that a service's task counts with.
+const endlessRun = 1e6
+
+// fleetLogEvery is how often the log describes the whole fleet.
+const fleetLogEvery = 20 * time.Second
+
+// peerWordLife is for how long after its last status a peer's word on demands and barriers
+// counts.
+const peerWordLife = 3 * time.Second
+
+// fleetMachines describes every machine that is listed, registered, reporting or rented
+// lately.
+func (n *Node) fleetMachines(account *provisioning.Account, now time.Time) []fleet.Machine {
+	n.recountMoved()
+	known := func(yield func(string) bool) {
+		for name, m := range n.machines {
+			if !m.gone && (m.view != nil || n.roster.Has(name)) && !yield(name) {
+				return
+			}
+		}
+	}
+	awaited, mute := n.awaited(now)
+	var observations []provisioning.Observation
+	for _, name := range account.Candidates(known) {
+		m := n.machine(name)
+		if m.gone {
+			continue
+		}
+		observed := n.observeMachine(m, name, now)
+		observed.Machine.Awaited, observed.Machine.Mute = awaited[name], mute[name]
+		observations = append(observations, observed)
+	}
+	return account.Describe(observations, now)
+}
+
+// observeMachine is what the controllers know of a machine.
+func (n *Node) observeMachine(m *machine, name string, now time.Time) provisioning.Observation {
+	observed := provisioning.Observation{Reported: m.view != nil, Machine: fleet.Machine{
+		Name:  name,
+		Heard: m.lastHeard(),
+		Idle:  m.idle,
+		Kept:  n.roster.Has(name),
+		Bad:   n.blame.Bad(name, now),
+	}}
+	if m.view == nil {
+		return observed
+	}
+	x := &observed.Machine
+	x.Unknown = n.homeUnheard(name, now)
+	x.Type, x.Zone, x.Spot, x.Going = m.view.Type, m.view.Zone, m.view.Spot, m.view.Notice
+	if n.count(m) {
+		x.CPUs, x.GPUs, x.Mem = m.host.CPUs, m.host.GPUs, m.host.Memory
+	}
+	for _, task := range m.view.Tasks {
+		if j := n.jobs[task.Job]; j != nil && task.State != wire.Exited {
+			x.Slots = append(x.Slots, slotOf(m, j.spec, task.Ref(), now))
+		}
+	}
+	return observed
+}
+
+// slotOf is the room that a task on a machine takes, and for how long it probably does.
+func slotOf(m *machine, spec *wire.Submission, ref ledger.Ref, now time.Time) fleet.Slot {
+	left := max(spec.Estimate, 1)
+	if spec.Kind == wire.Service {
+		left = endlessRun
+	} else if since, running := m.running[ref]; running {
+		left = max(left-now.Sub(since).Seconds(), left/8)
+	}
+	return fleet.Slot{CPUs: spec.CPUs, GPUs: spec.GPUs, Mem: spec.Memory, Left: left, Pinned: !spec.Spot}
+}
+
+// lastHeard is when any controller last heard a machine, as far as known here. One that
+// reports in vain to other controllers is alive, whatever its home says; a machine that never
+// reported to its home counts from there.
+func (m *machine) lastHeard() time.Time {
+	if m.heard.IsZero() {
+		return m.heard
+	}
+	return later(m.heard, m.came)
+}
+
+// homeUnheard says whether a machine's home is another member that holds its lease but is not
+// heard here, as when connections between controllers are refused. Then nothing that happens
+// on the machine is heard here either.
+func (n *Node) homeUnheard(name string, now time.Time) bool {
+	home := n.homeOf(name)
+	p := n.peers[home]
+	return p != nil && n.live[home].Incarnation == n.record.Nodes[home] && !p.near(now)
+}
+
+// awaited is the machines that any owner's barrier waits for, and those that did not answer
+// their home's probe.
+func (n *Node) awaited(now time.Time) (awaited, mute map[string]bool) {
+	awaited, mute = map[string]bool{}, map[string]bool{}
+	add := func(to map[string]bool, names []string) {
+		for _, name := range names {
+			to[name] = true
+		}
+	}
+	add(awaited, n.awaits())
+	add(mute, n.mute())
+	for _, p := range n.peers {
+		if now.Sub(p.heard) < peerWordLife {
+			add(awaited, p.awaits)
+			add(mute, p.mute)
+		}
+	}
+	return awaited, mute
+}
+
+// fleetDemands lists the room that waiting tasks of all teams ask for, most urgent first.
+func (n *Node) fleetDemands(now time.Time) []fleet.Demand {
+	list := n.appendFleetDemands(nil, n.demands(now), now)
+	for _, name := range slices.Sorted(maps.Keys(n.peers)) {
+		if p := n.peers[name]; now.Sub(p.heard) < peerWordLife && p.entitled {
+			list = n.appendFleetDemands(list, p.demands, now)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b fleet.Demand) int {
+		if d := wire.Rank(b.Spec.Priority) - wire.Rank(a.Spec.Priority); d != 0 {
+			return d
+		}
+		return a.Late.Compare(b.Late)
+	})
+	return list
+}
+
+// appendFleetDemands adds one controller's demands of active jobs.
+func (n *Node) appendFleetDemands(list []fleet.Demand, demands []demand, now time.Time) []fleet.Demand {
+	for _, d := range demands {
+		j := n.jobs[d.Job]
+		if j == nil || !j.active {
+			continue
+		}
+		behind := time.Duration(d.Behind) * time.Millisecond
+		list = append(list, fleet.Demand{
+			Spec:   j.spec,
+			Count:  d.Count,
+			Beyond: d.Beyond,
+			Late:   n.due(j, now).Add(-behind),
+			Cheap:  wire.Rank(j.spec.Priority) == 0 && len(n.goals(j)) == 0,
+		})
+	}
+	return list
+}
+
+// inflowOver is the time over which what comes is counted.
+const inflowOver = time.Minute
+
+// inflow is how many CPUs the jobs that came of late keep busy.
+func (n *Node) inflow(now time.Time) fleet.Inflow {
+	in := fleet.Inflow{}
+	for _, j := range n.jobs {
+		if j.spec.Kind != wire.Service && !j.at.IsZero() && now.Sub(j.at) < inflowOver {
+			in[wire.Rank(j.spec.Priority)] += float64(j.spec.Tasks) * j.spec.CPUs * j.spec.Estimate / inflowOver.Seconds()
+		}
+	}
+	return in
+}
+
+// due is when a job should be complete for what the fleet rents. What is late anyway is not
+// worth more machines at once than a new one takes to come up.
+func (n *Node) due(j *job, now time.Time) time.Time {
+	goal, late := n.goal(j, now)
+	haste := time.Duration(n.opt.Haste * float64(run(j.spec)))
+	switch {
+	case late:
+		return now.Add(haste + time.Minute)
+	case len(n.goals(j)) == 0:
+		return j.at.Add(haste + 5*time.Second)
+	}
+	return goal
+}
+
+// fleetSummary describes the whole fleet for the log.
+type fleetSummary struct {
+	up, spot, silent          int     // machines
+	waiting, pulling, running int     // tasks
+	freeCPUs, allCPUs         float64 // of machines that are up
+}
+
+// logFleet logs what the fleet looks like, so that an incident can be followed from the log
+// alone.
+func (n *Node) logFleet(p *provisioner, machines []fleet.Machine, demands []fleet.Demand, retired int, now time.Time) {
+	if now.Sub(p.logged) < fleetLogEvery {
+		return
+	}
+	p.logged = now
+	s := n.summarise(machines, demands, now)
+	freeShare := math.Round(1000*s.freeCPUs/max(s.allCPUs, 1)) / 1000
+	n.log.Info("fleet", "machines", s.up, "spot", s.spot, "on_their_way", len(machines)-s.up, "silent", s.silent, "retired", retired,
+		"free_share", freeShare, "tasks_running", s.running, "tasks_pulling", s.pulling, "tasks_waiting", s.waiting)
+}
+
+// summarise sums up machines and waiting tasks.
+func (n *Node) summarise(machines []fleet.Machine, demands []fleet.Demand, now time.Time) (s fleetSummary) {
+	for i := range machines {
+		m := n.machines[machines[i].Name]
+		if m.view == nil {
+			continue
+		}
+		s.up++
+		if machines[i].Spot {
+			s.spot++
+		}
+		if now.Sub(m.heard) > n.vainFor() {
+			s.silent++
+		}
+		cpus, _, _, _ := n.capacity(m.view.Type)
+		s.freeCPUs += machines[i].CPUs
+		s.allCPUs += cpus
+		for _, task := range m.view.Tasks {
+			switch task.State {
+			case wire.Pulling:
+				s.pulling++
+			case wire.Running:
+				s.running++
+			}
+		}
+	}
+	for _, d := range demands {
+		s.waiting += d.Count
+	}
+	return s
+}
--- a/grown_test.go
+++ b/grown_test.go
@@ -14,6 +14,7 @@
 	"topazhollow/internal/frontend"
 	"topazhollow/internal/horizon"
 	"topazhollow/internal/ledger"
+	"topazhollow/internal/provisioning"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
@@ -234,10 +235,10 @@
 				g.submit(100, 8)
 			}
 			g.second(10)
-			r := &rental{started: g.now, list: map[string]wire.Host{}, seen: map[string]time.Time{}, rented: map[string]wire.Rent{}, giving: map[string]bool{}}
+			account := provisioning.New(provisioning.Options{}, g.now)
 			f := fleet.New("b", fleet.Options{IdleReturn: 10 * time.Second, SpotShare: 1, Silent: 30 * time.Second, Haste: 2})
 			for b.Loop() {
-				machines := g.n.fleetView(r, g.now)
+				machines := g.n.fleetMachines(account, g.now)
 				var demands []fleet.Demand
 				for _, d := range g.n.demands(g.now) {
 					j := g.n.jobs[d.Job]
--- a/internal/arch/arch.go
+++ b/internal/arch/arch.go
@@ -33,6 +33,7 @@
 		"internal/tenure",
 		"internal/rebuild",
 		"internal/fleet",
+		"internal/provisioning",
 		"internal/ledger",
 		"internal/workers",
 		"internal/cloud",
--- /dev/null
+++ b/internal/provisioning/machines.go
@@ -0,0 +1,93 @@
+package provisioning
+
+import (
+	"iter"
+	"maps"
+	"slices"
+	"time"
+
+	"topazhollow/internal/fleet"
+	"topazhollow/internal/settings"
+)
+
+// Observation is what the controllers know of a machine beside what the cloud says of it.
+type Observation struct {
+	// Machine holds all that reports and the state service tell. Type, zone and kind count
+	// only if Reported is set.
+	Machine  fleet.Machine
+	Reported bool // the machine's home has a report of it
+}
+
+// Candidates lists the machines that may exist, in the order of their names: those of the
+// cloud's list, those rented lately and those that the controllers know. Machines whose
+// return is under way are left out.
+func (a *Account) Candidates(known iter.Seq[string]) []string {
+	names := map[string]bool{}
+	for name := range a.listed {
+		names[name] = true
+	}
+	for name := range a.rented {
+		names[name] = true
+	}
+	for name := range known {
+		names[name] = true
+	}
+	for name := range a.returning {
+		delete(names, name)
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// Describe joins what the controllers know of machines with what the cloud says.
+func (a *Account) Describe(observations []Observation, now time.Time) []fleet.Machine {
+	newest := a.newestListed()
+	machines := make([]fleet.Machine, 0, len(observations))
+	for i := range observations {
+		machines = append(machines, a.describe(&observations[i], newest, now))
+	}
+	return machines
+}
+
+// describe joins what is known of one machine.
+func (a *Account) describe(observed *Observation, newestListed string, now time.Time) fleet.Machine {
+	machine := observed.Machine
+	machine.Since = a.since(machine.Name, now)
+	host, listed := a.listed[machine.Name]
+	machine.State = host.State
+	machine.Passed = !listed && machine.Name < newestListed
+	if observed.Reported {
+		if machine.Heard.IsZero() {
+			machine.Heard = a.began
+		}
+		return machine
+	}
+	if listed {
+		machine.Type, machine.Zone, machine.Spot = host.Type, host.Zone, host.Spot
+	} else if request, rented := a.rented[machine.Name]; rented {
+		machine.Type, machine.Zone, machine.Spot = request.Type, request.Zone, request.Spot
+	}
+	return machine
+}
+
+// since is when a machine was rented, as far as known, or first seen.
+func (a *Account) since(name string, now time.Time) time.Time {
+	if since := a.firstSeen[name]; !since.IsZero() {
+		return since
+	}
+	since := now
+	if host, listed := a.listed[name]; listed {
+		since = now.Add(-settings.Seconds(host.Age))
+	}
+	a.firstSeen[name] = since
+	return since
+}
+
+// newestListed is the machine rented last of those in the cloud's list: names are in the
+// order of rental.
+func (a *Account) newestListed() string {
+	newest := ""
+	for name := range a.listed {
+		newest = max(newest, name)
+	}
+	return newest
+}
--- /dev/null
+++ b/internal/provisioning/provisioning_test.go
@@ -0,0 +1,105 @@
+package provisioning
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"topazhollow/internal/fleet"
+	"topazhollow/internal/wire"
+)
+
+var types = []wire.MachineType{{Name: "m", CPUs: 16, Memory: 64, Price: 1, SpotPrice: 0.5, Zones: []string{"a"}, Boot: 10}}
+
+func newAccount(now time.Time) *Account {
+	return New(Options{Since: 3, Prefix: "p", ListLag: 8 * time.Second, Fleet: fleet.Options{SpotShare: 1, Silent: time.Minute, Haste: 2}}, now)
+}
+
+func nobodyGone(string) bool { return false }
+
+func demand(now time.Time) []fleet.Demand {
+	spec := &wire.Submission{UID: "job-000001", Kind: wire.Batch, Tasks: 4, CPUs: 16, Memory: 4, Estimate: 60, Spot: true}
+	return []fleet.Demand{{Spec: spec, Count: 4, Late: now}}
+}
+
+// TestListIsPaced: one read at a time, half a lag after the one before, and at once after one
+// that failed.
+func TestListIsPaced(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := newAccount(now)
+	if a.Ready() || !a.BeginListing(now) || a.BeginListing(now.Add(time.Hour)) {
+		t.Fatal("not one read at a time")
+	}
+	a.ListingFailed()
+	if a.Ready() || !a.BeginListing(now) {
+		t.Fatal("no read after one that failed")
+	}
+	a.ListingRead([]wire.Host{{UID: "m-1"}, {UID: "m-2"}}, func(name string) bool { return name == "m-1" }, now)
+	if _, gone := a.Hosts()["m-1"]; gone || len(a.Hosts()) != 1 || !a.Ready() {
+		t.Fatalf("listed: %v", a.Hosts())
+	}
+	if a.BeginListing(now.Add(4*time.Second-1)) || !a.BeginListing(now.Add(4*time.Second)) {
+		t.Error("the list is not read once in half its lag")
+	}
+}
+
+// TestReturnAfterDraining: a machine is returned one decision after it began to get no
+// tasks, again if the cloud did not answer, and is no candidate meanwhile.
+func TestReturnAfterDraining(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := newAccount(now)
+	a.BeginListing(now)
+	a.ListingRead([]wire.Host{{UID: "m-1", Type: "m", Zone: "a", State: wire.HostFailed}}, nobodyGone, now)
+	var draining map[string]bool
+	decide := func() []string {
+		var observations []Observation
+		for _, name := range a.Candidates(maps.Keys(map[string]bool{})) {
+			observations = append(observations, Observation{Machine: fleet.Machine{Name: name}})
+		}
+		actions := a.Decide(&Inputs{Types: types, Machines: a.Describe(observations, now), Draining: draining}, now)
+		draining = actions.Drain
+		return actions.Return
+	}
+	if got := decide(); got != nil || !draining["m-1"] {
+		t.Fatalf("returned %v before it was drained: %v", got, draining)
+	}
+	if got := decide(); !slices.Equal(got, []string{"m-1"}) {
+		t.Fatalf("returned %v", got)
+	}
+	if got := a.Candidates(maps.Keys(map[string]bool{"m-1": true})); len(got) != 0 {
+		t.Errorf("%v are candidates while they are returned", got)
+	}
+	a.ReturnFailed([]string{"m-1"})
+	if got := decide(); !slices.Equal(got, []string{"m-1"}) {
+		t.Fatalf("after a failure: returned %v", got)
+	}
+	a.ReturnConfirmed([]string{"m-1"})
+	if got := a.Candidates(maps.Keys(map[string]bool{})); len(got) != 0 {
+		t.Errorf("%v are candidates though they are gone", got)
+	}
+}
+
+// TestRentAfterTakeOver: an owner that follows another one rents nothing before the list
+// names what that one rented.
+func TestRentAfterTakeOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := newAccount(now)
+	in := &Inputs{Types: types, Demands: demand(now), TakenOver: true}
+	if got := a.Decide(in, now.Add(8*time.Second-1)).Rent; got != nil {
+		t.Fatalf("rents %v at once", got)
+	}
+	later := now.Add(8 * time.Second)
+	requests := a.Decide(in, later).Rent
+	if len(requests) != 1 || requests[0].Count != 4 {
+		t.Fatalf("rents %v", requests)
+	}
+	a.RentAnswered(requests[0], []string{"m-1", "m-2"}, true, later)
+	machines := a.Describe([]Observation{{Machine: fleet.Machine{Name: "m-1"}}}, later.Add(time.Minute))
+	if m := machines[0]; m.Type != "m" || m.Zone != "a" || !m.Spot || !m.Since.Equal(later) {
+		t.Errorf("rented: %+v", m)
+	}
+	if !a.Dropped(requests[0], later) {
+		t.Error("a request goes on to a place that has just refused one")
+	}
+}
--- /dev/null
+++ b/provisioning.go
@@ -0,0 +1,218 @@
+package topazhollow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"topazhollow/internal/cloud"
+	"topazhollow/internal/fleet"
+	"topazhollow/internal/provisioning"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/tenure"
+	"topazhollow/internal/wire"
+)
+
+// provisionEvery is how often the fleet's owner decides what to rent and to return.
+const provisionEvery = 500 * time.Millisecond
+
+// maxOpenRequests is how many rental requests are paced or under way at a time. The others
+// wait for their turn, and are dropped when it comes if their place refused one meanwhile:
+// they would hold up more urgent ones.
+const maxOpenRequests = 2
+
+// answerTime is how long a worker waits for the answer to a report, and until it tries the
+// next controller.
+const answerTime = 6 * time.Second
+
+// provisioner carries out what a provisioning.Account decides.
+type provisioner struct {
+	account *provisioning.Account
+	turns   chan struct{} // holds one element for each rental request under way
+	logged  time.Time     // when the log last described the whole fleet
+}
+
+// runFleet rents and returns machines while this controller owns the fleet.
+func (n *Node) runFleet(ctx context.Context) error {
+	var p *provisioner
+	for pause(ctx, provisionEvery) {
+		now := time.Now()
+		n.mu.Lock()
+		p = n.provision(p, now)
+		n.mu.Unlock()
+	}
+	return nil
+}
+
+// provision decides once and begins what was decided. It returns the provisioner to go on
+// with, nil while this controller does not own the fleet.
+func (n *Node) provision(p *provisioner, now time.Time) *provisioner {
+	it := n.items[tenure.Fleet]
+	if it == nil {
+		n.drain, n.late = map[string]bool{}, nil
+		return nil
+	}
+	if !n.entitled(now) || n.types == nil {
+		return p
+	}
+	if p == nil || p.account.Since() != it.since {
+		p = n.newProvisioner(it.since, now)
+	}
+	n.readCloudList(p.account, now)
+	if !p.account.Ready() {
+		return p
+	}
+	machines := n.fleetMachines(p.account, now)
+	demands := n.fleetDemands(now)
+	actions := p.account.Decide(&provisioning.Inputs{
+		Types:     n.types,
+		Machines:  machines,
+		Demands:   demands,
+		Inflow:    n.inflow(now),
+		Settled:   n.settled,
+		TakenOver: it.since > n.record.First || n.record.Generation > 1,
+		Draining:  n.drain,
+	}, now)
+	n.noteLatePlaces(actions.Late)
+	n.logFleet(p, machines, demands, actions.Retired, now)
+	n.makePlan(machines, demands, now)
+	n.drain = actions.Drain
+	n.returnMachines(p.account, actions.Return)
+	n.strikeGone()
+	for _, request := range actions.Rent {
+		n.group.Go(func() error {
+			n.rent(n.ctx, p, request)
+			return nil
+		})
+	}
+	return p
+}
+
+// newProvisioner begins the account of this controller as the fleet's owner.
+func (n *Node) newProvisioner(since uint64, now time.Time) *provisioner {
+	options := provisioning.Options{
+		Since:   since,
+		Prefix:  fmt.Sprintf("%s-%d-%d", n.name, n.inc, since),
+		ListLag: settings.Seconds(n.set.Deployment.Cloud.ListLag),
+		Fleet:   n.fleetOptions(),
+	}
+	return &provisioner{
+		account: provisioning.New(options, now),
+		turns:   make(chan struct{}, maxOpenRequests),
+	}
+}
+
+// fleetOptions derives from the settings what the fleet's decisions go by.
+func (n *Node) fleetOptions() fleet.Options {
+	deployment := &n.set.Deployment
+	lease := settings.Seconds(deployment.Workers.Lease)
+	cancel := settings.Seconds(deployment.Workers.Cancel)
+	return fleet.Options{
+		IdleReturn: settings.Seconds(n.opt.IdleReturn),
+		Warm:       n.opt.WarmMachines,
+		Haste:      n.opt.Haste,
+		SpotShare:  n.opt.SpotShare,
+		// Lists may be twice as old as their lag, and a report may be late.
+		Unlisted: settings.Seconds(2*deployment.Cloud.ListLag) + time.Second,
+		Hurry:    settings.Seconds(2*deployment.Workers.Report) + answerTime,
+		Overdue:  n.overdue() + time.Second,
+		Silent:   min(lease+4*time.Second, cancel/2),
+		// What runs in a zone that is cut off is kept alive there for no longer than this.
+		Cut: cancel,
+	}
+}
+
+// readCloudList reads the cloud's list if it is due, and has the machines probed that
+// barriers wait for.
+func (n *Node) readCloudList(account *provisioning.Account, now time.Time) {
+	if !account.BeginListing(now) {
+		return
+	}
+	n.group.Go(func() error {
+		hosts, err := n.cloud.List(n.ctx)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if err != nil {
+			account.ListingFailed()
+			n.log.Info("cloud list not read", "err", err)
+			return nil
+		}
+		read := time.Now()
+		account.ListingRead(hosts, func(name string) bool { return n.machine(name).gone }, read)
+		awaited, _ := n.awaited(read)
+		n.knockAll(account.Hosts(), awaited)
+		return nil
+	})
+}
+
+// noteLatePlaces logs a change of the places where machines come up late.
+func (n *Node) noteLatePlaces(late []string) {
+	if slices.Equal(late, n.late) {
+		return
+	}
+	n.log.Info("places where machines come up late", "before", n.late, "now", late)
+	n.late = late
+}
+
+// rent sends one rental request when its turn comes.
+func (n *Node) rent(ctx context.Context, p *provisioner, request wire.Rent) {
+	select {
+	case p.turns <- struct{}{}:
+		defer func() { <-p.turns }()
+	case <-ctx.Done():
+		return
+	}
+	n.mu.Lock()
+	dropped := p.account.Dropped(request, time.Now())
+	n.mu.Unlock()
+	if dropped {
+		return
+	}
+	names, err := n.cloud.Rent(ctx, request)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.log.Info("rent", "request", request.Request, "type", request.Type, "zone", request.Zone, "spot", request.Spot,
+		"count", request.Count, "got", len(names), "err", err)
+	p.account.RentAnswered(request, names, err == nil || errors.Is(err, cloud.ErrNoCapacity), time.Now())
+}
+
+// returnMachines asks the cloud to take machines back. Only its confirmation ends what may
+// be on them.
+func (n *Node) returnMachines(account *provisioning.Account, names []string) {
+	if len(names) == 0 {
+		return
+	}
+	n.group.Go(func() error {
+		err := n.cloud.Return(n.ctx, names)
+		n.log.Info("return", "machines", names, "err", err)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if err != nil {
+			account.ReturnFailed(names)
+			return nil
+		}
+		account.ReturnConfirmed(names)
+		for _, name := range names {
+			n.machineGone(name)
+		}
+		return nil
+	})
+}
+
+// strikeGone takes gone machines off the roster, one batch of writes at a time.
+func (n *Node) strikeGone() {
+	if n.striking {
+		return
+	}
+	writes := n.unstruck()
+	if len(writes) == 0 {
+		return
+	}
+	n.striking = true
+	n.group.Go(func() error {
+		n.strike(n.ctx, writes)
+		return nil
+	})
+}
--- a/sustain_test.go
+++ b/sustain_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"topazhollow/internal/ledger"
+	"topazhollow/internal/provisioning"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
@@ -112,14 +113,14 @@
 			t.Errorf("%s may take tasks, though no order reaches its home", h.Name)
 		}
 	}
-	r := &rental{started: g.now, list: map[string]wire.Host{}, seen: map[string]time.Time{}, rented: map[string]wire.Rent{}, giving: map[string]bool{}}
-	for _, m := range n.fleetView(r, now) {
+	account := provisioning.New(provisioning.Options{}, g.now)
+	for _, m := range n.fleetMachines(account, now) {
 		if m.Unknown == homed[m.Name] {
 			t.Errorf("%s, homed here: %v, is of an unheard home: %v", m.Name, homed[m.Name], m.Unknown)
 		}
 	}
 	delete(n.live, "node-b") // it lost its lease: that is silence for good
-	for _, m := range n.fleetView(r, now) {
+	for _, m := range n.fleetMachines(account, now) {
 		if m.Unknown && n.record.Home(m.Name) == "node-b" {
 			t.Errorf("%s counts as heard elsewhere, by a controller that is gone", m.Name)
 		}
