Of the gangs that wait for machines only the most urgent one reserves quota

Change: Demands asks for each gang, but only the first job that can't begin takes of what less urgent ones may ask for. Guarantees are counted as before.

--- a/internal/ledger/quota_test.go
+++ b/internal/ledger/quota_test.go
@@ -84,3 +84,21 @@
 		t.Fatalf("%d large and %d small tasks hold quota, want 2 of each", large, small)
 	}
 }
+
+// TestOneWaitingGangReservesQuota: gangs that wait for machines leave the quota beyond the first one's to other jobs.
+func TestOneWaitingGangReservesQuota(t *testing.T) {
+	now := time.Unix(1000, 0)
+	team := NewTeam("team", 0, 8, 0, math.Inf(1), NewReplica(), 1, func(string, ...any) {})
+	for i, uid := range []string{"job-000001", "job-000002"} {
+		team.AddJob(&wire.Submission{UID: uid, Kind: wire.Gang, Priority: "high", Tasks: 2, CPUs: 2}, uint64(i), now, nil)
+	}
+	small := &wire.Submission{UID: "job-000003", Kind: wire.Batch, Priority: "standard", Tasks: 100, CPUs: 1}
+	team.AddJob(small, 3, now, nil)
+	asked := map[string]int{}
+	for _, demand := range team.Demands(now) {
+		asked[demand.Spec.UID] += demand.Count
+	}
+	if asked["job-000001"] != 2 || asked["job-000002"] != 2 || asked[small.UID] != 4 {
+		t.Fatalf("%v tasks asked for, want 2 of each gang and 4 small ones", asked)
+	}
+}
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -882,20 +882,33 @@
 	}
 }
 
-// reserve adds to the taken part of a quota what a job needs to begin, or as much of it as the limit leaves. Else less
-// urgent jobs with smaller tasks would take each piece that comes free, and the job would never have enough at once.
-func reserve(taken, needed, limit float64) float64 {
-	return min(taken+needed, max(taken, limit))
+// quota is a part of a team's quota, in CPUs and GPUs.
+type quota struct{ cpus, gpus float64 }
+
+// add takes what so many tasks of a job need.
+func (q *quota) add(s *wire.Submission, tasks int) {
+	q.cpus += float64(tasks) * s.CPUs
+	q.gpus += float64(tasks) * s.GPUs
+}
+
+// reserve takes what so many tasks of a job need, or as much of it as the limits leave. Else less urgent jobs with smaller
+// tasks would take each piece that comes free, and the job would never have enough at once.
+func (q *quota) reserve(s *wire.Submission, tasks int, mostCPUs, mostGPUs float64) {
+	q.cpus = min(q.cpus+float64(tasks)*s.CPUs, max(q.cpus, mostCPUs))
+	q.gpus = min(q.gpus+float64(tasks)*s.GPUs, max(q.gpus, mostGPUs))
 }
 
 // Demands lists what the team would place if there were room, most urgent first, and for each
-// class what is beyond the quota.
+// class what is beyond the quota. Of the jobs that wait to begin at once, gangs among them, only the most urgent one
+// reserves quota: gangs may wait for machines for minutes, and all of them together would keep it from everybody.
 func (t *Team) Demands(now time.Time) []Demand {
 	cpus, gpus := t.charged()
 	var out, probes []Demand
 	beyond := 0.0 // CPU seconds that the quota has no room for now
 	over := map[string]int{}
 	lacks, kept := t.lacking()
+	taken := quota{cpus, gpus} // what more urgent jobs leave nothing of
+	reserved := false          // part of it is reserved for a job that can't begin
 	for _, j := range t.order {
 		if j.Over || j.Finishing || now.Before(j.notUntil) {
 			continue
@@ -910,14 +923,15 @@
 		}
 		left := t.Unstarted(j)
 		own := lacks[j.Spec.Class]
-		fit := min(left, most(t.MaxCPUs-cpus-(kept-own), j.Spec.CPUs), most(t.MaxGPUs-gpus, j.Spec.GPUs))
+		fit := min(left, most(t.MaxCPUs-taken.cpus-(kept-own), j.Spec.CPUs), most(t.MaxGPUs-taken.gpus, j.Spec.GPUs))
 		within := min(fit, most(t.CPUs-cpus, j.Spec.CPUs), most(t.GPUs-gpus, j.Spec.GPUs))
-		if atOnce := j.startsAtOnce(left); fit < atOnce {
-			cpus = reserve(cpus, float64(atOnce)*j.Spec.CPUs, t.MaxCPUs-(kept-own))
-			gpus = reserve(gpus, float64(atOnce)*j.Spec.GPUs, t.MaxGPUs)
-		} else {
-			cpus += float64(fit) * j.Spec.CPUs
-			gpus += float64(fit) * j.Spec.GPUs
+		cpus += float64(fit) * j.Spec.CPUs
+		gpus += float64(fit) * j.Spec.GPUs
+		if atOnce := j.startsAtOnce(left); fit >= atOnce && (atOnce == 0 || j.Spec.Kind != wire.Gang) {
+			taken.add(j.Spec, fit)
+		} else if !reserved {
+			reserved = true
+			taken.reserve(j.Spec, atOnce, t.MaxCPUs-(kept-own), t.MaxGPUs)
 		}
 		if own > 0 {
 			used := min(own, float64(fit)*j.Spec.CPUs)
