--- a/order.go
+++ b/goals.go
@@ -1,9 +1,7 @@
 package topazhollow
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"topazhollow/internal/settings"
@@ -76,61 +74,3 @@
 	}
 	return time.Time{}, false
 }
-
-// wish is a job's waiting tasks as all owners order them.
-type wish struct {
-	claim
-	spec      *wire.Submission
-	count     int
-	borrowed  bool // beyond the team's guarantee
-	probe     bool // of a job that fails everywhere
-	first     bool // its class has less than the plan leaves it, whatever is more urgent
-	late      bool // can reach no goal any more
-	lost      bool // nor start when it should
-	latest    time.Time
-	submitted time.Time
-}
-
-// class compares what must not be mixed: work within its team's guarantee comes
-// first, then priority decides. Tries of faulty jobs come last of all.
-func (w *wish) class(o *wish) int {
-	if w.probe != o.probe {
-		if w.probe {
-			return 1
-		}
-		return -1
-	}
-	if w.first != o.first {
-		if w.first {
-			return -1
-		}
-		return 1
-	}
-	if w.borrowed != o.borrowed {
-		if w.borrowed {
-			return 1
-		}
-		return -1
-	}
-	return wire.Rank(o.spec.Priority) - wire.Rank(w.spec.Priority)
-}
-
-// arrange puts waiting work in the order in which it gets room, most urgent
-// first. Within a class those go first that must start soonest to reach their
-// goal; those that can reach none come last.
-func arrange(list []wish) {
-	slices.SortFunc(list, func(a, b wish) int {
-		if d := a.class(&b); d != 0 {
-			return d
-		}
-		for _, x := range [][2]bool{{a.late, b.late}, {a.lost, b.lost}} {
-			if x[0] != x[1] {
-				if x[0] {
-					return 1
-				}
-				return -1
-			}
-		}
-		return cmp.Or(a.latest.Compare(b.latest), a.submitted.Compare(b.submitted), strings.Compare(a.spec.UID, b.spec.UID))
-	})
-}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -125,3 +125,10 @@
 	h.GPUs -= a.GPUs
 	h.Memory -= a.Memory
 }
+
+// Release books room of a host as free again.
+func (h *Host) Release(cpus, gpus, memory float64) {
+	h.CPUs += cpus
+	h.GPUs += gpus
+	h.Memory += memory
+}
--- a/order_test.go
+++ b/order_test.go
@@ -55,13 +55,13 @@
 			t.Errorf("after %d s tasks should start by %v, %v", age, by, ok)
 		}
 	}
-	waits := func(uid, priority string, borrowed, late bool, latest int) wish {
-		return wish{spec: &wire.Submission{UID: uid, Priority: priority}, borrowed: borrowed, late: late,
+	waits := func(uid, priority string, borrowed, late bool, latest int) waitingTasks {
+		return waitingTasks{spec: &wire.Submission{UID: uid, Priority: priority}, borrowed: borrowed, late: late,
 			latest: now.Add(time.Duration(latest) * time.Second), submitted: now}
 	}
 	lost := waits("g", "standard", false, true, 1)
 	lost.lost = true
-	list := []wish{waits("i", "prod", true, false, 1), lost, waits("h", "low", false, false, 1), waits("f", "standard", false, true, 3), waits("e", "standard", false, true, 2),
+	list := []waitingTasks{waits("i", "prod", true, false, 1), lost, waits("h", "low", false, false, 1), waits("f", "standard", false, true, 3), waits("e", "standard", false, true, 2),
 		waits("d", "standard", false, false, 9), waits("c", "standard", false, false, 8), waits("b", "high", false, true, 1), waits("a", "high", false, false, 50)}
 	arrange(list)
 	got := ""
--- /dev/null
+++ b/waiting.go
@@ -0,0 +1,151 @@
+package topazhollow
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/tenure"
+	"topazhollow/internal/wire"
+)
+
+// claim says whose tasks wait: an own team's, or a peer's, for which room is only kept. Both
+// fields are nil for a peer's.
+type claim struct {
+	it  *item
+	own *ledger.Job
+}
+
+// waitingTasks are tasks of one job that wait for room, as all owners order them.
+type waitingTasks struct {
+	claim
+	spec      *wire.Submission
+	count     int
+	borrowed  bool      // beyond the team's guarantee
+	probe     bool      // of a job that fails everywhere
+	first     bool      // its class has less than the plan leaves it, whatever is more urgent
+	late      bool      // can reach no goal any more
+	lost      bool      // nor start when it should
+	latest    time.Time // when they must start to reach their goal
+	submitted time.Time
+}
+
+// allWaiting lists the tasks that wait for room, of own teams and, if there are any, of
+// peers' teams.
+func (n *Node) allWaiting(now time.Time) []waitingTasks {
+	var list []waitingTasks
+	for _, it := range n.items {
+		if it.phase == ready && !it.frozen && it.name != tenure.Fleet {
+			list = n.appendOwnWaiting(list, it, now)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	for _, p := range n.peers {
+		if !p.near(now) || !p.entitled {
+			continue // one that lost its lease tells of work that others have taken over
+		}
+		for i := range p.demands {
+			list = n.appendWaiting(list, claim{}, &p.demands[i], false, now)
+		}
+	}
+	return list
+}
+
+// appendOwnWaiting adds an own team's waiting tasks.
+func (n *Node) appendOwnWaiting(list []waitingTasks, it *item, now time.Time) []waitingTasks {
+	demands := it.team.Demands(now)
+	first := n.goFirst(it, demands, now)
+	for i := range demands {
+		d := &demands[i]
+		own := claim{it, it.team.Job(d.Spec.UID)}
+		wanted := demand{Job: d.Spec.UID, Count: d.Count, First: first[i], Borrowed: d.Borrowed}
+		list = n.appendWaiting(list, own, &wanted, d.Probe, now)
+	}
+	return list
+}
+
+// appendWaiting adds a demand of an active job: apart from the others, those of its tasks
+// that go before what is more urgent.
+func (n *Node) appendWaiting(list []waitingTasks, whose claim, d *demand, probe bool, now time.Time) []waitingTasks {
+	j := n.jobs[d.Job]
+	if j == nil || !j.active {
+		return list
+	}
+	w := waitingTasks{claim: whose, spec: j.spec, borrowed: d.Borrowed, probe: probe, submitted: j.at}
+	n.setUrgency(&w, j, now)
+	first := max(0, min(d.First, d.Count))
+	if first > 0 {
+		w.first, w.count = true, first
+		list = append(list, w)
+	}
+	if d.Count > first {
+		w.first, w.count = false, d.Count-first
+		list = append(list, w)
+	}
+	return list
+}
+
+// setUrgency derives from a job's goals when its tasks must start.
+func (n *Node) setUrgency(w *waitingTasks, j *job, now time.Time) {
+	w.latest, w.late = n.goal(j, now)
+	w.latest = w.latest.Add(-run(j.spec))
+	startBy, canStart := n.startBy(j, now)
+	if w.late && canStart {
+		w.latest = startBy
+	} else if w.late {
+		w.lost = true
+	}
+	if by, ok := n.promptly(j.at, now); ok && !w.borrowed && by.Before(w.latest) {
+		w.latest, w.late = by, false
+	}
+	if canStart && j.spec.Kind == wire.Gang && startBy.Before(w.latest) {
+		w.latest = startBy // all of it starts at once, so that it can still be in time as a whole
+	}
+}
+
+// falseFirst compares two conditions that differ.
+func falseFirst(a bool) int {
+	if a {
+		return 1
+	}
+	return -1
+}
+
+// compareClass compares what must not be mixed: work within its team's guarantee comes
+// first, then priority decides. Tries of faulty jobs come last of all.
+func (w *waitingTasks) compareClass(o *waitingTasks) int {
+	if w.probe != o.probe {
+		return falseFirst(w.probe)
+	}
+	if w.first != o.first {
+		return falseFirst(o.first)
+	}
+	if w.borrowed != o.borrowed {
+		return falseFirst(w.borrowed)
+	}
+	return wire.Rank(o.spec.Priority) - wire.Rank(w.spec.Priority)
+}
+
+// compare compares by urgency. Within a class those go first that must start soonest to reach
+// their goal; those that can reach none come last.
+func (w *waitingTasks) compare(o *waitingTasks) int {
+	if order := w.compareClass(o); order != 0 {
+		return order
+	}
+	if w.late != o.late {
+		return falseFirst(w.late)
+	}
+	if w.lost != o.lost {
+		return falseFirst(w.lost)
+	}
+	return cmp.Or(w.latest.Compare(o.latest), w.submitted.Compare(o.submitted), strings.Compare(w.spec.UID, o.spec.UID))
+}
+
+// arrange puts waiting work in the order in which it gets room, most urgent first.
+func arrange(list []waitingTasks) {
+	slices.SortFunc(list, func(a, b waitingTasks) int { return a.compare(&b) })
+}
