--- a/internal/rehearse/pipe.go
+++ b/internal/rehearse/pipe.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // Pipe carries connections to an address and can be cut, as the path from one controller to another.
@@ -13,6 +14,7 @@
 
 	mu    sync.Mutex
 	cut   bool
+	slow  time.Duration // that each piece of what is carried takes longer
 	conns map[net.Conn]bool
 }
 
@@ -42,6 +44,29 @@
 	}
 }
 
+// Slow has each piece of what is carried take so much longer; 0: none.
+func (p *Pipe) Slow(by time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slow = by
+}
+
+// slowReader reads a connection at the pipe's pace.
+type slowReader struct {
+	p *Pipe
+	net.Conn
+}
+
+// Read reads one piece, after the pipe's delay.
+func (r slowReader) Read(b []byte) (int, error) {
+	n, err := r.Conn.Read(b)
+	r.p.mu.Lock()
+	slow := r.p.slow
+	r.p.mu.Unlock()
+	time.Sleep(slow)
+	return n, err
+}
+
 // Close ends the pipe.
 func (p *Pipe) Close() {
 	p.listener.Close()
@@ -88,10 +113,10 @@
 	}
 	defer p.drop(out)
 	go func() {
-		_, _ = io.Copy(in, out) // ends with either side
+		_, _ = io.Copy(in, slowReader{p, out}) // ends with either side
 		in.Close()
 	}()
-	_, _ = io.Copy(out, in)
+	_, _ = io.Copy(out, slowReader{p, in})
 }
 
 // Paths are the pipes between controllers, by the numbers of where they come from and lead to.
@@ -106,6 +131,13 @@
 	}
 }
 
+// Slow has all paths take so much longer for each piece that they carry; 0: none.
+func (p Paths) Slow(by time.Duration) {
+	for _, pipe := range p {
+		pipe.Slow(by)
+	}
+}
+
 // Close ends all of them.
 func (p Paths) Close() {
 	for _, pipe := range p {
--- a/meeting_leader_test.go
+++ b/meeting_leader_test.go
@@ -222,13 +222,15 @@
 	}
 }
 
-// TestMoreWorkThanRoom: there is more work than machines take, urgent and not, while links between controllers break,
-// the leader changes and jobs are cancelled. Once that is over nothing waits beside room that it fits.
+// TestMoreWorkThanRoom: there is more work than machines take, urgent and not, while links between controllers are slow
+// and break, the leader changes and jobs are cancelled. Once that is over nothing waits beside room that it fits.
 func TestMoreWorkThanRoom(t *testing.T) {
 	t.Parallel()
 	s := openScene(t, sceneRun)
 	s.members(3)
+	s.pipes.Slow(150 * time.Millisecond)
 	s.beside(func() {
+		defer s.pipes.Slow(0)
 		for i := range 6 {
 			s.pipes.Apart(i%3, true)
 			time.Sleep(400 * time.Millisecond)
