What may still arrive bounds renewals; a home sends no start of what is over

Cause, found by exploring a model of the real decisions: a start in flight of a job that was withdrawn since did not bound the renewals of its machine, neither by the home itself nor by others, who went by the home's last hearing though a single late command may be older; in an outage no raised term voids it. A home sent queued starts of jobs that it knew to be over; a restarted process counted as the home that it was. Change: workers.Machine.InFlight, DropStarts; statuses tell of starts in flight; leasegrant.Position.InFlight; a home's word counts from this process's own status.

--- a/home.go
+++ b/home.go
@@ -102,6 +102,7 @@
 	}
 	answer := wire.ReportAnswer{Token: n.record.Term, Commands: stops}
 	if m := n.home.Get(r.Machine); m.Report.Seq == r.Seq && m.Report.Session == r.Session {
+		n.readyToSend(m, now)
 		answer.Commands = append(answer.Commands, m.Answer()...)
 		n.noteView(r.Machine)
 	}
@@ -283,7 +284,7 @@
 		return
 	}
 	x := n.machine(r.Machine)
-	x.heard, x.homed = now, now
+	x.heard, x.homed, x.homeKnew = now, now, now
 	if !n.roster.Has(r.Machine) {
 		n.enrolling[r.Machine] = true
 		n.unlisted(r, x, now)
@@ -556,6 +557,9 @@
 	n.mu.Lock()
 	m := n.home.Get(name)
 	now := time.Now()
+	if m != nil {
+		n.readyToSend(m, now)
+	}
 	if m == nil || !m.Urgent() || !n.entitled(now) || m.Starts() && !n.horizon.Renews(now, time.Time{}) {
 		n.mu.Unlock()
 		return false
--- /dev/null
+++ b/inflight_test.go
@@ -0,0 +1,136 @@
+package topazhollow
+
+import (
+	"testing"
+	"time"
+
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/wire"
+)
+
+// ordering is a home that gets orders for one machine and hears its reports.
+type ordering struct {
+	*grown
+	name string
+	seq  uint64
+}
+
+func newOrdering() *ordering {
+	g := newGrown(1, 1)
+	o := &ordering{grown: g, name: g.names[0], seq: 10}
+	g.n.home.SetTerm(1, func(string) bool { return true })
+	g.submit(2, 1) // job-000001
+	return o
+}
+
+// report answers a report of the machine, which lists nothing.
+func (o *ordering) report(at time.Time) (status int, commands []wire.Command) {
+	o.seq++
+	r := wire.Report{Machine: o.name, Addr: "127.0.0.1:1", Type: "m32", Zone: "east", Session: 1, Seq: o.seq, Token: 1, Tasks: []wire.TaskStatus{}}
+	a := o.n.answerReport(&r, at)
+	var answer wire.ReportAnswer
+	if err := wire.Decode(a.Body, &answer); err != nil && a.Status == 200 {
+		panic(err)
+	}
+	return a.Status, answer.Commands
+}
+
+func (o *ordering) order(op string) {
+	o.n.home.Take(1, o.name, []ledger.Order{{Op: op, Key: ledger.Key{Job: "job-000001"}, Attempt: 1, Session: 1, CPUs: 1, Memory: 1}})
+}
+
+// TestNoStartOfWhatIsOver: an owner that the state service refuses may order starts of a job that its machine's home
+// knows to be withdrawn. The home sent them.
+func TestNoStartOfWhatIsOver(t *testing.T) {
+	o := newOrdering()
+	n := o.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	o.report(o.now)
+	o.order(wire.Start)
+	n.endJob("job-000001")
+	if _, commands := o.report(o.now); len(commands) > 0 {
+		t.Errorf("the answer commands %+v", commands)
+	}
+	o.order(wire.Start)
+	if n.home.Get(o.name).Starts() {
+		t.Error("it is queued again")
+	}
+	if v := n.home.View(o.name); len(v.Barred) != 1 {
+		t.Errorf("its owner is not told that it was never sent: %+v", v)
+	}
+}
+
+// TestStartInFlightBoundsRenewals: an unanswered /do may arrive late. Once the job of its start is over the machine is
+// kept alive no longer than what was known at the sending allows, by its home and by others, who are told of it.
+func TestStartInFlightBoundsRenewals(t *testing.T) {
+	o := newOrdering()
+	n := o.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	reach := settings.Seconds(n.set.Deployment.Workers.Cancel-n.set.Deployment.Workers.Lease) - 2*time.Second
+	o.report(o.now)
+	o.order(wire.Start)
+	m := n.home.Get(o.name)
+	n.readyToSend(m, o.now)
+	m.Sent(m.Send(), false, true)
+	renews := func(after time.Duration) bool {
+		at := o.now.Add(after)
+		n.lease.Renewed(at)
+		n.horizon.Read(at) // nothing else bounds it
+		status, _ := o.report(at)
+		return status == 200
+	}
+	if !renews(reach + 5*time.Second) {
+		t.Error("a start in flight of an active job bounds renewals")
+	}
+	n.endJob("job-000001")
+	if renews(reach + 6*time.Second) {
+		t.Error("a machine is kept alive for which a start of a withdrawn job may arrive")
+	}
+	at := o.now.Add(reach + 7*time.Second)
+	s := n.status(at)
+	if age, ok := s.InFlight[o.name]; !ok || age < (reach+7*time.Second).Milliseconds() {
+		t.Errorf("the home tells of %v", s.InFlight)
+	}
+	n.home.SetTerm(2, func(string) bool { return true })
+	n.record = n.record.Clone()
+	n.record.Term = 2
+	if !renews(reach + 8*time.Second) {
+		t.Error("a machine is not kept alive though a raised term voids the start")
+	}
+	n.record.Nodes[n.name]++ // an earlier process was its home
+	n.lease.Lost()
+	n.machine(o.name).homeKnew = time.Time{}
+	if status, _ := o.report(at.Add(2 * time.Second)); status == 200 {
+		t.Error("a process that began anew takes itself for the home that it was")
+	}
+}
+
+// TestHomeWord: what a home says of its machines counts from this process's status that it names, less the age of what
+// it knew when it sent what may still arrive.
+func TestHomeWord(t *testing.T) {
+	g := newGrown(1, 1)
+	n := g.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.began = g.now.Add(-time.Minute)
+	n.record = n.record.Clone()
+	n.record.Deaf = []string{n.name, "node-c"} // the home is node-b
+	name := g.names[0]
+	said := func(from string, inFlight map[string]int64) time.Duration {
+		s := statusMsg{Alive: map[string]int64{name: 2000}, InFlight: inFlight, Heard: map[string]echo{n.name: {Incarnation: n.inc, At: 50000}}}
+		n.onHomeWord(from, &s, g.now)
+		return g.now.Sub(n.machine(name).homeKnew)
+	}
+	if got := said("node-b", nil); got != 12*time.Second {
+		t.Errorf("heard 2 s before a status that names one of 10 s ago: %v", got)
+	}
+	if got := said("node-b", map[string]int64{name: 5000}); got != 15*time.Second {
+		t.Errorf("a start sent with what was known 5 s before: %v", got)
+	}
+	if got := said("node-c", nil); got != 15*time.Second {
+		t.Errorf("another one's word counts: %v", got)
+	}
+}
--- a/internal/leasegrant/leasegrant.go
+++ b/internal/leasegrant/leasegrant.go
@@ -22,9 +22,12 @@
 
 // Position is the answering controller's part towards the machine.
 type Position struct {
-	Home     bool      // it is the machine's home by the control record
+	Home     bool      // its present process is the machine's home by the control record
 	Leased   bool      // it is entitled and its own lease lives: a raised term voids the starts of others
-	HomeWord time.Time // when the machine's home last heard the machine, as far as told; zero: never
+	HomeWord time.Time // every withdrawal confirmed before was known when the home sent what may still arrive; zero: it said nothing
+	// InFlight bounds what a start sent from here that may still arrive, of a job that is over, was sent with: every
+	// withdrawal confirmed before was known then. Zero: no such start.
+	InFlight time.Time
 }
 
 // Knowledge is what the controller knows of jobs and of how old its knowledge may be.
@@ -73,13 +76,15 @@
 
 // mayBegin says whether a lease that begins now ends before a withdrawal not known here runs out of time.
 func mayBegin(now time.Time, position Position, known Knowledge) bool {
-	since := time.Time{}
+	since := position.InFlight
 	if !position.Home && !position.Leased {
-		// A start that is held up on its way from the machine's home was sent after the home last heard the
-		// machine, and in an outage no raised term voids it.
-		if since = position.HomeWord; since.IsZero() {
+		// A start may be held up on its way from the machine's home, and in an outage no raised term voids it.
+		if position.HomeWord.IsZero() {
 			return false
 		}
+		if since.IsZero() || position.HomeWord.Before(since) {
+			since = position.HomeWord
+		}
 	}
 	return known.Renews(now, since)
 }
--- a/internal/workers/home.go
+++ b/internal/workers/home.go
@@ -25,6 +25,8 @@
 	listed bool
 	barred bool // will never be sent
 	forgot bool // a forget was queued: never to be sent again
+
+	known time.Time // when it was first sent, every withdrawal confirmed before then was known here
 }
 
 // Machine is a machine at its home.
@@ -33,6 +35,7 @@
 	Heard  time.Time   // when a report last came
 	Busy   bool        // a /do is under way
 	Deaf   bool        // the last /do failed: only report answers until it is heard again
+	Known  time.Time   // set before commands are sent: every withdrawal confirmed before it is known here
 
 	starts map[ledger.Ref]*start
 	queue  []wire.Command
@@ -255,6 +258,7 @@
 	for _, c := range cmds {
 		if s := m.starts[refOf(c.Task, c.Attempt)]; c.Op == wire.Start && s != nil {
 			s.queued, s.sent, s.open = false, true, true
+			m.stamp(s)
 		}
 	}
 	return cmds
@@ -286,11 +290,49 @@
 	for _, c := range cmds {
 		if s := m.starts[refOf(c.Task, c.Attempt)]; c.Op == wire.Start && s != nil {
 			s.queued, s.sent, s.after = false, true, m.Report.Seq
+			m.stamp(s)
 		}
 	}
 	return cmds
 }
 
+// stamp notes what was known when a start was first sent.
+func (m *Machine) stamp(s *start) {
+	if s.known.IsZero() {
+		s.known = m.Known
+	}
+}
+
+// DropStarts takes the queued starts of jobs that are over back: their owner may not know yet.
+func (m *Machine) DropStarts(over func(job string) bool) {
+	m.queue = slices.DeleteFunc(m.queue, func(c wire.Command) bool {
+		ref := refOf(c.Task, c.Attempt)
+		if c.Op != wire.Start || !over(ref.Job) {
+			return false
+		}
+		if s := m.starts[ref]; s != nil {
+			s.queued = false
+			s.barred = m.settled(s)
+		}
+		m.changed()
+		return true
+	})
+}
+
+// InFlight tells since when a start may be on its way whose job is over: the earliest moment up to which all
+// withdrawals were known when such a start was sent. It is zero if there is none.
+func (m *Machine) InFlight(over func(job string) bool) (known time.Time) {
+	for ref, s := range m.starts {
+		if s.listed || s.barred || s.known.IsZero() || m.settled(s) || !over(ref.Job) {
+			continue
+		}
+		if known.IsZero() || s.known.Before(known) {
+			known = s.known
+		}
+	}
+	return known
+}
+
 // View is what owners are told of a machine.
 func (h *Home) View(name string) *ledger.View {
 	m := h.machines[name]
--- a/node.go
+++ b/node.go
@@ -143,6 +143,7 @@
 	counted   bool
 	heard     time.Time
 	homed     time.Time // when its home last heard it, as far as told
+	homeKnew  time.Time // a start that its home sent and that may still arrive was sent knowing all withdrawals before
 	home      string    // by the record homeBy
 	homeBy    *tenure.Record
 	spared    time.Time // when it was last kept alive here as its home was silent
--- a/renewal.go
+++ b/renewal.go
@@ -16,12 +16,16 @@
 // renewal decides about the answer to a report: whether it may renew the machine's lease, and
 // what it must stop with it.
 func (n *Node) renewal(r *wire.Report, now time.Time) (stops []wire.Command, ok bool) {
+	home := n.home.Get(r.Machine)
 	position := leasegrant.Position{
-		Home:     n.homeOf(r.Machine) == n.name,
+		Home:     n.homeOf(r.Machine) == n.name && n.record.Nodes[n.name] == n.inc,
 		Leased:   n.lease.Valid(now) && n.entitled(now),
-		HomeWord: n.machine(r.Machine).homed,
+		HomeWord: n.machine(r.Machine).homeKnew,
 	}
-	grant := leasegrant.Decide(r, now, position, &leaseKnowledge{n, n.home.Get(r.Machine)})
+	if home != nil {
+		position.InFlight = home.InFlight(n.over)
+	}
+	grant := leasegrant.Decide(r, now, position, &leaseKnowledge{n, home})
 	if grant.Unknown != nil {
 		n.lookUp(grant.Unknown.Job, grant.Unknown.Attempt)
 	}
@@ -35,11 +39,10 @@
 }
 
 func (k *leaseKnowledge) Job(uid string) leasegrant.JobState {
-	j := k.n.jobs[uid]
 	switch {
-	case k.n.ended(uid), j != nil && !j.active:
+	case k.n.over(uid):
 		return leasegrant.Over
-	case j != nil:
+	case k.n.jobs[uid] != nil:
 		return leasegrant.Active
 	}
 	return leasegrant.Unknown
@@ -55,6 +58,19 @@
 
 func (k *leaseKnowledge) Renews(now, since time.Time) bool { return k.n.horizon.Renews(now, since) }
 
+// over says whether a job is known to be withdrawn or done.
+func (n *Node) over(uid string) bool {
+	j := n.jobs[uid]
+	return j != nil && !j.active || n.ended(uid)
+}
+
+// readyToSend prepares a home's commands for a machine: no start of a job that is over goes out, whose owner may not
+// know it yet, and what is known by now is noted with the others.
+func (n *Node) readyToSend(m *workers.Machine, now time.Time) {
+	m.DropStarts(n.over)
+	m.Known = n.horizon.Until(now)
+}
+
 // confirming tells the peers of a withdrawal before a user is told of it for the first time here.
 func (n *Node) confirming(uid string, end frontend.Final) {
 	m := holdMsg{Ends: []frontendEnd{{uid, end}}}
@@ -101,6 +117,27 @@
 	n.retell(name, now)
 }
 
+// onHomeWord takes in what a home says of its machines: a start that it sends from now on is sent after it last heard the
+// machine, and one that may still arrive was sent knowing what it says. The status may have been held up, so its
+// ages count from this process's own status that it names.
+func (n *Node) onHomeWord(name string, s *statusMsg, now time.Time) {
+	e, heard := s.Heard[n.name]
+	if !heard || e.Incarnation != n.inc || !n.sentBy(e.At, now) || n.record == nil {
+		return
+	}
+	sent := n.began.Add(time.Duration(e.At) * time.Millisecond)
+	for machine, age := range s.Alive {
+		m := n.machines[machine]
+		if m == nil || m.gone || n.homeOf(machine) != name {
+			continue
+		}
+		if inFlight, ok := s.InFlight[machine]; ok {
+			age = max(age, inFlight)
+		}
+		m.homeKnew = sent.Add(-time.Duration(age) * time.Millisecond)
+	}
+}
+
 // sentBy says whether a status of this process that a peer names can have been sent by now.
 func (n *Node) sentBy(at int64, now time.Time) bool {
 	return at > 0 && at <= now.Sub(n.began).Milliseconds()
--- a/sustain_test.go
+++ b/sustain_test.go
@@ -70,7 +70,7 @@
 			if got := answer(later, name, 1, wire.Exited, "job-000001/0"); got != 503 {
 				t.Errorf("a machine is kept alive though nothing is known of its home's last word: %d", got)
 			}
-			n.machine(name).homed = g.now
+			n.machine(name).homed, n.machine(name).homeKnew = g.now, g.now
 			if got := answer(later, name, 1, wire.Exited, "job-000001/0"); got != 200 {
 				t.Errorf("a machine of another home is answered by %d", got)
 			}
--- a/talk.go
+++ b/talk.go
@@ -43,11 +43,12 @@
 		Term     uint64            `json:"term"`
 		Entitled bool              `json:"entitled"`
 		Leased   bool              `json:"leased,omitempty"`
-		At       int64             `json:"at"`                // the sender's steady clock, ms
-		Heard    map[string]echo   `json:"heard,omitempty"`   // the last At of each peer
-		Promise  bool              `json:"promise,omitempty"` // to raise no term for promiseLife
-		Alive    map[string]int64  `json:"alive,omitempty"`   // homed machines: ms since their last report
-		Stray    []string          `json:"stray,omitempty"`   // machines of other homes that reported here since the last status
+		At       int64             `json:"at"`                  // the sender's steady clock, ms
+		Heard    map[string]echo   `json:"heard,omitempty"`     // the last At of each peer
+		Promise  bool              `json:"promise,omitempty"`   // to raise no term for promiseLife
+		Alive    map[string]int64  `json:"alive,omitempty"`     // homed machines: ms since their last report
+		InFlight map[string]int64  `json:"in_flight,omitempty"` // of these, by starts that may still arrive: ms since all withdrawals known at the sending were confirmed
+		Stray    []string          `json:"stray,omitempty"`     // machines of other homes that reported here since the last status
 		Demands  []demand          `json:"demands,omitempty"`
 		Progress map[string][2]int `json:"progress,omitempty"` // of own teams' jobs, in one status a second; nil: as it was
 		Drain    []string          `json:"drain,omitempty"`
@@ -134,6 +135,7 @@
 		if err = wire.Decode(body, &s); err == nil {
 			n.onStatus(p, &s, now)
 			n.onHorizon(node, &s, now)
+			n.onHomeWord(node, &s, now)
 			n.teach(node, &s, now)
 			n.store.watch.Heard(node, s.Store, now)
 			n.onPlan(node, incarnation, p, &s.Plan)
@@ -411,6 +413,12 @@
 	}
 	for name, m := range n.home.All() {
 		s.Alive[name] = now.Sub(m.Heard).Milliseconds()
+		if known := m.InFlight(anyJob); !known.IsZero() {
+			if s.InFlight == nil {
+				s.InFlight = map[string]int64{}
+			}
+			s.InFlight[name] = now.Sub(known).Milliseconds() + 1 // rounded up
+		}
 	}
 	s.Stray = slices.Sorted(maps.Keys(n.stray))
 	clear(n.stray)
@@ -423,6 +431,9 @@
 	return s
 }
 
+// anyJob counts the starts of all jobs.
+func anyJob(string) bool { return true }
+
 // progressEvery is how often jobs' progress is told: users may be told of it a few seconds
 // late, and it is the longest part of a status.
 const progressEvery = 900 * time.Millisecond
