Meeting: a start held up on its way to a deaf machine across the leader's end; mutants

Change: stand-ins hold up direct commands by what they say and tell which starts are under way; TestLateStartAtADeafMachine with and without a cancellation; a taken machine among the old reports.

--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
 	"time"
 
 	"topazhollow/internal/wire"
@@ -29,11 +30,12 @@
 	hold    int                  // the next so many reports are kept instead of being delivered
 	kept    [][]byte
 
-	slow     func() time.Duration // for how long a direct command is held up
-	waiting  []wire.Direct        // commands that came while the machine hung
-	held     int                  // commands that were held up, by now or for good
-	obeyed   int                  // commands that were held up and executed
-	outdated int                  // those whose token or session did not match any more
+	slow     func(d *wire.Direct) time.Duration // for how long direct commands are held up
+	underway []*wire.Direct                     // commands that are held up now
+	waiting  []wire.Direct                      // commands that came while the machine hung
+	held     int                                // commands that were held up, by now or for good
+	obeyed   int                                // commands that were held up and executed
+	outdated int                                // those whose token or session did not match any more
 }
 
 // unreached says whether no direct request comes through.
@@ -151,7 +153,7 @@
 
 // SlowCommands has direct commands held up for a time, unanswered, and then executed once if token and session
 // match; 0: not that one, nil: none.
-func (w *Worker) SlowCommands(hold func() time.Duration) {
+func (w *Worker) SlowCommands(hold func(d *wire.Direct) time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.faults.slow = hold
@@ -165,6 +167,20 @@
 	return w.faults.held, w.faults.obeyed, w.faults.outdated
 }
 
+// StartsUnderway lists the tasks whose starts are held up on their way to the machine now.
+func (w *Worker) StartsUnderway() (tasks []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, d := range w.faults.underway {
+		for _, c := range d.Commands {
+			if c.Op == wire.Start {
+				tasks = append(tasks, c.Task)
+			}
+		}
+	}
+	return tasks
+}
+
 func (w *Worker) hangs() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -193,9 +209,10 @@
 	if w.faults.slow == nil {
 		return true
 	}
-	held := w.faults.slow()
+	held := w.faults.slow(d)
 	if held > 0 {
 		w.faults.held++
+		w.faults.underway = append(w.faults.underway, d)
 		time.AfterFunc(held, func() { w.arrivesLate(d) })
 	}
 	return held <= 0
@@ -205,6 +222,7 @@
 func (w *Worker) arrivesLate(d *wire.Direct) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.faults.underway = slices.DeleteFunc(w.faults.underway, func(other *wire.Direct) bool { return other == d })
 	switch {
 	case w.faults.gone:
 	case w.faults.hung:
--- a/internal/rehearse/faults_test.go
+++ b/internal/rehearse/faults_test.go
@@ -71,7 +71,7 @@
 // TestSlowCommandsAreExecutedOnce: a command that is held up gets no answer and is executed later.
 func TestSlowCommandsAreExecutedOnce(t *testing.T) {
 	b := newBench(t, time.Hour)
-	b.w.SlowCommands(func() time.Duration { return 200 * time.Millisecond })
+	b.w.SlowCommands(func(*wire.Direct) time.Duration { return 200 * time.Millisecond })
 	if b.command(wire.Start, 0, 0) || b.check.On() != 0 {
 		t.Fatal("a command that is held up was answered or executed at once")
 	}
--- a/meeting_answer_test.go
+++ b/meeting_answer_test.go
@@ -120,7 +120,7 @@
 			machines := s.cloud.Workers()
 			for i, w := range machines {
 				rng := draws(uint64(i))
-				w.SlowCommands(func() time.Duration { return time.Duration(4000+rng.IntN(3000)) * time.Millisecond })
+				w.SlowCommands(func(*wire.Direct) time.Duration { return time.Duration(4000+rng.IntN(3000)) * time.Millisecond })
 			}
 			for i := range 4 {
 				s.beside(func() { s.enter(array(10+i, 2, []string{"red", "blue"}[i%2])) })
--- a/meeting_cut_test.go
+++ b/meeting_cut_test.go
@@ -13,8 +13,9 @@
 	t.Parallel()
 	s := openScene(t, sceneRun)
 	s.members(3)
-	jobs := crowd(s)
-	inside, gone, cut := s.leader(teamItem("red")), jobs[0].UID, s.cloud.Workers()[:2]
+	crowd(s)
+	inside, cut := s.leader(teamItem("red")), s.cloud.Workers()[:2]
+	gone := s.runningOn(cut)[0]
 	for _, w := range cut {
 		w.Reach(s.names[inside])
 	}
--- a/meeting_report_test.go
+++ b/meeting_report_test.go
@@ -39,6 +39,17 @@
 	return int(sum.Load())
 }
 
+// known is how many machines the controllers know, or -1 if they do not agree.
+func (s *scene) known() int {
+	all := s.overviews()
+	for _, o := range all {
+		if o.Machines.Known != all[0].Machines.Known {
+			return -1
+		}
+	}
+	return all[0].Machines.Known
+}
+
 // TestOldReportsAtANewLeader: copies of old reports, of tasks that ended and sessions that are over, reach every
 // controller just as a new leader begins. Or reports that nobody had are held back until it has acted. Nothing runs
 // twice, nothing that ended comes back, and no report is taken for a loss of data.
@@ -58,6 +69,8 @@
 			gone := endless(0, 2, "red")
 			s.until("reports are kept", func() bool { return machines[0].Kept() > 2 && machines[1].Kept() > 2 })
 			s.cancel(gone.UID) // which the reports list as running
+			s.cloud.Take(machines[1].Name())
+			s.until("the machine is known to be gone", func() bool { return s.known() == len(s.cloud.Workers()) })
 			machines[0].Expire()
 			s.enter(array(20, 4, "red"))
 			leader := s.leader(teamItem("red"))
--- /dev/null
+++ b/meeting_start_test.go
@@ -0,0 +1,89 @@
+package topazhollow
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"topazhollow/internal/rehearse"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/wire"
+)
+
+// startUnderway waits until a start of a task of a team is held up on its way to a machine.
+func (s *scene) startUnderway(team string) (to *rehearse.Worker, job string) {
+	s.t.Helper()
+	s.until("a start is on its way", func() bool {
+		for _, w := range s.cloud.Workers() {
+			for _, task := range w.StartsUnderway() {
+				if uid, _, _ := wire.SplitTask(task); s.teamOf(uid) == team {
+					to, job = w, uid
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return to, job
+}
+
+func (s *scene) teamOf(uid string) string {
+	if spec := s.check.Spec(uid); spec != nil {
+		return spec.Team
+	}
+	return ""
+}
+
+// slowStarts holds commands up that start something.
+func slowStarts(d *wire.Direct) time.Duration {
+	if slices.ContainsFunc(d.Commands, func(c wire.Command) bool { return c.Op == wire.Start }) {
+		return 7 * time.Second
+	}
+	return 0
+}
+
+// TestLateStartAtADeafMachine: a start is held up on its way to a machine that hears no answer any more, though its
+// reports arrive; the leader ends, and its successor sees the machine without the task. The start arrives after that
+// and counts, since the machine knows no later term. Until it is proven off, the task runs nowhere else and its room in
+// the quota is not given away, also if the job is cancelled meanwhile.
+func TestLateStartAtADeafMachine(t *testing.T) {
+	t.Parallel()
+	for name, cancels := range map[string]bool{"the job lives": false, "the job is cancelled": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := openSceneOf(t, sceneRun, settings.Workers{Report: 0.2, Lease: 10, GangWait: 10, GangPeer: 4, Cancel: 25})
+			s.members(3)
+			jobs := crowd(s)
+			machines := s.cloud.Workers()
+			for _, w := range machines {
+				w.SlowCommands(slowStarts)
+			}
+			first := slices.IndexFunc(jobs, func(j *wire.Submission) bool { return j.Team == "red" && s.check.OnOf(j.UID) > 0 })
+			s.cancel(jobs[first].UID) // its room goes to one that waits
+			deaf, job := s.startUnderway("red")
+			deaf.Deaf(true)
+			for _, w := range machines {
+				w.SlowCommands(nil)
+			}
+			_, arrived := lateCommands([]*rehearse.Worker{deaf})
+			leader, before := s.leader(teamItem("red")), s.term()
+			s.crash(leader)
+			s.until("another term", func() bool { return s.term() > before })
+			if cancels {
+				s.beside(func() { s.cancel(job) })
+			}
+			s.until("the start arrived", func() bool {
+				_, now := lateCommands([]*rehearse.Worker{deaf})
+				return now > arrived && len(deaf.StartsUnderway()) == 0
+			})
+			if _, obeyed, _ := deaf.LateCommands(); obeyed == 0 {
+				t.Error("the late start did not count at the machine")
+			}
+			deaf.Deaf(false)
+			s.start(leader)
+			s.behind.Wait()
+			s.atLimits()
+			s.settle()
+		})
+	}
+}
--- a/quota_test.go
+++ b/quota_test.go
@@ -24,7 +24,7 @@
 func answerOnce(w *rehearse.Worker) {
 	w.Mute(true)
 	answered := false
-	w.SlowCommands(func() time.Duration {
+	w.SlowCommands(func(*wire.Direct) time.Duration {
 		if answered {
 			return time.Hour
 		}
--- a/scene_test.go
+++ b/scene_test.go
@@ -57,8 +57,13 @@
 
 // openScene opens a region in which a lease takes 4 s and a cancellation may take 10 s.
 func openScene(t *testing.T, run func(task string) time.Duration) *scene {
-	r := openRegionRunning(t, run, settings.Workers{Report: 0.2, Lease: 4, GangWait: 10, GangPeer: 4, Cancel: 10})
-	r.check.Cancel = 10 * time.Second
+	return openSceneOf(t, run, settings.Workers{Report: 0.2, Lease: 4, GangWait: 10, GangPeer: 4, Cancel: 10})
+}
+
+// openSceneOf opens a region with other times of workers.
+func openSceneOf(t *testing.T, run func(task string) time.Duration, workers settings.Workers) *scene {
+	r := openRegionRunning(t, run, workers)
+	r.check.Cancel = settings.Seconds(workers.Cancel)
 	s := &scene{region: r, cancelled: map[string]bool{}}
 	var listen []string
 	for _, set := range r.sets {
