--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -12,6 +12,9 @@
 // hungStep is how often a machine that hangs looks whether it goes on.
 const hungStep = 20 * time.Millisecond
 
+// copyPause lies between the copies of a worker's reports that are delivered.
+const copyPause = 60 * time.Millisecond
+
 // keptReports bounds the copies of reports that a worker keeps.
 const keptReports = 200
 
@@ -22,6 +25,7 @@
 	deaf  bool            // reports arrive; answers and direct commands are lost
 	mute  bool            // no report arrives; direct commands do
 	hung  bool            // the machine does nothing
+	taken float64         // seconds until the cloud takes the machine away, as reports say; 0: no notice
 	reach map[string]bool // the controllers that its reports come to; nil: all
 
 	again   func() time.Duration // when a copy of a report is delivered once more
@@ -67,6 +71,13 @@
 	w.faults.mute = on
 }
 
+// Notice has the worker's reports say that the cloud takes the machine away in so long; 0: no notice.
+func (w *Worker) Notice(in time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults.taken = in.Seconds()
+}
+
 // Hang stops the machine, or has it go on. It reports nothing, its tasks make no end, and direct commands wait
 // without an answer; within its lease it executes these once it goes on.
 func (w *Worker) Hang(on bool) {
@@ -146,6 +157,7 @@
 			if w.repeat(client, "http://"+w.nodes[node]+wire.PathReport, body) {
 				arrived++
 			}
+			time.Sleep(copyPause)
 		}
 	}
 	return arrived
--- a/internal/rehearse/worker.go
+++ b/internal/rehearse/worker.go
@@ -127,6 +127,9 @@
 func (w *Worker) report() wire.Report {
 	w.seq++
 	r := wire.Report{Machine: w.name, Addr: w.addr, Type: w.typ, Zone: w.zone, Spot: w.spot, Session: w.session, Seq: w.seq, Token: w.token, Tasks: []wire.TaskStatus{}}
+	if w.faults.taken > 0 {
+		r.Notice = new(w.faults.taken)
+	}
 	for _, t := range w.tasks {
 		r.Tasks = append(r.Tasks, *t)
 	}
--- a/meeting_report_test.go
+++ b/meeting_report_test.go
@@ -75,11 +75,14 @@
 			s.enter(array(20, 4, "red"))
 			leader := s.leader(teamItem("red"))
 			s.crash(leader)
-			arrived := s.deliverAt(machines, teamItem("red"), leader)
-			if arrived == 0 {
+			if s.deliverAt(machines[2:], teamItem("red"), leader)+machines[0].Deliver(s.names...) == 0 {
 				t.Error("no old report arrived at a new leader")
 			}
 			s.start(leader)
+			s.members(3)
+			if machines[1].Deliver(s.names...) == 0 { // also at one that never knew the machine
+				t.Error("no old report of a machine that is gone arrived")
+			}
 			s.settle()
 			for _, o := range s.overviews() {
 				if o.Store.Generation != 1 {
--- a/meeting_start_test.go
+++ b/meeting_start_test.go
@@ -62,6 +62,7 @@
 			s.cancel(jobs[first].UID) // its room goes to one that waits
 			deaf, job := s.startUnderway("red")
 			deaf.Deaf(true)
+			deaf.Notice(time.Hour) // so that nothing is placed there anew
 			for _, w := range machines {
 				w.SlowCommands(nil)
 			}
@@ -80,6 +81,7 @@
 				t.Error("the late start did not count at the machine")
 			}
 			deaf.Deaf(false)
+			deaf.Notice(0)
 			s.start(leader)
 			s.behind.Wait()
 			s.atLimits()
