--- a/meeting_report_test.go
+++ b/meeting_report_test.go
@@ -39,6 +39,17 @@
 	return int(sum.Load())
 }
 
+// known is how many machines the controllers know, or -1 if they do not agree.
+func (s *scene) known() int {
+	all := s.overviews()
+	for _, o := range all {
+		if o.Machines.Known != all[0].Machines.Known {
+			return -1
+		}
+	}
+	return all[0].Machines.Known
+}
+
 // TestOldReportsAtANewLeader: copies of old reports, of tasks that ended and sessions that are over, reach every
 // controller just as a new leader begins. Or reports that nobody had are held back until it has acted. Nothing runs
 // twice, nothing that ended comes back, and no report is taken for a loss of data.
@@ -58,15 +69,20 @@
 			gone := endless(0, 2, "red")
 			s.until("reports are kept", func() bool { return machines[0].Kept() > 2 && machines[1].Kept() > 2 })
 			s.cancel(gone.UID) // which the reports list as running
+			s.cloud.Take(machines[1].Name())
+			s.until("the machine is known to be gone", func() bool { return s.known() == len(s.cloud.Workers()) })
 			machines[0].Expire()
 			s.enter(array(20, 4, "red"))
 			leader := s.leader(teamItem("red"))
 			s.crash(leader)
-			arrived := s.deliverAt(machines, teamItem("red"), leader)
-			if arrived == 0 {
+			if s.deliverAt(machines[2:], teamItem("red"), leader)+machines[0].Deliver(s.names...) == 0 {
 				t.Error("no old report arrived at a new leader")
 			}
 			s.start(leader)
+			s.members(3)
+			if machines[1].Deliver(s.names...) == 0 { // also at one that never knew the machine
+				t.Error("no old report of a machine that is gone arrived")
+			}
 			s.settle()
 			for _, o := range s.overviews() {
 				if o.Store.Generation != 1 {
