--- a/admit.go
+++ b/admit.go
@@ -174,7 +174,7 @@
 		n.admit.maker = admission.NewMaker(it.Since, &n.admit.known)
 	}
 	in := &admission.Inputs{Teams: map[string]admission.Guarantee{}, Weights: n.admit.weights}
-	for _, t := range n.set.Deployment.Teams {
+	for _, t := range n.teams() {
 		g := admission.Guarantee{CPUs: t.CPUs}
 		if !math.IsInf(t.CPUsMax, 1) {
 			g.Most = t.CPUsMax
--- /dev/null
+++ b/config_follow.go
@@ -0,0 +1,394 @@
+package topazhollow
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"topazhollow/internal/frontend"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/state"
+	"topazhollow/internal/teamconfig"
+	"topazhollow/internal/teamstore"
+	"topazhollow/internal/tenure"
+	"topazhollow/internal/wire"
+)
+
+// What connects internal/teamconfig, which decides, to the controller: docs/configuration.md tells what it promises.
+// All of it is off, and Node.config nil, unless the operator's script sets config_bound_s.
+
+// configFollow is what a controller knows of the teams' configuration, and of who else knows it.
+type configFollow struct {
+	teams   *teamconfig.Config
+	force   *teamconfig.Force
+	base    uint64               // digest of the settings file's teams
+	serial  uint64               // of this process's words
+	lagging map[string]time.Time // since when peers' words were behind, and when they were last told
+	writing map[string]bool      // entries that are being written back
+	logged  time.Time
+}
+
+// newConfigFollow is nil unless the configuration is to be followed.
+func newConfigFollow(s *settings.Settings, o *settings.Options) *configFollow {
+	if o.ConfigBound <= 0 {
+		return nil
+	}
+	return &configFollow{teams: teamconfig.New(s.Deployment.Teams, settings.Seconds(o.ConfigBound)), force: teamconfig.NewForce(),
+		base: teamconfig.BaseDigest(s.Deployment.Teams), lagging: map[string]time.Time{}, writing: map[string]bool{}}
+}
+
+// teams lists the teams as far as known here.
+func (n *Node) teams() []settings.Team {
+	if n.config == nil {
+		return n.set.Deployment.Teams
+	}
+	return n.config.teams.Teams()
+}
+
+// itemNames lists all items: the teams and the fleet.
+func (n *Node) itemNames() []string {
+	names := []string{tenure.Fleet}
+	listed := map[string]bool{}
+	for _, t := range n.teams() {
+		names = append(names, teamItem(t.Name))
+		listed[teamItem(t.Name)] = true
+	}
+	if n.config != nil && n.record != nil { // a team that another controller knew of first
+		for name := range n.record.Items {
+			if name != tenure.Fleet && !listed[name] {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
+
+// learnConfig takes in a change of a team's key.
+func (n *Node) learnConfig(e wire.Change) {
+	if n.config == nil {
+		return
+	}
+	name := strings.TrimPrefix(e.Set+e.Delete, teamstore.Prefix)
+	if e.Delete != "" {
+		n.doubt("a team's configuration was deleted")
+		return
+	}
+	var entry teamconfig.Entry
+	err := json.Unmarshal(e.Value, &entry)
+	if err == nil {
+		err = entry.Check()
+	}
+	if err != nil || !teamconfig.ValidTeam(name) {
+		n.log.Error("unreadable key in the state service", "key", e.Set, "err", err)
+		return
+	}
+	overruled := len(n.config.teams.Overruled())
+	if n.config.teams.Learn(name, entry, e.Version) {
+		n.log.Info("team's configuration", "team", name, "number", entry.Number, "version", e.Version, "cpus_max", entry.CPUsMax, "removed", entry.Removed)
+		n.wake()
+		n.tellNow()
+	}
+	n.logOverruled(overruled)
+}
+
+// logOverruled tells of the acknowledged changes after the first so many that lost against others.
+func (n *Node) logOverruled(known int) {
+	for _, x := range n.config.teams.Overruled()[known:] {
+		n.log.Error("acknowledged change of a team's configuration overruled", "team", x.Team, "number", x.Entry.Number, "change", x.Entry.Change)
+	}
+}
+
+// configCurrent books that all watched keys are known up to n.revision, by a read that began at a time.
+func (n *Node) configCurrent(began time.Time) {
+	if n.config != nil && n.trusted() && n.listed {
+		n.config.teams.CaughtUp(n.revision, began)
+	}
+}
+
+// configListed sees that a full list names every entry known: they are never deleted.
+func (n *Node) configListed(seen map[string]bool) {
+	if n.config == nil {
+		return
+	}
+	for name, version := range n.config.teams.Versions() {
+		if version > 0 && !seen[teamstore.Prefix+name] {
+			n.doubt("a team's configuration is not there")
+		}
+	}
+}
+
+// configEntered begins to rely on the state service's data anew.
+func (n *Node) configEntered() {
+	if n.config != nil {
+		n.config.teams.Entered()
+	}
+}
+
+// configWitnesses adds the versions of entries to those that a look at the state service compares.
+func (n *Node) configWitnesses(witnesses map[string]uint64) {
+	if n.config == nil {
+		return
+	}
+	const some = 8
+	latest, added := n.config.teams.Latest(), 0
+	for name, version := range n.config.teams.Versions() {
+		if version > 0 && (version == latest || added < some) {
+			witnesses[teamstore.Prefix+name] = version
+			added++
+		}
+	}
+}
+
+// configVersion is the version of an entry's key as far as known.
+func (n *Node) configVersion(key string) uint64 {
+	if n.config == nil {
+		return 0
+	}
+	return n.config.teams.Version(strings.TrimPrefix(key, teamstore.Prefix))
+}
+
+// tookTeam books that a team was taken over under the control record known here.
+func (n *Node) tookTeam() {
+	if n.config != nil {
+		n.config.teams.Take(n.version)
+	}
+}
+
+// configReady says whether enough of the configuration is known to start what was taken over.
+func (n *Node) configReady() bool { return n.config == nil || n.config.teams.Ready() }
+
+// configure has the own teams' accounts keep to the limits that hold now.
+func (n *Node) configure(now time.Time) {
+	if n.config == nil {
+		return
+	}
+	for name, it := range n.items {
+		team, ok := teamOf(name)
+		if !ok || it.team == nil {
+			continue
+		}
+		entry, changed := n.config.teams.Entry(team)
+		if !changed {
+			continue
+		}
+		limits, _ := n.config.teams.Limits(team, now)
+		it.team.SetLimits(limits.CPUs, limits.CPUsMax, limits.GPUs, limits.GPUsMax)
+		if it.phase == ready {
+			it.team.StopExcess(entry.StopExcess)
+		}
+	}
+}
+
+// configRecord is what counts of the control record known here.
+func (n *Node) configRecord() *teamconfig.Record {
+	if n.record == nil {
+		return &teamconfig.Record{}
+	}
+	return &teamconfig.Record{Generation: n.record.Generation, Version: n.version, Members: n.record.Nodes,
+		Owner: func(team string) string { return n.record.Items[teamItem(team)].Owner }}
+}
+
+// configWord is what this controller tells its peers, nil if it has nothing to say. It keeps to it from here on.
+func (n *Node) configWord(now time.Time) *teamconfig.Word {
+	if n.config == nil || n.record == nil || !n.trusted() {
+		return nil
+	}
+	n.configure(now)
+	n.config.serial++
+	w := teamconfig.Word{Serial: n.config.serial, Generation: n.generation(), Record: n.version, Known: n.config.teams.Known(), Base: n.config.base}
+	for _, x := range n.config.teams.Open() {
+		if n.record.Items[teamItem(x.Team)].Owner != n.name {
+			continue
+		}
+		if it := n.items[teamItem(x.Team)]; it == nil || it.phase != ready || !it.team.Settled() {
+			w.Unsettled = append(w.Unsettled, x.Team)
+		}
+	}
+	n.config.force.Heard(n.name, n.inc, w)
+	n.configForced(now)
+	return &w
+}
+
+// configForced books which changes are in force everywhere, and logs who holds the others up.
+func (n *Node) configForced(now time.Time) {
+	r := n.configRecord()
+	for _, x := range n.config.force.Reach(r, n.config.teams.Open()) {
+		n.config.teams.Forced(x.Team, x.Version)
+		n.log.Info("team's configuration in force everywhere", "team", x.Team, "number", x.Entry.Number, "version", x.Version)
+	}
+	lagging := n.config.force.Lagging(r, n.config.teams.Latest(), now)
+	if len(lagging) > 0 && now.Sub(n.config.logged) > configLogEvery {
+		for _, b := range lagging {
+			if b.For > configLogEvery.Seconds() {
+				n.config.logged = now
+				n.log.Info("controller behind with the configuration", "controller", b.Node, "known", b.Known, "latest", n.config.teams.Latest(), "for_s", b.For)
+			}
+		}
+	}
+}
+
+// configLogEvery is after what time a controller that is behind is logged, and how often.
+const configLogEvery = 10 * time.Second
+
+// configMsg tells a peer the changes that it lacks.
+type configMsg struct {
+	Generation uint64              `json:"generation"`
+	Record     uint64              `json:"record"` // version of the control record that the sender knows
+	After      uint64              `json:"after"`  // revision up to which the peer knew them
+	Known      uint64              `json:"known"`  // revision up to which these are all
+	Changes    []teamconfig.Change `json:"changes"`
+}
+
+// onConfigWord takes in a peer's word, and tells the peer what it lacks if it stays behind, as one that
+// the state service refuses.
+func (n *Node) onConfigWord(node string, incarnation uint64, w *teamconfig.Word, now time.Time) {
+	if n.config == nil || w == nil {
+		return
+	}
+	n.config.force.Heard(node, incarnation, *w)
+	n.configForced(now)
+	if !n.trusted() || w.Generation != n.generation() || w.Known >= n.config.teams.Latest() {
+		delete(n.config.lagging, node)
+		return
+	}
+	if since := n.config.lagging[node]; since.IsZero() {
+		n.config.lagging[node] = now
+	} else if now.Sub(since) > configTeachAfter {
+		n.config.lagging[node] = now
+		n.links.Send(node, "config", configMsg{w.Generation, n.version, w.Known, n.config.teams.Known(), n.config.teams.Lesson(w.Known)})
+	}
+}
+
+// configTeachAfter is how long a peer may be behind before it is told what it lacks, and how often it is told.
+const configTeachAfter = time.Second
+
+func (n *Node) onConfig(m *configMsg) {
+	if n.config == nil || !n.trusted() || n.record == nil || m.Generation != n.generation() {
+		return
+	}
+	n.config.teams.Taught(m.Changes, m.After, m.Known, m.Record, n.version)
+	n.configure(time.Now())
+	n.wake()
+}
+
+// configMemory is what a peer must know of the configuration after a loss: the entries that the state service may lack.
+func (n *Node) configMemory() []teamconfig.Change {
+	if n.config == nil {
+		return nil
+	}
+	return n.config.teams.Unwritten()
+}
+
+// recallConfig takes in what a peer remembers of the configuration.
+func (n *Node) recallConfig(changes []teamconfig.Change) {
+	if n.config == nil {
+		return
+	}
+	overruled := len(n.config.teams.Overruled())
+	for _, x := range changes {
+		if teamconfig.ValidTeam(x.Team) && x.Entry.Check() == nil {
+			n.config.teams.Hear(x.Team, x.Entry)
+		}
+	}
+	n.logOverruled(overruled)
+}
+
+// configWritesOpen bounds the entries that are being written back at a time.
+const configWritesOpen = 64
+
+// writeBackConfig has the fleet's owner give the state service the entries that it lost.
+func (n *Node) writeBackConfig() {
+	if n.config == nil || n.items[tenure.Fleet] == nil {
+		return
+	}
+	for _, x := range n.config.teams.Unwritten() {
+		if n.config.writing[x.Team] || len(n.config.writing) >= configWritesOpen {
+			continue
+		}
+		n.config.writing[x.Team] = true
+		n.group.Go(func() error {
+			n.writeConfig(x)
+			return nil
+		})
+	}
+}
+
+func (n *Node) writeConfig(x teamconfig.Change) {
+	key, value := teamstore.Prefix+x.Team, wire.Encode(x.Entry)
+	version, err := n.state.Commit(n.ctx, state.Update{Guards: []wire.Guard{{Key: key, Version: x.Version}}, Ops: []wire.Op{{Set: key, Value: value}}})
+	if err != nil && !errors.Is(err, state.ErrConflict) { // on a conflict the watch tells what is there
+		pause(n.ctx, 200*time.Millisecond)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.config.writing, x.Team)
+	if err == nil {
+		n.log.Info("team's configuration written back", "team", x.Team, "number", x.Entry.Number, "version", version)
+		n.learnConfig(wire.Change{Set: key, Value: value, Version: version})
+	}
+}
+
+// configTenants is the configuration as the users' frontend sees it.
+type configTenants Node
+
+// Team gives the limits of a team that takes new jobs, as far as known here.
+func (b *configTenants) Team(name string) (settings.Team, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.config.teams.Takes(name)
+}
+
+// Rests names what an acceptance for a team rests on: its configuration as known here.
+func (b *configTenants) Rests(name string) []wire.Guard {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !teamconfig.ValidTeam(name) {
+		return nil
+	}
+	return []wire.Guard{{Key: teamstore.Prefix + name, Version: b.config.teams.Version(name)}}
+}
+
+var _ frontend.Tenants = (*configTenants)(nil)
+
+// configOverview is what operators see of the configuration.
+type configOverview struct {
+	Known     uint64              `json:"known_revision"`
+	Age       *float64            `json:"age_s"` // of what is known; nil: nothing is
+	Fresh     bool                `json:"fresh"`
+	Latest    uint64              `json:"latest_change"`
+	Reached   uint64              `json:"known_by_all"` // revision up to which every member knows the entries
+	Record    uint64              `json:"record"`       // version of the control record by which that is said
+	Behind    []teamconfig.Behind `json:"behind"`
+	Open      []openChange        `json:"not_in_force"`
+	Unwritten int                 `json:"unwritten"` // remembered, and lost by the state service
+	Overruled []teamconfig.Change `json:"overruled,omitempty"`
+	Strangers []string            `json:"other_settings_file,omitempty"`
+	Changes   map[string]uint64   `json:"in_force"` // numbers of the teams' changes that are in force
+}
+
+// openChange is a change that is not known to be in force, and whom it waits for.
+type openChange struct {
+	Team   string `json:"team"`
+	Number uint64 `json:"number"`
+	Owner  string `json:"owner"`
+}
+
+func (n *Node) configStatus(now time.Time) *configOverview {
+	if n.config == nil {
+		return nil
+	}
+	n.configWord(now) // its own word is heard, so that alone it is up to date too
+	r, c := n.configRecord(), n.config.teams
+	o := &configOverview{Known: c.Known(), Fresh: c.Fresh(now), Latest: c.Latest(), Reached: n.config.force.Reached(r), Record: r.Version,
+		Behind: n.config.force.Lagging(r, c.Latest(), now), Unwritten: len(c.Unwritten()), Overruled: c.Overruled(),
+		Strangers: n.config.force.Strangers(n.config.base), Changes: c.InForce(), Open: []openChange{}}
+	if age, known := c.Age(now); known {
+		seconds := age.Seconds()
+		o.Age = &seconds
+	}
+	for _, x := range c.Open() {
+		o.Open = append(o.Open, openChange{x.Team, x.Entry.Number, n.record.Items[teamItem(x.Team)].Owner})
+	}
+	return o
+}
--- /dev/null
+++ b/config_test.go
@@ -0,0 +1,317 @@
+package topazhollow
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"topazhollow/internal/settings"
+	"topazhollow/internal/state"
+	"topazhollow/internal/teamconfig"
+	"topazhollow/internal/teamstore"
+	"topazhollow/internal/wire"
+)
+
+// configured is a region whose teams' configuration changes, and an operator who changes it.
+type configured struct {
+	*region
+	operator *teamstore.Writer
+}
+
+func newConfigured(t *testing.T, run time.Duration) *configured {
+	r := openRegion(t, run, settings.Workers{Report: 0.2, Lease: 20, GangWait: 10, GangPeer: 4, Cancel: 60}, func(r *region) { r.configBound = 4 })
+	c := &configured{region: r}
+	c.until("there is a record", func() bool { all := r.overviews(); return len(all) > 0 && len(all[0].Members) == 3 })
+	c.operator = c.writer()
+	return c
+}
+
+// writer is an operator's command that has just been begun.
+func (c *configured) writer() *teamstore.Writer {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.t.Cleanup(cancel)
+	client := state.New(c.state.Addr(), c.sets[0].Deployment.State, 4)
+	go client.Run(ctx)
+	w := teamstore.New(client, c.sets[0].Deployment.Teams)
+	c.until("the operator's command knows the store", func() bool { return w.Open(ctx, controlKey) == nil })
+	return w
+}
+
+// set changes a team's limit of CPUs, and gives the number of the change.
+func (c *configured) set(team string, edit func(*teamconfig.Entry)) uint64 {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	done, err := c.operator.Change(ctx, team, func(e *teamconfig.Entry, _ bool) error { edit(e); return nil })
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return done.Entry.Number
+}
+
+func limit(cpus float64) func(*teamconfig.Entry) {
+	return func(e *teamconfig.Entry) { e.CPUsMax = cpus }
+}
+
+// inForce waits until some controller says that a change is in force.
+func (c *configured) inForce(team string, number uint64) {
+	c.t.Helper()
+	c.until(fmt.Sprintf("change %d of %s in force", number, team), func() bool { return c.said(team, number) })
+}
+
+func (c *configured) said(team string, number uint64) bool {
+	return slices.ContainsFunc(c.overviews(), func(o overview) bool { return o.Config != nil && o.Config.Changes[team] >= number })
+}
+
+// TestQuotaChangesUnderLoad: a quota is lowered and raised while more work waits than either allows. What is said to be
+// in force is never exceeded, and a raised quota is used.
+func TestQuotaChangesUnderLoad(t *testing.T) {
+	c := newConfigured(t, 500*time.Millisecond)
+	jobs := []*wire.Submission{array(700, 60, "red"), array(701, 60, "red")}
+	for _, j := range jobs {
+		c.submit(j)
+	}
+	most := 24.0
+	for i, cpus := range []float64{8, 24, 2, 12, 4, 24} {
+		c.until("the team is at work", func() bool { return c.check.UsedBy("red") > 0 })
+		if cpus > most {
+			c.check.SetLimit("red", cpus)
+		}
+		number := c.set("red", limit(cpus))
+		c.inForce("red", number)
+		c.check.SetLimit("red", cpus) // from here on no start goes beyond it
+		most = cpus
+		if i%2 == 1 {
+			c.until("the raised quota is used", func() bool { return c.check.UsedBy("red") > cpus/2 || c.poll(jobs[1].UID) == wire.Done })
+		}
+	}
+	c.allDone(jobs)
+}
+
+// TestTeamComesAndGoes: a new team is never unknown where it is known elsewhere, a removed one takes no new jobs
+// and its accepted ones run to their end.
+func TestTeamComesAndGoes(t *testing.T) {
+	c := newConfigured(t, 400*time.Millisecond)
+	c.check.SetLimit("green", 6)
+	first := array(710, 8, "green")
+	for i := range c.sets {
+		c.until("an unknown team is refused", func() bool { status, _ := c.askAt(i, "POST", wire.PathSubmit, first); return status == 422 })
+	}
+	number := c.set("green", func(e *teamconfig.Entry) { e.CPUs, e.CPUsMax = 4, 6 })
+	for i := range c.sets { // at once: who does not know it yet reads before it refuses
+		job := array(712+i, 1, "green")
+		c.check.Submitting(job)
+		status, st := c.askAt(i, "POST", wire.PathSubmit, job)
+		c.check.Told(job.UID, status, st.State, false)
+		if status == 422 {
+			t.Errorf("controller %d refuses a team that was there when it was asked", i)
+		}
+	}
+	c.inForce("green", number)
+	c.submit(first)
+	c.until("it runs", func() bool { return c.check.UsedBy("green") > 0 })
+	number = c.set("green", func(e *teamconfig.Entry) { e.Removed = true })
+	late := array(719, 1, "green")
+	c.check.Submitting(late)
+	for i := range c.sets {
+		if status, _ := c.askAt(i, "POST", wire.PathSubmit, late); status == 200 || status == 201 {
+			t.Errorf("controller %d takes a job of a removed team", i)
+		}
+	}
+	c.inForce("green", number)
+	for i := range c.sets {
+		if status, _ := c.askAt(i, "POST", wire.PathSubmit, late); status != 422 {
+			t.Errorf("controller %d answers a job of a removed team by %d", i, status)
+		}
+		if status, _ := c.askAt(i, "POST", wire.PathSubmit, first); status != 200 {
+			t.Errorf("controller %d answers a repeated submission by %d", i, status)
+		}
+	}
+	c.allDone([]*wire.Submission{first})
+	c.inForce("green", c.set("green", func(e *teamconfig.Entry) { e.Removed = false }))
+	c.submit(late)
+	c.allDone([]*wire.Submission{late})
+}
+
+// TestConfigurationInTrouble: a quota is lowered while one thing after the other goes wrong. What is said to be in force is never
+// exceeded, and in the end the change is in force and the work is done.
+func TestConfigurationInTrouble(t *testing.T) {
+	apart := func(c *configured, on bool) {
+		c.doors[0].Refuse(on)
+		c.pipes.Apart(0, on)
+	}
+	for name, trouble := range map[string]func(c *configured) (change uint64){
+		"one refused by the store": func(c *configured) uint64 {
+			c.doors[0].Refuse(true)
+			number := c.set("red", limit(4))
+			c.inForce("red", number)
+			c.check.SetLimit("red", 4)
+			c.doors[0].Refuse(false)
+			return number
+		},
+		"one cut off": func(c *configured) uint64 {
+			apart(c, true)
+			number := c.set("red", limit(4))
+			c.inForce("red", number)
+			c.check.SetLimit("red", 4)
+			c.until("its tasks go on", func() bool { return c.check.UsedBy("red") > 0 })
+			apart(c, false)
+			return number
+		},
+		"all end at once": func(c *configured) uint64 {
+			number := c.set("red", limit(4))
+			for i := range c.nodes {
+				c.crash(i)
+			}
+			for i := range c.nodes {
+				c.start(i)
+			}
+			return number
+		},
+		"each ends as it learns": func(c *configured) (number uint64) {
+			for i, cpus := range []float64{10, 6, 4} {
+				number = c.set("red", limit(cpus))
+				c.crash(i)
+				c.start(i)
+			}
+			return number
+		},
+		"one returns with an old settings file": func(c *configured) uint64 {
+			number := c.set("red", limit(4))
+			c.inForce("red", number)
+			c.check.SetLimit("red", 4)
+			c.crash(0)
+			old := *c.sets[0]
+			old.Deployment.Teams = []settings.Team{{Name: "red", CPUs: 32, CPUsMax: 64}, {Name: "blue", CPUs: 8, CPUsMax: 16}}
+			c.sets[0] = &old
+			c.start(0)
+			c.until("it is a member and named", func() bool {
+				all := c.overviews()
+				return len(all) == 3 && len(all[1].Members) == 3 && all[1].Config != nil && slices.Contains(all[1].Config.Strangers, c.sets[0].Name)
+			})
+			large := array(739, 8, "red")
+			large.Kind = wire.Gang
+			c.until("a job that needs more than the changed limit is refused", func() bool {
+				status, _ := c.askAt(0, "POST", wire.PathSubmit, large)
+				return status == 422
+			})
+			return number
+		},
+		"the store goes back": func(c *configured) uint64 {
+			saved := c.state.Save()
+			number := c.set("red", limit(4))
+			c.inForce("red", number)
+			c.check.SetLimit("red", 4)
+			c.state.Back(saved)
+			c.until("the change is written back", func() bool { return c.rebuilt(true) && c.state.Keys(teamstore.Prefix) == 1 })
+			c.operator = c.writer()
+			return number
+		},
+		"the store loses all and one ends": func(c *configured) uint64 {
+			number := c.set("red", limit(4))
+			c.inForce("red", number)
+			c.check.SetLimit("red", 4)
+			c.crash(1)
+			c.state.LoseAll()
+			c.start(1)
+			c.until("the change is written back", func() bool { return c.rebuilt(true) && c.state.Keys(teamstore.Prefix) == 1 })
+			c.operator = c.writer()
+			return number
+		},
+		"the store loses the changes": func(c *configured) uint64 {
+			number := c.set("red", limit(4))
+			c.inForce("red", number)
+			c.check.SetLimit("red", 4)
+			c.state.LosePrefix(teamstore.Prefix)
+			c.until("the change is written back", func() bool { return c.rebuilt(true) && c.state.Keys(teamstore.Prefix) == 1 })
+			c.operator = c.writer()
+			return number
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newConfigured(t, 600*time.Millisecond)
+			job := array(730, 40, "red")
+			c.submit(job)
+			c.until("the team is at work", func() bool { return c.check.UsedBy("red") > 8 })
+			number := trouble(c)
+			c.inForce("red", number)
+			c.check.SetLimit("red", 4)
+			c.until("the team is at work within the lowered quota", func() bool { used := c.check.UsedBy("red"); return used > 0 && used <= 4 })
+			number = c.set("red", limit(24))
+			c.check.SetLimit("red", 24)
+			c.inForce("red", number)
+			c.allDone([]*wire.Submission{job})
+		})
+	}
+}
+
+// TestChangesArriveLate: an operator's changes have no answer and are carried out late, twice, or after newer ones. The last
+// one that was acknowledged stands.
+func TestChangesArriveLate(t *testing.T) {
+	c := newConfigured(t, 400*time.Millisecond)
+	door, err := c.state.Door()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	client := state.New(door.Addr(), c.sets[0].Deployment.State, 4)
+	go client.Run(ctx)
+	held := teamstore.New(client, nil)
+	c.until("it knows the store", func() bool { return held.Open(ctx, controlKey) == nil })
+	first := true
+	door.Late(func() time.Duration { // an answer that does not come, of a change that does
+		if !first {
+			return 0
+		}
+		first = false
+		return 100 * time.Millisecond
+	})
+	done, err := held.Change(ctx, "red", func(e *teamconfig.Entry, _ bool) error { e.CPUsMax = 20; return nil })
+	if err != nil || done.Entry.Number != 1 {
+		t.Fatalf("%+v, %v: carried out once, and known to be", done, err)
+	}
+	door.Late(func() time.Duration { return 3 * time.Second })
+	gone, end := context.WithTimeout(ctx, 2500*time.Millisecond) // the command is ended before the answer
+	if _, err := held.Change(gone, "red", limitEdit(2)); err == nil {
+		t.Error("a change without an answer counts as committed")
+	}
+	end()
+	number := c.set("red", limit(16))
+	c.inForce("red", number)
+	c.until("the late one met the newer one", func() bool { _, met := door.CarriedLate(); return met > 0 })
+	for _, txn := range c.state.Carried() {
+		for _, o := range txn.Then {
+			if len(o.Set) > len(teamstore.Prefix) && o.Set[:len(teamstore.Prefix)] == teamstore.Prefix && c.state.Again(txn) {
+				t.Errorf("carried out again: %s", wire.Encode(txn))
+			}
+		}
+	}
+	all, err := held.List(ctx)
+	if err != nil || len(all) != 1 || all[0].Entry.CPUsMax != 16 {
+		t.Errorf("%+v, %v", all, err)
+	}
+}
+
+func limitEdit(cpus float64) func(*teamconfig.Entry, bool) error {
+	return func(e *teamconfig.Entry, _ bool) error { e.CPUsMax = cpus; return nil }
+}
+
+// TestNothingFollowedByDefault: without the option no status tells of the configuration, no acceptance rests on it, and a
+// key of it changes nothing.
+func TestNothingFollowedByDefault(t *testing.T) {
+	n := newGrown(2, 1).n
+	now := time.Now()
+	n.listed = true
+	n.changed(wire.Change{Set: teamstore.Prefix + "team-0", Value: []byte(`{"number":1,"change":"x","cpus_max":1}`), Version: 9})
+	n.configure(now)
+	if s := n.status(now); n.config != nil || s.Config != nil || n.configMemory() != nil {
+		t.Error("the configuration is followed")
+	}
+	if len(n.witnesses()) != len(n.roster.Versions()) || len(n.itemNames()) != 2 || n.items[teamItem("team-0")].team.MaxCPUs != 10000 {
+		t.Errorf("witnesses %v, items %v", n.witnesses(), n.itemNames())
+	}
+}
--- a/control.go
+++ b/control.go
@@ -13,6 +13,7 @@
 	"topazhollow/internal/rebuild"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/state"
+	"topazhollow/internal/teamstore"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
 )
@@ -173,6 +174,7 @@
 			n.doubt("a list of machines is not there") // they are never deleted
 		}
 	}
+	n.configListed(seen)
 	n.listed, n.revision = true, revision
 	n.recount(maps.Keys(n.machines)) // jobs may be known now that machines listed before
 }
@@ -254,6 +256,8 @@
 		}
 	case strings.HasPrefix(key, machineKey):
 		n.learnRoster(key, e.Value, e.Version)
+	case strings.HasPrefix(key, teamstore.Prefix):
+		n.learnConfig(e)
 	}
 }
 
@@ -361,15 +365,6 @@
 	return false
 }
 
-// itemNames lists all items: the teams and the fleet.
-func (n *Node) itemNames() []string {
-	names := []string{tenure.Fleet}
-	for _, t := range n.set.Deployment.Teams {
-		names = append(names, teamItem(t.Name))
-	}
-	return names
-}
-
 // keepRecord changes the control record when members come or go, and for this
 // controller's own items.
 func (n *Node) keepRecord(ctx context.Context) error {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -65,10 +65,28 @@
 	return f
 }
 
+// Tenants tells of the teams.
+type Tenants interface {
+	Team(name string) (t settings.Team, known bool) // that takes new jobs
+	Rests(name string) []wire.Guard                 // what an acceptance for a team rests on
+}
+
+// fixedTenants are those of the settings.
+type fixedTenants map[string]settings.Team
+
+// Team finds a team.
+func (t fixedTenants) Team(name string) (settings.Team, bool) {
+	team, known := t[name]
+	return team, known
+}
+
+// Rests is nothing: the settings do not change.
+func (fixedTenants) Rests(string) []wire.Guard { return nil }
+
 // Frontend serves the users' part of the protocol.
 type Frontend struct {
 	state *state.Client
-	teams map[string]settings.Team
+	teams Tenants
 	back  Backend
 
 	mu   sync.Mutex
@@ -77,13 +95,16 @@
 
 // New is a frontend for a deployment.
 func New(s *settings.Settings, st *state.Client, back Backend) *Frontend {
-	f := &Frontend{state: st, teams: map[string]settings.Team{}, back: back, ends: rebuild.NewEnds()}
+	teams := fixedTenants{}
 	for _, t := range s.Deployment.Teams {
-		f.teams[t.Name] = t
+		teams[t.Name] = t
 	}
-	return f
+	return &Frontend{state: st, teams: teams, back: back, ends: rebuild.NewEnds()}
 }
 
+// Follow has the teams looked up elsewhere than in the settings.
+func (f *Frontend) Follow(t Tenants) { f.teams = t }
+
 func busy(seconds int) httpx.Answer {
 	a := httpx.Refuse(503, "not now, try again")
 	a.Retry = seconds
@@ -309,6 +330,10 @@
 	spec, err := wire.ParseSubmission(body)
 	refusal := httpx.Answer{}
 	uid := ""
+	var rests []wire.Guard
+	if err == nil {
+		rests = f.teams.Rests(spec.Team) // looked up before what is decided by it
+	}
 	if err != nil {
 		refusal = httpx.Refuse(400, err.Error())
 		uid = wire.PeekUID(body)
@@ -339,6 +364,9 @@
 		if a := f.nobody(ctx, uid); a.Status != 404 {
 			return a
 		}
+		if refusal.Status == 422 && f.impossible(spec) == "" {
+			return busy(1) // all is known up to the request by now, as that the team came
+		}
 		return refusal
 	}
 	if final, ok := f.Final(uid); ok {
@@ -369,7 +397,7 @@
 		f.back.Hold(ctx, &stored, "", Final{})
 	}()
 	version, err := f.state.Commit(ctx, state.Update{Soon: true,
-		Guards: []wire.Guard{{Key: JobKey + uid}, {Key: FinalKey + uid}},
+		Guards: append([]wire.Guard{{Key: JobKey + uid}, {Key: FinalKey + uid}}, rests...),
 		Ops:    []wire.Op{{Set: JobKey + uid, Value: wire.Encode(stored)}},
 	})
 	if err == nil {
@@ -388,7 +416,7 @@
 
 // impossible says why a job can never run, or "".
 func (f *Frontend) impossible(s *wire.Submission) string {
-	team, ok := f.teams[s.Team]
+	team, ok := f.teams.Team(s.Team)
 	if !ok {
 		return "field equipo: unknown team"
 	}
--- /dev/null
+++ b/internal/frontend/tenants_test.go
@@ -0,0 +1,74 @@
+package frontend
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"topazhollow/internal/httpx"
+	"topazhollow/internal/rehearse"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/state"
+	"topazhollow/internal/wire"
+)
+
+// behind is a controller that does not know the last change of a team.
+type behind struct {
+	Backend
+	teams    map[string]settings.Team
+	caughtUp func()
+}
+
+func (b *behind) Team(name string) (settings.Team, bool) { t, ok := b.teams[name]; return t, ok }
+func (b *behind) Rests(name string) []wire.Guard         { return []wire.Guard{{Key: "w/t/" + name}} }
+func (b *behind) Types() []wire.MachineType {
+	return []wire.MachineType{{Name: "m8", CPUs: 8, Memory: 64, Zones: []string{"east"}}}
+}
+func (b *behind) Trusted() bool                                { return true }
+func (b *behind) Remembers(string) (Stored, uint64, bool)      { return Stored{}, 0, false }
+func (b *behind) Certain(context.Context) bool                 { b.caughtUp(); return true }
+func (b *behind) Admit(*wire.Submission) (bool, int)           { return true, 0 }
+func (b *behind) Hold(context.Context, *Stored, string, Final) {}
+func (b *behind) Accepted(Stored, uint64)                      {}
+
+// TestTeamsKnownLate: a controller that does not know yet that a team came refuses no job of it for good, and one that does not know that
+// a team was removed takes none.
+func TestTeamsKnownLate(t *testing.T) {
+	store, err := rehearse.NewState(16, 16)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	limits := settings.State{RPS: 1000, WriteRPS: 1000, ValueKB: 16, TxnOps: 16}
+	client := state.New(store.Addr(), limits, 1)
+	go client.Run(ctx)
+	b := &behind{teams: map[string]settings.Team{"known": {Name: "known", CPUsMax: 8}}, caughtUp: func() {}}
+	f := New(&settings.Settings{}, client, b)
+	f.Follow(b)
+	submit := func(uid, team string) int {
+		job := &wire.Submission{UID: uid, Class: "c", Team: team, Kind: wire.Batch, Priority: "standard", Tasks: 1, CPUs: 2, Memory: 4, Image: "img"}
+		within, done := context.WithTimeout(ctx, 10*time.Second)
+		defer done()
+		a, _ := f.Handle(within, &httpx.Request{Method: "POST", Path: wire.PathSubmit, Body: wire.Encode(job)})
+		return a.Status
+	}
+	if got := submit("job-000001", "known"); got != 201 {
+		t.Errorf("a known team: %d", got)
+	}
+	store.Put("w/t/known", `{"number":1,"change":"x","removed":true}`)
+	if got := submit("job-000002", "known"); got != 503 || store.Keys(JobKey+"job-000002") != 0 {
+		t.Errorf("a team that was removed: %d, %d keys", got, store.Keys(JobKey+"job-000002"))
+	}
+	if got := submit("job-000003", "new"); got != 422 {
+		t.Errorf("a team that nobody knows: %d", got)
+	}
+	b.caughtUp = func() { b.teams["new"] = settings.Team{Name: "new", CPUsMax: 8} }
+	if got := submit("job-000003", "new"); got != 503 {
+		t.Errorf("a team that came before the answer: %d", got)
+	}
+	if got := submit("job-000003", "new"); got != 201 {
+		t.Errorf("a team that came: %d", got)
+	}
+}
--- /dev/null
+++ b/internal/ledger/limits.go
@@ -0,0 +1,72 @@
+package ledger
+
+import (
+	"slices"
+
+	"topazhollow/internal/wire"
+)
+
+// Limits that change while the team runs.
+
+// SetLimits changes what the team is guaranteed and what it may hold. What it holds beyond lowered limits
+// stays held; nothing more fits until it is within them again.
+func (t *Team) SetLimits(cpus, maxCPUs, gpus, maxGPUs float64) {
+	t.CPUs, t.MaxCPUs, t.GPUs, t.MaxGPUs = cpus, maxCPUs, gpus, maxGPUs
+}
+
+// over says whether more is used than allowed, with so much of it given up.
+func (t *Team) over(cpus, gpus float64) bool {
+	return t.usedCPU+t.alienCPU-cpus > t.MaxCPUs+slack || t.usedGPU+t.alienGPU-gpus > t.MaxGPUs+slack
+}
+
+// comes says whether an attempt may yet get onto its machine: it has not been listed, or waits for its image.
+func (a *attempt) comes() bool { return a.state == "" || a.state == wire.Pulling }
+
+// Settled says whether nothing can get onto a machine any more beyond the limits.
+func (t *Team) Settled() bool {
+	if !t.over(0, 0) {
+		return true
+	}
+	for _, a := range t.held {
+		if a.comes() {
+			return false
+		}
+	}
+	return true
+}
+
+// StopExcess stops attempts beyond the limits, least urgent jobs and last tasks first: those that have not got
+// onto their machines, and only if running is true others too, with the grace to save. A gang is stopped as a whole.
+func (t *Team) StopExcess(running bool) {
+	if !t.over(0, 0) {
+		return
+	}
+	cpus, gpus := t.stopping()
+	for _, j := range slices.Backward(t.order) {
+		for _, a := range slices.Backward(t.heldOf(j)) {
+			if !t.over(cpus, gpus) {
+				return
+			}
+			if a.stop || !running && !a.comes() {
+				continue
+			}
+			if j.Spec.Kind == wire.Gang {
+				t.StopJob(j, j.Spec.Save)
+				cpus, gpus = t.stopping()
+				break
+			}
+			t.Stop(a.Ref(), j.Spec.Save)
+			cpus, gpus = cpus+a.CPUs, gpus+a.GPUs
+		}
+	}
+}
+
+// stopping sums up what attempts hold that were told to stop, or are told so since their jobs are over.
+func (t *Team) stopping() (cpus, gpus float64) {
+	for _, a := range t.held {
+		if a.stop || t.jobs[a.Job] == nil {
+			cpus, gpus = cpus+a.CPUs, gpus+a.GPUs
+		}
+	}
+	return cpus, gpus
+}
--- /dev/null
+++ b/internal/ledger/limits_test.go
@@ -0,0 +1,67 @@
+package ledger
+
+import (
+	"testing"
+
+	"topazhollow/internal/wire"
+)
+
+// TestLoweredLimits: beyond a lowered quota nothing more is placed, what has not got onto its machine is taken back, a gang as
+// a whole, and what runs is stopped on request only. It is settled once nothing can come any more.
+func TestLoweredLimits(t *testing.T) {
+	for name, c := range map[string]struct {
+		states  []string // of three tasks of 2 CPUs each
+		max     float64
+		running bool
+		stops   int
+		settled bool
+	}{
+		"within":                       {[]string{wire.Running, wire.Pulling, ""}, 6, false, 0, true},
+		"none has come":                {[]string{"", "", ""}, 4, false, 1, false},
+		"one waits for its image":      {[]string{wire.Running, wire.Running, wire.Pulling}, 4, false, 1, false},
+		"all run":                      {[]string{wire.Running, wire.Running, wire.Running}, 2, false, 0, true},
+		"all run and are to stop":      {[]string{wire.Running, wire.Running, wire.Running}, 2, true, 2, true},
+		"one comes, two run, all stop": {[]string{wire.Running, "", wire.Running}, 1, true, 3, false},
+	} {
+		m := newModel(t, 3)
+		s := &wire.Submission{UID: "job-9", Team: "team", Kind: wire.Batch, Priority: "standard", Tasks: 4, CPUs: 2}
+		m.specs[s.UID], m.active[s.UID] = s, true
+		m.team.SetLimits(0, 6, 0, 1)
+		m.team.AddJob(s, 1, m.now, nil)
+		j := m.team.Job(s.UID)
+		for i, state := range c.states {
+			m.team.Place(j, i, Spot{string(rune('a' + i)), "z", 1})
+			m.team.setState(m.team.held[Key{s.UID, i}], state)
+		}
+		m.team.SetLimits(0, c.max, 0, 1)
+		m.team.StopExcess(c.running)
+		m.team.StopExcess(c.running) // again changes nothing
+		stops := 0
+		for _, a := range m.team.held {
+			if a.stop {
+				stops++
+			}
+		}
+		if stops != c.stops || m.team.Settled() != c.settled || m.team.Place(j, 3, Spot{"d", "z", 1}) {
+			t.Errorf("%s: %d stops, settled %v", name, stops, m.team.Settled())
+		}
+		m.team.SetLimits(0, 8, 0, 1)
+		if !m.team.Settled() || !m.team.Place(j, 3, Spot{"d", "z", 1}) {
+			t.Errorf("%s: a raised quota is not used", name)
+		}
+	}
+}
+
+// TestGangBeyondLoweredLimits: a gang that has not come whole is stopped as a whole.
+func TestGangBeyondLoweredLimits(t *testing.T) {
+	m, j, spots := gang(t)
+	m.team.PlaceGang(j, 0, spots)
+	listed(m, j, AttemptID(1, 1), 0, wire.Waiting, "")
+	m.team.SetLimits(0, 5, 0, 0)
+	m.team.StopExcess(false)
+	for k, a := range m.team.held {
+		if !a.stop {
+			t.Errorf("task %d goes on", k.Index)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearse/limits.go
@@ -0,0 +1,23 @@
+package rehearse
+
+import "topazhollow/internal/wire"
+
+// SetLimit has the checker hold a team to other CPUs from now on.
+func (c *Checker) SetLimit(team string, cpus float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits[team] = cpus
+}
+
+// UsedBy sums up the CPUs of a team's tasks on machines.
+func (c *Checker) UsedBy(team string) (cpus float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for task := range c.on {
+		uid, _, _ := wire.SplitTask(task)
+		if t := c.jobs[uid]; t != nil && t.spec.Team == team {
+			cpus += t.spec.CPUs
+		}
+	}
+	return cpus
+}
--- a/internal/settings/script.go
+++ b/internal/settings/script.go
@@ -23,6 +23,7 @@
 	FloorAfter   float64 // seconds under it before a floor is kept
 	TeamWeights  map[string]float64
 	ClassWeights map[string]float64
+	ConfigBound  float64 // seconds after which what is known of the teams' configuration is old; 0: it does not change
 	CopyWait     float64 // seconds for which jobs that nobody remembers after a loss may come back with a copy; 0: until operators say
 }
 
@@ -47,6 +48,7 @@
 	{"node_lease_s", 2, 60, false, func(o *Options, v float64) { o.NodeLease = v }},
 	{"class_floor", 0, 1, false, func(o *Options, v float64) { o.ClassFloor = v }},
 	{"floor_after_s", 0, 86400, false, func(o *Options, v float64) { o.FloorAfter = v }},
+	{"config_bound_s", 0, 600, false, func(o *Options, v float64) { o.ConfigBound = v }},
 	{"copy_wait_s", 0, 86400, false, func(o *Options, v float64) { o.CopyWait = v }},
 	{"bitmap_every_s", 0.1, 60, false, func(o *Options, v float64) { o.BitmapEvery = v }},
 }
--- /dev/null
+++ b/internal/teamconfig/teamconfig_test.go
@@ -0,0 +1,263 @@
+package teamconfig
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"topazhollow/internal/settings"
+)
+
+var start = time.Unix(1e6, 0)
+
+func entry(number uint64, change string, cpus float64) Entry {
+	return Entry{Number: number, Change: change, CPUsMax: cpus}
+}
+
+func (c *Config) max(t *testing.T, name string, now time.Time) float64 {
+	l, known := c.Limits(name, now)
+	if !known {
+		t.Fatalf("%s is unknown", name)
+	}
+	return l.CPUsMax
+}
+
+// TestOldKnowledge: by knowledge older than the bound a raised quota counts only once it is in force, a lowered one at once.
+func TestOldKnowledge(t *testing.T) {
+	c := New([]settings.Team{{Name: "red", CPUsMax: 8}}, 4*time.Second)
+	c.CaughtUp(10, start)
+	c.Learn("red", entry(1, "a", 20), 11)
+	c.CaughtUp(11, start)
+	fresh, old := start.Add(4*time.Second), start.Add(5*time.Second)
+	if c.max(t, "red", fresh) != 20 || c.max(t, "red", old) != 8 {
+		t.Errorf("raised: %g by fresh and %g by old knowledge", c.max(t, "red", fresh), c.max(t, "red", old))
+	}
+	c.Forced("red", 11)
+	if c.max(t, "red", old) != 20 {
+		t.Errorf("raised and in force: %g", c.max(t, "red", old))
+	}
+	c.Learn("red", entry(2, "b", 3), 12)
+	if c.max(t, "red", fresh) != 3 || c.max(t, "red", old) != 3 {
+		t.Errorf("lowered: %g", c.max(t, "red", fresh))
+	}
+	if c.Forced("red", 11); len(c.Open()) != 1 {
+		t.Error("an earlier change in force closes a later one")
+	}
+}
+
+// TestOldSettingsFile: what was changed holds whatever a settings file says, and who has another file is named.
+func TestOldSettingsFile(t *testing.T) {
+	older := []settings.Team{{Name: "red", CPUsMax: 8}, {Name: "gone", CPUsMax: 4}}
+	newer := []settings.Team{{Name: "red", CPUsMax: 16}}
+	for _, base := range [][]settings.Team{older, newer} {
+		c := New(base, time.Second)
+		c.Learn("red", entry(3, "x", 5), 7)
+		c.Learn("gone", Entry{Number: 1, Change: "y", CPUsMax: 4, Removed: true}, 8)
+		c.CaughtUp(9, start)
+		_, takes := c.Takes("gone")
+		if c.max(t, "red", start) != 5 || takes || c.max(t, "gone", start) != 4 || len(c.Teams()) != 2 {
+			t.Errorf("with %v: %v, takes %v", base, c.Teams(), takes)
+		}
+	}
+	f := NewForce()
+	f.Heard("b", 1, Word{Serial: 1, Base: BaseDigest(newer)})
+	f.Heard("c", 1, Word{Serial: 1, Base: BaseDigest([]settings.Team{older[1], older[0]})})
+	if s := f.Strangers(BaseDigest(older)); len(s) != 1 || s[0] != "b" {
+		t.Errorf("other files at %v", s)
+	}
+}
+
+// TestLagging: a member that knows less than the last change is named, with the time since when.
+func TestLagging(t *testing.T) {
+	f := NewForce()
+	r := &Record{Version: 5, Members: map[string]uint64{"a": 1, "b": 1}, Owner: func(string) string { return "a" }}
+	f.Heard("a", 1, Word{Serial: 1, Record: 5, Known: 9})
+	f.Heard("b", 1, Word{Serial: 1, Record: 5, Known: 8})
+	if l := f.Lagging(r, 8, start); len(l) != 0 {
+		t.Errorf("behind: %v", l)
+	}
+	f.Lagging(r, 9, start)
+	if l := f.Lagging(r, 9, start.Add(3*time.Second)); len(l) != 1 || l[0] != (Behind{"b", 8, 3}) {
+		t.Errorf("behind: %v", l)
+	}
+	f.Heard("b", 2, Word{Serial: 1, Record: 5, Known: 9})
+	if l := f.Lagging(r, 9, start.Add(4*time.Second)); len(l) != 1 {
+		t.Error("a process that the record does not name counts")
+	}
+}
+
+// TestLossModel: a state service goes back, now and then with changes made in what it went back to, while controllers
+// live on with what they knew, some of which missed the last changes or began anew. After they told each other, all
+// agree, and every change that any of them knew is written back, or replaced by a later one, or named as overruled.
+func TestLossModel(t *testing.T) {
+	overruled, written := 0, 0
+	for seed := range uint64(2000) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		type stored struct {
+			Entry
+			version uint64
+		}
+		store, revision := map[string]stored{}, uint64(1)
+		nodes := []*Config{New(nil, time.Second), New(nil, time.Second), New(nil, time.Second)}
+		commit := func() {
+			team := []string{"red", "blue"}[rng.IntN(2)]
+			revision++
+			s := stored{entry(store[team].Number+1, fmt.Sprint(rng.Uint64()), 1+float64(rng.IntN(9))), revision}
+			store[team] = s
+		}
+		read := func(c *Config) {
+			for team, s := range store {
+				c.Learn(team, s.Entry, s.version)
+			}
+			c.CaughtUp(revision, start)
+		}
+		for generation := range 1 + rng.IntN(3) {
+			saved, savedRevision := map[string]stored{}, revision
+			for i := range 2 + rng.IntN(8) {
+				if i == 1 {
+					for team, s := range store {
+						saved[team] = s
+					}
+					savedRevision = revision
+				}
+				commit()
+				read(nodes[rng.IntN(3)])
+			}
+			known := map[string]Entry{}
+			for _, c := range nodes {
+				for _, x := range c.Lesson(0) {
+					if x.Entry.Number >= known[x.Team].Number {
+						known[x.Team] = x.Entry
+					}
+				}
+			}
+			store, revision = saved, savedRevision
+			if generation == 0 && rng.IntN(3) == 0 {
+				store, revision = map[string]stored{}, 0
+			}
+			for range rng.IntN(3) {
+				commit() // by an operator whom nobody told yet
+			}
+			for _, c := range nodes {
+				c.Entered()
+				read(c)
+			}
+			for range 2 { // in any order and twice
+				for _, from := range rng.Perm(3) {
+					for _, to := range rng.Perm(3) {
+						for _, x := range nodes[from].Unwritten() {
+							nodes[to].Hear(x.Team, x.Entry)
+						}
+					}
+				}
+			}
+			for _, x := range nodes[rng.IntN(3)].Unwritten() {
+				if store[x.Team].version != x.Version {
+					t.Fatalf("seed %d: %s is written over version %d, not %d", seed, x.Team, x.Version, store[x.Team].version)
+				}
+				revision++
+				written++
+				store[x.Team] = stored{x.Entry, revision}
+			}
+			for i, c := range nodes {
+				read(c)
+				if len(c.Unwritten()) > 0 {
+					t.Fatalf("seed %d: %d still remembers %v", seed, i, c.Unwritten())
+				}
+				for team, s := range store {
+					if e, _ := c.Entry(team); e != s.Entry {
+						t.Fatalf("seed %d: %d knows %+v of %s, not %+v", seed, i, e, team, s.Entry)
+					}
+				}
+			}
+			for team, e := range known {
+				if s := store[team]; s.Number < e.Number {
+					t.Fatalf("seed %d: change %d of %s vanished", seed, e.Number, team)
+				} else if s.Number == e.Number && s.Change != e.Change {
+					overruled++
+					if !named(nodes, e) {
+						t.Fatalf("seed %d: change %d of %s was overruled and nobody says so", seed, e.Number, team)
+					}
+				}
+			}
+		}
+	}
+	if overruled < 20 || written < 100 {
+		t.Errorf("%d overruled, %d written back", overruled, written)
+	}
+}
+
+func named(nodes []*Config, e Entry) bool {
+	for _, c := range nodes {
+		for _, x := range c.Overruled() {
+			if x.Entry == e {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// TestLateWords: what arrives late or twice, of entries and of members, changes nothing.
+func TestLateWords(t *testing.T) {
+	c := New(nil, time.Second)
+	c.Learn("red", entry(1, "a", 8), 11)
+	c.Learn("red", entry(2, "b", 4), 12)
+	if c.Learn("red", entry(2, "b", 4), 12) || c.Learn("red", entry(1, "a", 8), 11) || len(c.Unwritten()) > 0 || c.Version("red") != 12 {
+		t.Errorf("a late entry: version %d, unwritten %v", c.Version("red"), c.Unwritten())
+	}
+	f := NewForce()
+	r := &Record{Version: 5, Members: map[string]uint64{"a": 2}, Owner: func(string) string { return "a" }}
+	f.Heard("a", 2, Word{Serial: 7, Record: 5, Known: 9, Unsettled: []string{"red"}})
+	f.Heard("a", 2, Word{Serial: 6, Record: 5, Known: 9})
+	f.Heard("a", 1, Word{Serial: 8, Record: 5, Known: 20})
+	if f.Reached(r) != 9 || len(f.Reach(r, []Change{{Team: "red", Version: 8}})) > 0 {
+		t.Error("a late word of a member, or of its earlier process, counts")
+	}
+}
+
+// TestEntries: amounts out of range and names that are no part of a key are refused, a limit of 0 is none.
+func TestEntries(t *testing.T) {
+	for e, want := range map[Entry]string{
+		{Number: 1, Change: "a", CPUs: -1}:         "cpus",
+		{Number: 1, Change: "a", CPUsMax: 0.001}:   "cpus_max",
+		{Number: 1, Change: "a", GPUsMax: 1e10}:    "gpus_max",
+		{Number: 1, Change: "a", GPUs: math.NaN()}: "gpus",
+		{Number: 0, Change: "a"}:                   "number",
+		{Number: 1, Change: "a", CPUsMax: 8}:       "",
+	} {
+		if err := e.Check(); (err == nil) != (want == "") || err != nil && !strings.Contains(err.Error(), want) {
+			t.Errorf("%+v: %v, want %q", e, err, want)
+		}
+	}
+	for name, valid := range map[string]bool{"red": true, "a.b-c_9": true, "": false, "a/b": false, "a b": false, strings.Repeat("x", 101): false} {
+		if ValidTeam(name) != valid {
+			t.Errorf("%q", name)
+		}
+	}
+	e := entry(1, "a", 0)
+	if l := e.Limits(); !math.IsInf(l.CPUsMax, 1) || EntryOf(l.team("red")).CPUsMax != 0 {
+		t.Errorf("%+v", l)
+	}
+}
+
+// TestTakeOver: who takes a team over starts nothing before it knows all that was in force by then.
+func TestTakeOver(t *testing.T) {
+	c := New(nil, time.Second)
+	c.CaughtUp(10, start)
+	c.Take(15)
+	c.Taught([]Change{{"red", entry(1, "a", 4), 14}}, 10, 20, 16, 15)
+	c.Taught([]Change{{"red", entry(2, "b", 3), 17}}, 12, 20, 15, 15)
+	if c.Ready() || c.Known() != 10 {
+		t.Errorf("known up to %d", c.Known())
+	}
+	if c.CaughtUp(15, start); !c.Ready() {
+		t.Error("does not begin")
+	}
+	if c.Entered(); c.Known() != 0 || len(c.Unwritten()) != 1 {
+		t.Errorf("after a loss known up to %d, remembered %v", c.Known(), c.Unwritten())
+	}
+}
--- /dev/null
+++ b/internal/teamstore/teamstore.go
@@ -0,0 +1,143 @@
+// Package teamstore commits operators' changes of the teams' configuration to the state service, by the client that the
+// controllers use. internal/teamconfig tells what the controllers do by them.
+package teamstore
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"topazhollow/internal/frontend"
+	"topazhollow/internal/rebuild"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/state"
+	"topazhollow/internal/teamconfig"
+	"topazhollow/internal/tenure"
+	"topazhollow/internal/wire"
+)
+
+// Prefix is that of the teams' keys, which every controller watches.
+const Prefix = frontend.Watched + "t/"
+
+// Errors that callers tell apart.
+var (
+	ErrNoRecord = errors.New("the state service has no control record with its generation's key: no controller runs on it, or it lost data")
+	ErrName     = errors.New("a team's name has letters, digits, points, dashes and underscores only, 100 at the most")
+)
+
+// retryEvery is the pause before a change is tried again that met another one or had no answer.
+const retryEvery = 200 * time.Millisecond
+
+// Writer commits changes. Its methods may be called at once by many; changes of different teams share transactions.
+type Writer struct {
+	client *state.Client
+	base   []settings.Team
+}
+
+// New is a writer to a deployment's state service, with an equal share of the rates beside the controllers. The client's
+// Run must be running.
+func New(client *state.Client, base []settings.Team) *Writer { return &Writer{client, base} }
+
+// Open reads which generation of the state service's data the changes are for. They fail in any other.
+func (w *Writer) Open(ctx context.Context, controlKey string) error {
+	e, err := w.client.Get(ctx, controlKey)
+	if err != nil {
+		return err
+	}
+	var record tenure.Record
+	if e == nil || json.Unmarshal(e.Value, &record) != nil || record.Store == "" {
+		return ErrNoRecord
+	}
+	marker, err := w.client.Get(ctx, rebuild.StoreKey+record.Store)
+	if err != nil {
+		return err
+	}
+	if marker == nil {
+		return ErrNoRecord
+	}
+	w.client.Fence(wire.Guard{Key: marker.Key, Version: marker.Version})
+	return nil
+}
+
+// Committed is a change that the state service acknowledged.
+type Committed struct {
+	Team    string           `json:"team"`
+	Entry   teamconfig.Entry `json:"entry"`
+	Version uint64           `json:"version"`
+}
+
+// Change commits what edit makes of a team's entry, which is that of the settings file if the team has none yet, or
+// all zero for a new team; known says whether it is one. A conflict has edit tried again on what is there then; an
+// answer that did not come is settled by reading.
+func (w *Writer) Change(ctx context.Context, team string, edit func(e *teamconfig.Entry, known bool) error) (Committed, error) {
+	if !teamconfig.ValidTeam(team) {
+		return Committed{}, fmt.Errorf("%w: %q", ErrName, team)
+	}
+	change := rand.Text()
+	for {
+		e, version, known, err := w.read(ctx, team)
+		if err == nil {
+			if e.Change == change { // an earlier try was carried out after all
+				return Committed{team, e, version}, nil
+			}
+			if err := edit(&e, known); err != nil {
+				return Committed{}, err
+			}
+			e.Number, e.Change = e.Number+1, change
+			if err := e.Check(); err != nil {
+				return Committed{}, err
+			}
+			key := Prefix + team
+			version, err = w.client.Commit(ctx, state.Update{Guards: []wire.Guard{{Key: key, Version: version}},
+				Ops: []wire.Op{{Set: key, Value: wire.Encode(e)}}})
+			if err == nil {
+				return Committed{team, e, version}, nil
+			}
+		}
+		if errors.Is(err, state.ErrHeld) || errors.Is(err, state.ErrBack) || errors.Is(err, state.ErrInvalid) {
+			return Committed{}, err
+		}
+		select {
+		case <-ctx.Done():
+			return Committed{}, fmt.Errorf("not known to be committed: %w", err)
+		case <-time.After(retryEvery):
+		}
+	}
+}
+
+// read gives a team's entry and the version of its key, 0 if it has none.
+func (w *Writer) read(ctx context.Context, team string) (e teamconfig.Entry, version uint64, known bool, err error) {
+	stored, err := w.client.Get(ctx, Prefix+team)
+	if err != nil {
+		return e, 0, false, err
+	}
+	if stored != nil {
+		err = json.Unmarshal(stored.Value, &e)
+		return e, stored.Version, true, err
+	}
+	for _, t := range w.base {
+		if t.Name == team {
+			return teamconfig.EntryOf(t), 0, true, nil
+		}
+	}
+	return e, 0, false, nil
+}
+
+// List reads all entries.
+func (w *Writer) List(ctx context.Context) (all []Committed, err error) {
+	entries, _, err := w.client.List(ctx, Prefix)
+	if err != nil {
+		return nil, err
+	}
+	for _, x := range entries {
+		c := Committed{Team: x.Key[len(Prefix):], Version: x.Version}
+		if err := json.Unmarshal(x.Value, &c.Entry); err != nil {
+			return nil, fmt.Errorf("key %s: %w", x.Key, err)
+		}
+		all = append(all, c)
+	}
+	return all, nil
+}
--- a/node.go
+++ b/node.go
@@ -113,6 +113,7 @@
 	firsts     map[string]bool // what was told of this process's first steps
 	admit      *admit          // who gets how much of what is short
 	store      *keeping        // what is known of the state service, and must outlive it
+	config     *configFollow   // the teams' configuration; nil: it does not change
 }
 
 // first logs once when this process came to a step, for how long after its start.
@@ -220,6 +221,9 @@
 	n.horizon = horizon.New(slices.Collect(maps.Keys(n.peers)), settings.Seconds(s.Deployment.Workers.Cancel), settings.Seconds(s.Deployment.Workers.Lease))
 	n.links = peer.New(s.Name, n.inc, addrs, (*peerHandler)(n), n.log)
 	n.front = frontend.New(s, n.state, (*userBackend)(n))
+	if n.config = newConfigFollow(s, o); n.config != nil {
+		n.front.Follow((*configTenants)(n))
+	}
 	return n
 }
 
--- a/node_test.go
+++ b/node_test.go
@@ -33,7 +33,8 @@
 	rng   *rand.Rand
 	httpc *http.Client
 
-	copyWait float64 // option of controllers that start from now on
+	copyWait    float64 // options of controllers that start from now on
+	configBound float64
 }
 
 type process struct {
@@ -45,9 +46,12 @@
 	return openRegion(t, run, settings.Workers{Report: 0.2, Lease: 20, GangWait: 10, GangPeer: 4, Cancel: 60})
 }
 
-func openRegion(t *testing.T, run time.Duration, workers settings.Workers) *region {
+func openRegion(t *testing.T, run time.Duration, workers settings.Workers, prepare ...func(*region)) *region {
 	r := &region{t: t, pipes: rehearse.Paths{}, rng: rand.New(rand.NewPCG(1, 2)), httpc: &http.Client{Timeout: 4 * time.Second}}
 	r.check = rehearse.NewChecker(map[string]float64{"red": 24, "blue": 16})
+	for _, p := range prepare {
+		p(r)
+	}
 	var err error
 	if r.state, err = rehearse.NewState(16, 16); err != nil {
 		t.Fatal(err)
@@ -117,7 +121,7 @@
 	}
 	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	set, options := r.sets[i], settings.DefaultOptions()
-	options.NodeLease, options.CopyWait = 2, r.copyWait
+	options.NodeLease, options.CopyWait, options.ConfigBound = 2, r.copyWait, r.configBound
 	go func() {
 		defer close(p.ended)
 		if err := Run(ctx, set, options, log); err != nil && ctx.Err() == nil {
--- a/overview.go
+++ b/overview.go
@@ -32,6 +32,7 @@
 	Waits    map[string]int64        `json:"start_wait_ms"`
 	Served   admission.Status        `json:"admission"`
 	Store    rebuild.Status          `json:"store"`
+	Config   *configOverview         `json:"configuration,omitempty"`
 }
 
 type itemOverview struct {
@@ -67,6 +68,7 @@
 		}
 	}
 	o.Store = n.storeStatus()
+	o.Config = n.configStatus(now)
 	o.Told = n.horizon.Told()
 	if until := n.horizon.Until(now); !until.IsZero() {
 		behind := now.Sub(until).Seconds()
--- a/owner.go
+++ b/owner.go
@@ -74,6 +74,7 @@
 	it := &item{name: name, since: r.Since, blind: r.Blind, taken: now, took: now,
 		acks: map[string]*ack{}, book: ledger.NewBook(valueRoom(n.set.Deployment.State))}
 	n.items[name] = it
+	n.tookTeam()
 	rep := ledger.NewReplica()
 	if b := n.backups[name]; b != nil && !it.blind {
 		rep = b.rep
@@ -126,7 +127,7 @@
 func (n *Node) newTeam(name string, rep *ledger.Replica, term uint64) *ledger.Team {
 	log := func(event string, args ...any) { n.log.Debug(event, append(args, "item", name)...) }
 	team, _ := teamOf(name)
-	for _, t := range n.set.Deployment.Teams {
+	for _, t := range n.teams() {
 		if t.Name == team {
 			return ledger.NewTeam(name, t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax, rep, term, log)
 		}
@@ -225,7 +226,7 @@
 			delete(it.await, name)
 		}
 	}
-	if len(it.await) > 0 || !n.gathered(time.Now()) || (it.blind && n.record.Census && n.store.census == nil) {
+	if len(it.await) > 0 || !n.configReady() || !n.gathered(time.Now()) || (it.blind && n.record.Census && n.store.census == nil) {
 		return
 	}
 	it.phase, it.taken = ready, time.Now()
@@ -442,6 +443,7 @@
 	if !n.entitled(now) {
 		return
 	}
+	n.configure(now)
 	cpus, gpus := n.alien()
 	for _, it := range n.items {
 		it.team.Alien(cpus, gpus)
--- a/rebuild.go
+++ b/rebuild.go
@@ -19,6 +19,7 @@
 	"topazhollow/internal/rebuild"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/state"
+	"topazhollow/internal/teamstore"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
 )
@@ -301,6 +302,7 @@
 	for key, version := range n.roster.Versions() {
 		w[key] = version
 	}
+	n.configWitnesses(w)
 	some := 8
 	for uid, j := range n.jobs {
 		if some == 0 {
@@ -328,6 +330,8 @@
 		return 0
 	case strings.HasPrefix(key, machineKey):
 		return n.roster.Versions()[key]
+	case strings.HasPrefix(key, teamstore.Prefix):
+		return n.configVersion(key)
 	}
 	return 0
 }
@@ -526,6 +530,7 @@
 			}
 		}
 		n.roster = newRoster(n.set)
+		n.configEntered()
 		n.version, n.unsure, n.live, n.missing = 0, 0, map[string]tenure.Presence{}, time.Time{}
 		n.store.markers, n.store.suspect = map[string]uint64{}, map[string]uint64{}
 	}
--- a/recall.go
+++ b/recall.go
@@ -11,6 +11,7 @@
 	"topazhollow/internal/frontend"
 	"topazhollow/internal/peer"
 	"topazhollow/internal/rebuild"
+	"topazhollow/internal/teamconfig"
 	"topazhollow/internal/wire"
 )
 
@@ -37,6 +38,7 @@
 		Ends       rebuild.Digest            `json:"ends"`
 		Last       bool                      `json:"last"`
 		Ask        bool                      `json:"ask,omitempty"` // the sender waits for the same from those who get it
+		Config     []teamconfig.Change       `json:"config,omitempty"`
 	}
 	// recalledMsg answers it: ends that the sender of the recall lacks.
 	recalledMsg struct {
@@ -103,7 +105,7 @@
 			}
 		}
 		if m.Last = len(jobs) == 0; m.Last {
-			m.Ends, m.Active = ends, active
+			m.Ends, m.Active, m.Config = ends, active, n.configMemory()
 			for uid, d := range n.store.done { // of jobs that the store has
 				if j := n.jobs[uid]; j != nil && j.active && j.version > 0 {
 					m.Done[uid] = d
@@ -159,6 +161,7 @@
 		}
 	}
 	n.learnDone(m.Done)
+	n.recallConfig(m.Config)
 	if !m.Last {
 		return
 	}
--- a/sync.go
+++ b/sync.go
@@ -95,6 +95,7 @@
 // knows books that all that the state service had when a read began was taken in. After a loss that is not all
 // that was confirmed, until everybody's memory is gathered.
 func (n *Node) knows(began time.Time) {
+	n.configCurrent(began)
 	if n.trusted() && n.gathered(time.Now()) {
 		n.horizon.Read(began)
 	}
--- a/talk.go
+++ b/talk.go
@@ -10,6 +10,7 @@
 	"topazhollow/internal/ledger"
 	"topazhollow/internal/peer"
 	"topazhollow/internal/rebuild"
+	"topazhollow/internal/teamconfig"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
 )
@@ -58,6 +59,7 @@
 		Version  *uint64           `json:"version"`          // of the control record that it knows; a promise counts for that one and later ones
 		Told     *uint64           `json:"told"`             // withdrawals that this process confirmed to users so far
 		Plan     admission.Word    `json:"plan"`             // what it knows of plans of who gets how much
+		Config   *teamconfig.Word  `json:"config,omitempty"` // what it knows of the teams' configuration
 	}
 )
 
@@ -137,6 +139,7 @@
 			n.teach(node, &s, now)
 			n.store.watch.Heard(node, s.Store, now)
 			n.onPlan(node, incarnation, p, &s.Plan)
+			n.onConfigWord(node, incarnation, s.Config, now)
 			if n.record != nil && s.Store.Generation == n.record.Generation && s.Store.Term > n.record.Term {
 				n.store.ahead = max(n.store.ahead, s.Store.Term)
 			}
@@ -165,6 +168,11 @@
 		if err = wire.Decode(body, &m); err == nil {
 			n.onRecord(&m)
 		}
+	case "config":
+		var m configMsg
+		if err = wire.Decode(body, &m); err == nil {
+			n.onConfig(&m)
+		}
 	case "evict":
 		var e evictMsg
 		if err = wire.Decode(body, &e); err == nil {
@@ -415,7 +423,7 @@
 	s.Stray = slices.Sorted(maps.Keys(n.stray))
 	clear(n.stray)
 	s.Demands = n.demands(now)
-	s.Progress, s.Plan = n.progress(now), n.planWord()
+	s.Progress, s.Plan, s.Config = n.progress(now), n.planWord(), n.configWord(now)
 	s.Awaits, s.Mute = n.awaits(), n.mute()
 	if n.items[tenure.Fleet] != nil {
 		s.Drain = slices.Sorted(maps.Keys(n.drain))
--- a/writeback.go
+++ b/writeback.go
@@ -69,6 +69,7 @@
 	}
 	n.store.wrote = now
 	n.writeBack(now)
+	n.writeBackConfig()
 	if n.items[tenure.Fleet] != nil && !n.store.sealed && !n.store.sealing {
 		n.store.sealing = true
 		generation := n.generation()
