--- a/config_follow.go
+++ b/config_follow.go
@@ -183,7 +183,7 @@
 // configRecord is what counts of the control record known here.
 func (n *Node) configRecord() *teamconfig.Record {
 	if n.record == nil {
-		return &teamconfig.Record{}
+		return &teamconfig.Record{Owner: func(string) string { return "" }}
 	}
 	return &teamconfig.Record{Generation: n.record.Generation, Version: n.version, Members: n.record.Nodes,
 		Owner: func(team string) string { return n.record.Items[teamItem(team)].Owner }}
@@ -361,7 +361,8 @@
 	Record    uint64              `json:"record"`       // version of the control record by which that is said
 	Behind    []teamconfig.Behind `json:"behind"`
 	Open      []openChange        `json:"not_in_force"`
-	Unwritten int                 `json:"unwritten"` // remembered, and lost by the state service
+	Unwritten int                 `json:"unwritten"`        // remembered, and lost by the state service
+	Lacks     bool                `json:"may_lack_changes"` // after a loss that nobody could make up for
 	Overruled []teamconfig.Change `json:"overruled,omitempty"`
 	Strangers []string            `json:"other_settings_file,omitempty"`
 	Changes   map[string]uint64   `json:"in_force"` // numbers of the teams' changes that are in force
@@ -380,15 +381,16 @@
 	}
 	n.configWord(now) // its own word is heard, so that alone it is up to date too
 	r, c := n.configRecord(), n.config.teams
+	lost := n.record != nil && n.record.Lost
 	o := &configOverview{Known: c.Known(), Fresh: c.Fresh(now), Latest: c.Latest(), Reached: n.config.force.Reached(r), Record: r.Version,
-		Behind: n.config.force.Lagging(r, c.Latest(), now), Unwritten: len(c.Unwritten()), Overruled: c.Overruled(),
+		Behind: n.config.force.Lagging(r, c.Latest(), now), Unwritten: len(c.Unwritten()), Lacks: lost, Overruled: c.Overruled(),
 		Strangers: n.config.force.Strangers(n.config.base), Changes: c.InForce(), Open: []openChange{}}
 	if age, known := c.Age(now); known {
 		seconds := age.Seconds()
 		o.Age = &seconds
 	}
 	for _, x := range c.Open() {
-		o.Open = append(o.Open, openChange{x.Team, x.Entry.Number, n.record.Items[teamItem(x.Team)].Owner})
+		o.Open = append(o.Open, openChange{x.Team, x.Entry.Number, r.Owner(x.Team)})
 	}
 	return o
 }
--- a/internal/snapshot/restore.go
+++ b/internal/snapshot/restore.go
@@ -35,6 +35,7 @@
 	Jobs       int    `json:"jobs"`           // active ones that the service lacks
 	Ends       int    `json:"ends"`           // ends that it lacks
 	Done       int    `json:"finished_tasks"` // of those jobs
+	Teams      int    `json:"teams"`          // whose configuration it lacks
 	Newer      int    `json:"newer_there"`    // jobs of the copy of which the service knows more
 	Changes    int    `json:"changes"`        // of the service
 
@@ -44,6 +45,7 @@
 	ends   []rebuild.Page
 	done   map[string]*bitset.BitSet
 	pages  int
+	teams  []state.Update
 }
 
 // contents are a copy's jobs as the controllers' keys hold them.
@@ -176,8 +178,11 @@
 	}
 	room := int(r.set.ValueKB*1024) - 64
 	p.ends = rebuild.Pages(lacking, room)
-	p.Jobs, p.Ends = len(p.jobs), len(lacking)
-	p.Changes = p.Jobs + len(p.ends) + 2*len(donePages(p.done, room))
+	if p.teams, err = teamsLacking(keys, now); err != nil {
+		return nil, err
+	}
+	p.Jobs, p.Ends, p.Teams = len(p.jobs), len(lacking), len(p.teams)
+	p.Changes = p.Teams + p.Jobs + len(p.ends) + 2*len(donePages(p.done, room))
 	return p, nil
 }
 
@@ -233,6 +238,11 @@
 			}
 		}
 	}
+	for _, u := range p.teams { // before the jobs, so that none starts beyond a lowered quota
+		if err := put(u); err != nil {
+			return err
+		}
+	}
 	for i, page := range p.ends {
 		key := rebuild.EndsKey + strconv.Itoa(p.pages+i)
 		if err := put(state.Update{Guards: []wire.Guard{{Key: key}}, Ops: []wire.Op{{Set: key, Value: wire.Encode(page)}}}); err != nil {
--- /dev/null
+++ b/internal/snapshot/teams.go
@@ -0,0 +1,38 @@
+package snapshot
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"topazhollow/internal/state"
+	"topazhollow/internal/teamconfig"
+	"topazhollow/internal/teamstore"
+	"topazhollow/internal/wire"
+)
+
+// teamsLacking gives the changes that put back the entries of teams' configuration of a copy of which the service has none
+// or an earlier one.
+func teamsLacking(old, now map[string]Entry) (updates []state.Update, err error) {
+	for _, key := range slices.Sorted(maps.Keys(old)) {
+		if !strings.HasPrefix(key, teamstore.Prefix) {
+			continue
+		}
+		var had, has teamconfig.Entry
+		if err := json.Unmarshal(old[key].Value, &had); err != nil {
+			return nil, fmt.Errorf("snapshot: key %s: %w", key, err)
+		}
+		if there, ok := now[key]; ok {
+			if err := json.Unmarshal(there.Value, &has); err != nil {
+				return nil, fmt.Errorf("snapshot: key %s: %w", key, err)
+			}
+		}
+		if has.Number < had.Number {
+			updates = append(updates, state.Update{Guards: []wire.Guard{{Key: key, Version: now[key].Version}},
+				Ops: []wire.Op{{Set: key, Value: old[key].Value}}})
+		}
+	}
+	return updates, nil
+}
--- /dev/null
+++ b/internal/snapshot/teams_test.go
@@ -0,0 +1,28 @@
+package snapshot
+
+import "testing"
+
+// TestTeamsPutBack: of the teams' configuration a copy puts back what the service lacks, and nothing older than it has.
+func TestTeamsPutBack(t *testing.T) {
+	entry := func(number string, version uint64) Entry {
+		return Entry{Value: []byte(`{"number":` + number + `,"change":"x"}`), Version: version}
+	}
+	old := map[string]Entry{"w/t/lost": entry("3", 90), "w/t/older": entry("3", 91), "w/t/newer": entry("1", 92), "w/c": entry("9", 93)}
+	now := map[string]Entry{"w/t/older": entry("2", 7), "w/t/newer": entry("1", 8)}
+	updates, err := teamsLacking(old, now)
+	if err != nil || len(updates) != 2 {
+		t.Fatalf("%+v, %v", updates, err)
+	}
+	for i, want := range []struct {
+		key     string
+		version uint64
+	}{{"w/t/lost", 0}, {"w/t/older", 7}} {
+		if u := updates[i]; u.Guards[0].Key != want.key || u.Guards[0].Version != want.version || string(u.Ops[0].Value) != string(old[want.key].Value) {
+			t.Errorf("%+v, want %+v", u, want)
+		}
+	}
+	old["w/t/bad"] = Entry{Value: []byte(`{`)}
+	if _, err := teamsLacking(old, now); err == nil {
+		t.Error("an unreadable entry is put back")
+	}
+}
--- /dev/null
+++ b/internal/topaz/config_test.go
@@ -0,0 +1,75 @@
+package topaz
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"topazhollow/internal/rehearse"
+	"topazhollow/internal/settings"
+)
+
+// TestConfigCommands: changes are committed on top of the settings file and of each other, wrong ones are refused with
+// a name, and nothing is written where no controller keeps its record.
+func TestConfigCommands(t *testing.T) {
+	store, err := rehearse.NewState(16, 16)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	dir := t.TempDir()
+	file := filepath.Join(dir, "settings.json")
+	data, err := json.Marshal(settings.Settings{Name: "node-a", Listen: "127.0.0.1:1", PeerListen: "127.0.0.1:2",
+		Outside: settings.Outside{State: store.Addr(), Cloud: "127.0.0.1:3"},
+		Deployment: settings.Deployment{Zones: []string{"z"}, Teams: []settings.Team{{Name: "red", CPUs: 4, CPUsMax: 8}},
+			Workers: settings.Workers{Report: 1, Lease: 5, Cancel: 10}, State: settings.State{RPS: 1000, WriteRPS: 1000, ValueKB: 8, TxnOps: 8},
+			Cloud: settings.Cloud{RPS: 1}, Limits: settings.Limits{Cores: 1, MemoryMB: 64, MaxSockets: 64}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	topaz := func(args ...string) (int, string) {
+		var out, errs bytes.Buffer
+		code := Main(t.Context(), append([]string{"config"}, args...), &out, &errs)
+		return code, out.String() + errs.String()
+	}
+	if code, said := topaz("set-team", "red", "--settings", file, "--cpus-max", "2"); code != ExitFailed || !strings.Contains(said, "no control record") || store.Keys("w/t/") > 0 {
+		t.Errorf("without a control record: %d %s", code, said)
+	}
+	store.Put("w/c", `{"term":1,"generation":1,"store":"drawn"}`)
+	store.Put("w/g/drawn", `{}`)
+	many := filepath.Join(dir, "many.toml")
+	if err := os.WriteFile(many, []byte("[[team]]\nname = \"red\"\ncpus_max = 6\n[[team]]\nname = \"green\"\ncpus = 1\ncpus_max = 3.5\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	wrong := filepath.Join(dir, "wrong.toml")
+	if err := os.WriteFile(wrong, []byte("[[team]]\nname = \"red\"\ncpus_most = 6\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"set-team", "red", "--cpus-max", "2"}, 0, "red: change 1"},
+		{[]string{"apply", many}, 0, "green: change 1"},
+		{[]string{"apply", wrong}, ExitUsage, "cpus_most"},
+		{[]string{"remove-team", "green"}, 0, "green: change 2"},
+		{[]string{"set-team", "red", "--cpus-max", "0.001"}, ExitFailed, "cpus_max"},
+		{[]string{"set-team", "no/name", "--cpus-max", "1"}, ExitFailed, "no/name"},
+		{[]string{"list"}, 0, "cpus 4 of 6"},
+		{[]string{"list"}, 0, "cpus 1 of 3.5  gpus 0 of 0  removed"},
+	} {
+		if code, said := topaz(append(c.args, "--settings", file)...); code != c.code || !strings.Contains(said, c.want) {
+			t.Errorf("%v: %d %s", c.args, code, said)
+		}
+	}
+	if store.Keys("w/t/") != 2 {
+		t.Errorf("%d keys", store.Keys("w/t/"))
+	}
+}
--- a/internal/topaz/snapshot.go
+++ b/internal/topaz/snapshot.go
@@ -133,8 +133,8 @@
 		}
 		what = fmt.Sprintf("put back in %s", time.Since(began).Round(10*time.Millisecond))
 	}
-	r.print(p, "copy %d as of revision %d, into generation %d: %s %d jobs with %d finished tasks and %d ends, by %d changes; of %d jobs the service knows more",
-		p.Copy, p.Revision, p.Generation, what, p.Jobs, p.Done, p.Ends, p.Changes, p.Newer)
+	r.print(p, "copy %d as of revision %d, into generation %d: %s the configuration of %d teams, %d jobs with %d finished tasks and %d ends, by %d changes; of %d jobs the service knows more",
+		p.Copy, p.Revision, p.Generation, what, p.Teams, p.Jobs, p.Done, p.Ends, p.Changes, p.Newer)
 	if c.Apply && c.Declare {
 		return declare(ctx, r, res)
 	}
--- a/internal/topaz/topaz.go
+++ b/internal/topaz/topaz.go
@@ -46,6 +46,8 @@
 
 	Admission admissionCmd `cmd:"" help:"See who gets how much of what is short (see docs/admission.md)."`
 
+	Config configCmd `cmd:"" help:"Change the teams' configuration while the controllers run (see docs/configuration.md)."`
+
 	Rehearse    rehearseCmd    `cmd:"" help:"Rehearse failures on this machine."`
 	DrillWorker drillWorkerCmd `cmd:"" hidden:"" help:"A worker's process, for rehearse."`
 
