--- /dev/null
+++ b/config_bench_test.go
@@ -0,0 +1,231 @@
+package topazhollow
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"topazhollow/internal/rehearse"
+	"topazhollow/internal/settings"
+	"topazhollow/internal/state"
+	"topazhollow/internal/teamconfig"
+	"topazhollow/internal/teamstore"
+	"topazhollow/internal/wire"
+)
+
+// counted is a way to the state service that counts what passes.
+type counted struct{ reads, watches, transactions, others atomic.Int64 }
+
+// open gives an address that leads to another one.
+func (c *counted) open(b *testing.B, to string) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: to})
+	proxy.Transport = &http.Transport{MaxIdleConnsPerHost: 64}
+	proxy.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/changes" && r.URL.Query().Get("block_ms") != "0":
+			c.watches.Add(1)
+		case r.Method == http.MethodGet:
+			c.reads.Add(1)
+		case r.URL.Path == "/txn":
+			c.transactions.Add(1)
+		default:
+			c.others.Add(1) // leases
+		}
+		proxy.ServeHTTP(w, r)
+	})}
+	go server.Serve(l)
+	b.Cleanup(func() { server.Close() })
+	return l.Addr().String()
+}
+
+func (c *counted) all() [4]int64 {
+	return [4]int64{c.reads.Load(), c.watches.Load(), c.transactions.Load(), c.others.Load()}
+}
+
+// bench is controllers on loopback without machines and jobs, that follow the configuration.
+type bench struct {
+	b        *testing.B
+	sets     []*settings.Settings
+	operator *teamstore.Writer
+	store    counted
+}
+
+func newBench(b *testing.B, controllers, teams int) *bench {
+	x := &bench{b: b}
+	store, err := rehearse.NewState(64, 1<<10)
+	if err != nil {
+		b.Fatal(err)
+	}
+	cloud, err := rehearse.NewCloud([]wire.MachineType{{Name: "m8", CPUs: 8, Memory: 64, Price: 2, SpotPrice: 1, Boot: 1, Zones: []string{"east"}}}, 0,
+		func(string, string, string, bool) (*rehearse.Worker, error) { return nil, io.EOF })
+	if err != nil {
+		b.Fatal(err)
+	}
+	host, listen, peers := rehearse.NewHost(), make([]string, controllers), make([]string, controllers)
+	for i := range controllers {
+		for _, m := range [][]string{listen, peers} {
+			if m[i], err = host.Listen(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	limits := settings.State{RPS: 20000, WriteRPS: 5000, ValueKB: 1 << 10, TxnOps: 64}
+	d := settings.Deployment{Size: controllers, Zones: []string{"east"}, Workers: settings.Workers{Report: 4, Lease: 26, GangWait: 10, GangPeer: 4, Cancel: 60},
+		State: limits, Cloud: settings.Cloud{RPS: 20, ListLag: 0.2}, Limits: settings.Limits{Cores: 1, MemoryMB: 1024, MaxSockets: 1024}}
+	for i := range teams {
+		d.Teams = append(d.Teams, settings.Team{Name: fmt.Sprintf("team-%03d", i), CPUs: 8, CPUsMax: 16})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for i := range controllers {
+		s := &settings.Settings{Name: fmt.Sprintf("node-%02d", i), Zone: "east", Listen: listen[i], PeerListen: peers[i], Deployment: d,
+			Outside: settings.Outside{Cloud: cloud.Addr(), State: x.store.open(b, store.Addr())}}
+		for k := range controllers {
+			if k != i {
+				s.Peers = append(s.Peers, settings.Peer{Name: fmt.Sprintf("node-%02d", k), Zone: "east", Endpoint: peers[k]})
+			}
+		}
+		x.sets = append(x.sets, s)
+		o := settings.DefaultOptions()
+		o.ConfigBound = 6
+		group.Go(func() { _ = Run(ctx, s, o, slog.New(slog.DiscardHandler)) })
+	}
+	client := state.New(store.Addr(), limits, 1)
+	group.Go(func() { _ = client.Run(ctx) })
+	x.operator = teamstore.New(client, d.Teams)
+	b.Cleanup(func() {
+		cancel()
+		group.Wait()
+		cloud.Close()
+		store.Close()
+	})
+	x.until("all are members and every team has an owner", func() bool {
+		o := x.overview(0)
+		return o.Config != nil && len(o.Members) == controllers && len(o.Owners) == teams+1 && len(o.Config.Behind) == 0 && x.operator.Open(ctx, controlKey) == nil
+	})
+	return x
+}
+
+func (x *bench) until(what string, f func() bool) {
+	x.b.Helper()
+	for end := time.Now().Add(3 * time.Minute); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	x.b.Fatalf("never came true: %s", what)
+}
+
+func (x *bench) overview(i int) (o overview) {
+	resp, err := http.Get("http://" + x.sets[i].Listen + "/overview")
+	if err != nil {
+		return o
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(&o) // an empty one is asked for again
+	return o
+}
+
+// change commits a change of a team and gives its number.
+func (x *bench) change(team int, cpus float64) (name string, number uint64) {
+	name = fmt.Sprintf("team-%03d", team)
+	done, err := x.operator.Change(context.Background(), name, func(e *teamconfig.Entry, _ bool) error { e.CPUsMax = cpus; return nil })
+	if err != nil {
+		x.b.Error(err)
+	}
+	return name, done.Entry.Number
+}
+
+func (x *bench) awaitForce(at int, want map[string]uint64) {
+	x.until("in force everywhere", func() bool {
+		o := x.overview(at)
+		for name, number := range want {
+			if o.Config == nil || o.Config.Changes[name] < number {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// BenchmarkConfiguration measures on loopback, in simulated regions without work, how long a single change takes from the operator's
+// request until a controller says that it is in force everywhere, how many changes a second can be made when many come
+// at once, and what each change costs at the state service.
+func BenchmarkConfiguration(b *testing.B) {
+	const teams, single, many = 60, 20, 600
+	for _, controllers := range []int{3, 8, 16, 46} {
+		b.Run(fmt.Sprintf("controllers=%d", controllers), func(b *testing.B) {
+			x := newBench(b, controllers, teams)
+			for b.Loop() {
+				idle := x.over(5*time.Second, func() {})
+				var times []time.Duration
+				busy := x.over(5*time.Second, func() {
+					for i := range single {
+						began := time.Now()
+						name, number := x.change(i%teams, float64(10+i%7))
+						x.awaitForce(i%controllers, map[string]uint64{name: number})
+						times = append(times, time.Since(began))
+					}
+				})
+				slices.Sort(times)
+				b.ReportMetric(times[len(times)/2].Seconds(), "s-median")
+				b.ReportMetric(times[len(times)-1].Seconds(), "s-max")
+				for i, name := range []string{"reads", "watches", "txns"} {
+					b.ReportMetric((busy[i]-idle[i]*busy[4]/idle[4])/single, name+"/change")
+				}
+				b.ReportMetric(idle[0]/idle[4]/float64(controllers), "idle-reads/s/controller")
+				x.burst(many, teams)
+			}
+		})
+	}
+}
+
+// over counts what passes to the state service while something is done and then until a time is over, and the seconds.
+func (x *bench) over(least time.Duration, f func()) (sum [5]float64) {
+	before, began := x.store.all(), time.Now()
+	f()
+	time.Sleep(time.Until(began.Add(least)))
+	for i, after := range x.store.all() {
+		sum[i] = float64(after - before[i])
+	}
+	sum[4] = time.Since(began).Seconds()
+	return sum
+}
+
+// burst makes many changes at once and waits until all are in force.
+func (x *bench) burst(many, teams int) {
+	began, last := time.Now(), map[string]uint64{}
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	for team := range teams {
+		group.Go(func() { // one after the other of each team
+			for i := range many / teams {
+				name, number := x.change(team, float64(10+i%7))
+				mu.Lock()
+				last[name] = number
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	committed := time.Since(began)
+	x.awaitForce(0, last)
+	x.b.ReportMetric(float64(many)/committed.Seconds(), "committed/s")
+	x.b.ReportMetric(float64(many)/time.Since(began).Seconds(), "in-force/s")
+}
