--- a/internal/topaz/config_test.go
+++ b/internal/topaz/config_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -72,4 +75,21 @@
 	if store.Keys("w/t/") != 2 {
 		t.Errorf("%d keys", store.Keys("w/t/"))
 	}
+	asked := 0
+	controller := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked++
+		fmt.Fprintf(w, `{"node":"node-a","configuration":{"known_revision":9,"in_force":{"red":%d},
+			"behind":[{"node":"node-b","known":7,"for_s":1.5}],"not_in_force":[{"team":"red","number":3,"owner":"node-b"}]}}`, min(asked, 3))
+	}))
+	defer controller.Close()
+	addr := strings.TrimPrefix(controller.URL, "http://")
+	if code, said := topaz("set-team", "red", "--settings", file, "--cpus-max", "5", "--wait", addr); code != 0 || asked != 3 || !strings.Contains(said, "in force everywhere, says node-a") {
+		t.Errorf("asked %d times: %d %s", asked, code, said)
+	}
+	if code, said := topaz("status", addr); code != 0 || !strings.Contains(said, "node-b is behind") || !strings.Contains(said, "change 3 of team red is not in force") {
+		t.Errorf("%d %s", code, said)
+	}
+	if code, said := topaz("set-team", "red", "--settings", file, "--cpus-max", "7", "--wait", addr, "--most", "700ms"); code != ExitFailed || !strings.Contains(said, "not known to be in force") {
+		t.Errorf("%d %s", code, said)
+	}
 }
