--- a/internal/arch/arch.go
+++ b/internal/arch/arch.go
@@ -40,6 +40,8 @@
 		"internal/cloud",
 		"internal/peer",
 		"internal/state",
+		"internal/teamconfig",
+		"internal/teamstore",
 		"internal/frontend",
 	}},
 	{"library", []string{""}},
