--- a/internal/arch/arch.go
+++ b/internal/arch/arch.go
@@ -41,8 +41,8 @@
 		"internal/peer",
 		"internal/state",
 		"internal/teamconfig",
-		"internal/teamstore",
 		"internal/frontend",
+		"internal/teamstore",
 	}},
 	{"library", []string{""}},
 	{"tools", []string{
--- a/internal/rehearse/worker.go
+++ b/internal/rehearse/worker.go
@@ -311,10 +311,8 @@
 	defer client.CloseIdleConnections()
 	at := 0
 	for ctx.Err() == nil {
-		next := w.per.Report
-		if w.hangs() {
-			next = hungStep
-		} else {
+		next := hungStep
+		if !w.hangs() {
 			at, next = w.reportOnce(client, at)
 		}
 		select {
