--- a/internal/rehearse/state.go
+++ b/internal/rehearse/state.go
@@ -5,6 +5,7 @@
 package rehearse
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"maps"
@@ -92,6 +93,7 @@
 	applied int                  // transactions that were carried out late
 	met     int                  // late ones whose guards did not hold any more
 
+	slow       time.Duration          // that answers take longer
 	unanswered func(t *wire.Txn) bool // picks transactions whose answer is lost
 	lost       []wire.Txn             // that changed something, and whose answer was lost
 }
@@ -122,7 +124,7 @@
 			reply(w, 429, wire.Error{Error: "too many requests"})
 			return
 		}
-		s.mux.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), doorKey{}, d)))
+		d.serve(w, r.WithContext(context.WithValue(r.Context(), doorKey{}, d)))
 	})}
 	s.mu.Lock()
 	s.servers = append(s.servers, server)
@@ -156,6 +158,37 @@
 	return d.applied, d.met
 }
 
+// Slow has answers at the door take so much longer; what is asked for is done at once. 0: none.
+func (d *Door) Slow(by time.Duration) {
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	d.slow = by
+}
+
+// answer is one that is not sent yet.
+type answer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (a *answer) Header() http.Header         { return a.header }
+func (a *answer) WriteHeader(status int)      { a.status = status }
+func (a *answer) Write(b []byte) (int, error) { return a.body.Write(b) }
+
+// serve answers a request, at the door's pace.
+func (d *Door) serve(w http.ResponseWriter, r *http.Request) {
+	a := &answer{header: http.Header{}, status: http.StatusOK}
+	d.s.mux.ServeHTTP(a, r)
+	d.s.mu.Lock()
+	slow := d.slow
+	d.s.mu.Unlock()
+	time.Sleep(slow)
+	maps.Copy(w.Header(), a.header)
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body.Bytes()) // whom it does not reach asks again
+}
+
 // Unanswered has the transactions that a function picks carried out at once, but their answers lost; nil: none.
 func (d *Door) Unanswered(pick func(t *wire.Txn) bool) {
 	d.s.mu.Lock()
--- a/meeting_look_test.go
+++ b/meeting_look_test.go
@@ -57,6 +57,11 @@
 				d.Unanswered(func(*wire.Txn) bool { return rng.IntN(6) == 0 })
 			}
 		},
+		"the service answers slowly": func(s *scene) {
+			for i, d := range s.doors {
+				d.Slow(time.Duration(100*i) * time.Millisecond)
+			}
+		},
 		"writes lag": func(s *scene) {
 			for i, d := range s.doors {
 				rng := draws(uint64(i))
@@ -103,6 +108,7 @@
 			for _, d := range s.doors {
 				d.Unanswered(nil)
 				d.Late(nil)
+				d.Slow(0)
 			}
 			s.settle()
 			calls := s.users.Log().Calls()
--- a/scene_test.go
+++ b/scene_test.go
@@ -135,8 +135,16 @@
 		}
 	}
 	s.until("nothing is left on machines", func() bool { return s.check.On() == 0 })
+	starts := s.check.Starts()
+	time.Sleep(quiet)
+	if s.check.On() > 0 || s.check.Starts() > starts {
+		s.t.Errorf("%d tasks started after all jobs were over", s.check.Starts()-starts)
+	}
 }
 
+// quiet is for how long nothing may start once all is over, some reports of every worker.
+const quiet = time.Second
+
 // answersHold checks all answers against each other.
 func (s *scene) answersHold() {
 	s.t.Helper()
