--- a/admit.go
+++ b/admit.go
@@ -58,60 +58,72 @@
 // goFirst tells for each of a team's demands how many of its tasks go before what is more
 // urgent: as many as its class has less than the plan leaves it.
 func (n *Node) goFirst(it *item, list []ledger.Demand, now time.Time) []int {
-	first := make([]int, len(list))
 	plan := n.admit.known.Acts()
 	if plan == nil || len(plan.Floors) == 0 {
-		return first
+		return make([]int, len(list))
 	}
+	f := &floorFilling{list: list, first: make([]int, len(list)), lacks: map[string]float64{}}
 	held := it.team.HeldBy()
-	left := map[string]float64{}
-	var order []int
 	for i, d := range list {
 		lacks := plan.Floor(keyOf(d.Spec)) - held[d.Spec.Class]
-		if j := n.jobs[d.Spec.UID]; j != nil && !d.Probe && d.Spec.CPUs > 0 && lacks >= d.Spec.CPUs {
-			left[d.Spec.Class] = lacks
-			order = append(order, i)
-		}
-	}
-	give := func(part float64) {
-		most := map[string]float64{}
-		for class, cpus := range left {
-			most[class] = cpus * part
-		}
-		for _, i := range order {
-			d := &list[i]
-			count := min(d.Count-first[i], int(most[d.Spec.Class]/d.Spec.CPUs+1e-9))
-			if d.Spec.Kind == wire.Gang && count < d.Count || count <= 0 {
-				continue // a gang is placed whole or not at all
-			}
-			first[i] += count
-			most[d.Spec.Class] -= float64(count) * d.Spec.CPUs
-			left[d.Spec.Class] -= float64(count) * d.Spec.CPUs
+		if n.jobs[d.Spec.UID] != nil && !d.Probe && d.Spec.CPUs > 0 && lacks >= d.Spec.CPUs {
+			f.lacks[d.Spec.Class] = lacks
+			f.order = append(f.order, i)
 		}
 	}
+	f.orderByReach(n, now)
+	f.give(inTime)
+	slices.SortStableFunc(f.order, func(a, b int) int { return n.jobs[list[a].Spec.UID].at.Compare(n.jobs[list[b].Spec.UID].at) })
+	f.give(1)
+	return f.first
+}
+
+// floorFilling shares out what a team's classes have less than the plan leaves them.
+type floorFilling struct {
+	list  []ledger.Demand
+	first []int              // of each demand, how many tasks go first
+	lacks map[string]float64 // by class, the CPUs that it still lacks
+	order []int              // of the demands that get any
+}
+
+// orderByReach orders demands by when they must start to be in time, those that cannot be last.
+func (f *floorFilling) orderByReach(n *Node, now time.Time) {
 	type reach struct {
 		late bool
 		by   time.Time
 	}
-	reaches := make([]reach, len(list))
-	for _, i := range order {
-		goal, late := n.goal(n.jobs[list[i].Spec.UID], now)
-		reaches[i] = reach{late, goal.Add(-run(list[i].Spec))}
+	reaches := make([]reach, len(f.list))
+	for _, i := range f.order {
+		spec := f.list[i].Spec
+		goal, late := n.goal(n.jobs[spec.UID], now)
+		reaches[i] = reach{late, goal.Add(-run(spec))}
 	}
-	slices.SortStableFunc(order, func(a, b int) int {
+	slices.SortStableFunc(f.order, func(a, b int) int {
 		x, y := reaches[a], reaches[b]
 		if x.late != y.late {
-			if x.late {
-				return 1
-			}
-			return -1
+			return falseFirst(x.late)
 		}
 		return x.by.Compare(y.by)
 	})
-	give(inTime)
-	slices.SortStableFunc(order, func(a, b int) int { return n.jobs[list[a].Spec.UID].at.Compare(n.jobs[list[b].Spec.UID].at) })
-	give(1)
-	return first
+}
+
+// give gives a part of what each class lacks to its demands in their order.
+func (f *floorFilling) give(part float64) {
+	most := map[string]float64{}
+	for class, cpus := range f.lacks {
+		most[class] = cpus * part
+	}
+	for _, i := range f.order {
+		d := &f.list[i]
+		count := min(d.Count-f.first[i], int(most[d.Spec.Class]/d.Spec.CPUs+1e-9))
+		if d.Spec.Kind == wire.Gang && count < d.Count || count <= 0 {
+			continue // a gang is placed whole or not at all
+		}
+		f.first[i] += count
+		cpus := float64(count) * d.Spec.CPUs
+		most[d.Spec.Class] -= cpus
+		f.lacks[d.Spec.Class] -= cpus
+	}
 }
 
 // keepsFloor says whether a task of a job may not be stopped for others, since its class
@@ -173,81 +185,130 @@
 	if n.admit.maker == nil || n.admit.maker.Since() != it.Since {
 		n.admit.maker = admission.NewMaker(it.Since, &n.admit.known)
 	}
-	in := &admission.Inputs{Teams: map[string]admission.Guarantee{}, Weights: n.admit.weights}
-	for _, t := range n.set.Deployment.Teams {
-		g := admission.Guarantee{CPUs: t.CPUs}
-		if !math.IsInf(t.CPUsMax, 1) {
-			g.Most = t.CPUsMax
-		}
-		in.Teams[t.Name] = g
+	inputs := n.planInputs(machines, demands, now)
+	before := n.admit.known.Acts()
+	n.admit.maker.Step(now, inputs, n.plansHeard())
+	force, next := n.admit.maker.Word()
+	n.admit.known.Hear(it.Since, admission.Word{Force: force, Next: next})
+	n.tellPlan(before)
+	if next != nil {
+		n.tellNow()
 	}
-	needs := map[admission.Key]*admission.Need{}
-	need := func(s *wire.Submission) *admission.Need {
-		k := keyOf(s)
-		if needs[k] == nil {
-			needs[k] = &admission.Need{Key: k}
+}
+
+// plansHeard is the latest plan that each other member has heard of.
+func (n *Node) plansHeard() map[string]admission.ID {
+	members := map[string]admission.ID{}
+	for name := range n.record.Nodes {
+		if p := n.peers[name]; p != nil {
+			members[name] = p.plan
 		}
-		return needs[k]
-	}
-	for _, d := range demands {
-		x := need(d.Spec)
-		x.Waiting += float64(d.Count)*d.Spec.CPUs + d.Beyond
-		x.Rank = wire.Rank(d.Spec.Priority)
-		x.Each, x.Memory = max(x.Each, d.Spec.CPUs), max(x.Memory, d.Spec.Memory)
 	}
+	return members
+}
+
+// planInputs is what a plan is made from.
+func (n *Node) planInputs(machines []fleet.Machine, demands []fleet.Demand, now time.Time) *admission.Inputs {
+	in := &admission.Inputs{Teams: n.guarantees(), Weights: n.admit.weights}
+	needs := needsByKey{}
+	needs.addWaiting(demands)
 	for i := range machines {
-		m := &machines[i]
-		x := n.machines[m.Name]
-		if x == nil || x.view == nil || x.gone {
+		m := n.machines[machines[i].Name]
+		if m == nil || m.view == nil || m.gone {
 			continue
 		}
-		for _, t := range x.view.Tasks {
-			if j := n.jobs[t.Job]; j != nil && t.State != wire.Exited {
-				need(j.spec).Held += j.spec.CPUs
-			}
-		}
-		cpus, _, memory, ok := n.capacity(m.Type)
-		if !ok || m.Going || m.Bad || n.drain[m.Name] || now.Sub(x.lastHeard()) > n.vainFor() {
-			continue
+		n.addHeld(needs, m)
+		if planned, ok := n.plannedMachine(&machines[i], m, now); ok {
+			in.Machines = append(in.Machines, planned)
 		}
-		left := 0.0
-		for _, s := range m.Slots {
-			left = max(left, s.Left)
+	}
+	n.setRates(needs, demands, now)
+	for _, k := range slices.SortedFunc(maps.Keys(needs), admission.Key.Compare) {
+		in.Needs = append(in.Needs, *needs[k])
+	}
+	return in
+}
+
+// guarantees is what each team is guaranteed, and its limit if it has one.
+func (n *Node) guarantees() map[string]admission.Guarantee {
+	teams := map[string]admission.Guarantee{}
+	for _, t := range n.set.Deployment.Teams {
+		g := admission.Guarantee{CPUs: t.CPUs}
+		if !math.IsInf(t.CPUsMax, 1) {
+			g.Most = t.CPUsMax
 		}
-		in.Machines = append(in.Machines, admission.Machine{Name: m.Name, CPUs: cpus, Memory: memory, Free: m.CPUs, Left: left})
+		teams[t.Name] = g
 	}
-	// What keeps up: as it came of late. What waits counts little, or a class that floods would
-	// have its floor raised by all that nobody could serve.
-	backlog, oldest := map[admission.Key]float64{}, map[*admission.Need]time.Duration{}
-	for _, d := range demands {
-		backlog[keyOf(d.Spec)] += (float64(d.Count)*d.Spec.CPUs + d.Beyond) * d.Spec.Estimate
+	return teams
+}
+
+// needsByKey is what teams' classes need.
+type needsByKey map[admission.Key]*admission.Need
+
+// of finds or makes the need of a job's team and class.
+func (needs needsByKey) of(s *wire.Submission) *admission.Need {
+	k := keyOf(s)
+	if needs[k] == nil {
+		needs[k] = &admission.Need{Key: k}
 	}
-	for _, j := range n.jobs {
-		x, age := needs[keyOf(j.spec)], now.Sub(j.at)
-		if x != nil && j.spec.Kind != wire.Service && age < inflowOver {
-			x.Rate += float64(j.spec.Tasks) * j.spec.CPUs * j.spec.Estimate
-			oldest[x] = max(oldest[x], age)
+	return needs[k]
+}
+
+// addWaiting adds what waits.
+func (needs needsByKey) addWaiting(demands []fleet.Demand) {
+	for i := range demands {
+		d := &demands[i]
+		need := needs.of(d.Spec)
+		need.Waiting += waitingCPUs(d)
+		need.Rank = wire.Rank(d.Spec.Priority)
+		need.Each = max(need.Each, d.Spec.CPUs)
+		need.Memory = max(need.Memory, d.Spec.Memory)
+	}
+}
+
+// waitingCPUs is how many CPUs a demand asks for, with those beyond its team's quota.
+func waitingCPUs(d *fleet.Demand) float64 { return float64(d.Count)*d.Spec.CPUs + d.Beyond }
+
+// addHeld adds what the tasks on a machine hold.
+func (n *Node) addHeld(needs needsByKey, m *machine) {
+	for _, t := range m.view.Tasks {
+		if j := n.jobs[t.Job]; j != nil && t.State != wire.Exited {
+			needs.of(j.spec).Held += j.spec.CPUs
 		}
 	}
-	for _, k := range slices.SortedFunc(maps.Keys(needs), admission.Key.Compare) {
-		x := needs[k]
-		over := min(max(oldest[x], inflowOver/3), inflowOver) // of a class that has just begun to come
-		x.Rate = max(x.Rate/over.Seconds(), backlog[k]/backlogOver.Seconds())
-		in.Needs = append(in.Needs, *x)
+}
+
+// plannedMachine describes a machine for a plan, if the plan may count on it.
+func (n *Node) plannedMachine(m *fleet.Machine, known *machine, now time.Time) (planned admission.Machine, ok bool) {
+	cpus, _, memory, ok := n.capacity(m.Type)
+	if !ok || m.SpotNotice || m.Faulty || n.drain[m.Name] || now.Sub(known.lastHeard()) > n.vainFor() {
+		return planned, false
 	}
-	members := map[string]admission.ID{}
-	for name := range n.record.Nodes {
-		if p := n.peers[name]; p != nil {
-			members[name] = p.plan
+	left := 0.0
+	for _, s := range m.Slots {
+		left = max(left, s.Left)
+	}
+	return admission.Machine{Name: m.Name, CPUs: cpus, Memory: memory, Free: m.CPUs, Left: left}, true
+}
+
+// setRates sets what keeps each need up: as it came of late. What waits counts little, or a
+// class that floods would have its floor raised by all that nobody could serve.
+func (n *Node) setRates(needs needsByKey, demands []fleet.Demand, now time.Time) {
+	backlog, oldest := map[admission.Key]float64{}, map[*admission.Need]time.Duration{}
+	for i := range demands {
+		d := &demands[i]
+		backlog[keyOf(d.Spec)] += waitingCPUs(d) * d.Spec.Estimate
+	}
+	for _, j := range n.jobs {
+		need, age := needs[keyOf(j.spec)], now.Sub(j.at)
+		if need != nil && j.spec.Kind != wire.Service && age < inflowOver {
+			need.Rate += float64(j.spec.Tasks) * j.spec.CPUs * j.spec.Estimate
+			oldest[need] = max(oldest[need], age)
 		}
 	}
-	before := n.admit.known.Acts()
-	n.admit.maker.Step(now, in, members)
-	force, next := n.admit.maker.Word()
-	n.admit.known.Hear(it.Since, admission.Word{Force: force, Next: next})
-	n.tellPlan(before)
-	if next != nil {
-		n.tellNow()
+	for k, need := range needs {
+		over := min(max(oldest[need], inflowOver/3), inflowOver) // of a class that has just begun to come
+		need.Rate = max(need.Rate/over.Seconds(), backlog[k]/backlogOver.Seconds())
 	}
 }
 
--- a/fleetview.go
+++ b/fleetview.go
@@ -36,14 +36,15 @@
 		}
 	}
 	awaited, mute := n.awaited(now)
-	var observations []provisioning.Observation
-	for _, name := range account.Candidates(known) {
+	candidates := account.Candidates(known)
+	observations := make([]provisioning.Observation, 0, len(candidates))
+	for _, name := range candidates {
 		m := n.machine(name)
 		if m.gone {
 			continue
 		}
 		observed := n.observeMachine(m, name, now)
-		observed.Machine.Awaited, observed.Machine.Mute = awaited[name], mute[name]
+		observed.Machine.Awaited, observed.Machine.ProbeUnanswered = awaited[name], mute[name]
 		observations = append(observations, observed)
 	}
 	return account.Describe(observations, now)
@@ -52,18 +53,18 @@
 // observeMachine is what the controllers know of a machine.
 func (n *Node) observeMachine(m *machine, name string, now time.Time) provisioning.Observation {
 	observed := provisioning.Observation{Reported: m.view != nil, Machine: fleet.Machine{
-		Name:  name,
-		Heard: m.lastHeard(),
-		Idle:  m.idle,
-		Kept:  n.roster.Has(name),
-		Bad:   n.blame.Bad(name, now),
+		Name:       name,
+		Heard:      m.lastHeard(),
+		Idle:       m.idle,
+		Registered: n.roster.Has(name),
+		Faulty:     n.blame.Bad(name, now),
 	}}
 	if m.view == nil {
 		return observed
 	}
 	x := &observed.Machine
-	x.Unknown = n.homeUnheard(name, now)
-	x.Type, x.Zone, x.Spot, x.Going = m.view.Type, m.view.Zone, m.view.Spot, m.view.Notice
+	x.HomeUnheard = n.homeUnheard(name, now)
+	x.Type, x.Zone, x.Spot, x.SpotNotice = m.view.Type, m.view.Zone, m.view.Spot, m.view.Notice
 	if n.count(m) {
 		x.CPUs, x.GPUs, x.Mem = m.host.CPUs, m.host.GPUs, m.host.Memory
 	}
@@ -137,7 +138,7 @@
 		if d := wire.Rank(b.Spec.Priority) - wire.Rank(a.Spec.Priority); d != 0 {
 			return d
 		}
-		return a.Late.Compare(b.Late)
+		return a.Due.Compare(b.Due)
 	})
 	return list
 }
@@ -151,11 +152,11 @@
 		}
 		behind := time.Duration(d.Behind) * time.Millisecond
 		list = append(list, fleet.Demand{
-			Spec:   j.spec,
-			Count:  d.Count,
-			Beyond: d.Beyond,
-			Late:   n.due(j, now).Add(-behind),
-			Cheap:  wire.Rank(j.spec.Priority) == 0 && len(n.goals(j)) == 0,
+			Spec:       j.spec,
+			Count:      d.Count,
+			Beyond:     d.Beyond,
+			Due:        n.due(j, now).Add(-behind),
+			PreferSpot: wire.Rank(j.spec.Priority) == 0 && len(n.goals(j)) == 0,
 		})
 	}
 	return list
--- a/grown_test.go
+++ b/grown_test.go
@@ -242,7 +242,7 @@
 				var demands []fleet.Demand
 				for _, d := range g.n.demands(g.now) {
 					j := g.n.jobs[d.Job]
-					demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count, Late: g.n.due(j, g.now)})
+					demands = append(demands, fleet.Demand{Spec: j.spec, Count: d.Count, Due: g.n.due(j, g.now)})
 				}
 				f.Forget()
 				f.Decide(g.n.types, machines, demands, nil, g.now, g.now)
--- a/internal/fleet/boot.go
+++ b/internal/fleet/boot.go
@@ -54,7 +54,7 @@
 	booting := map[string]bool{}
 	for i := range machines {
 		m := &machines[i]
-		if m.Heard.IsZero() && !m.Kept {
+		if m.Heard.IsZero() && !m.Registered {
 			booting[m.Name] = true
 		} else if f.booting[m.Name] && !m.Heard.IsZero() {
 			b := f.bootsOf(m.pool())
--- a/internal/fleet/boot_test.go
+++ b/internal/fleet/boot_test.go
@@ -94,7 +94,7 @@
 			if left <= 0 && served == 0 {
 				served = at.Sub(now)
 			}
-			return []Demand{{Spec: spec, Count: max(0, left), Late: now}}
+			return []Demand{{Spec: spec, Count: max(0, left), Due: now}}
 		})
 		if d.late != c.late {
 			t.Errorf("%s: a place found late: %v", c.name, d.late)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -62,7 +62,7 @@
 func TestRentsOnceAndElsewhereWhenRefused(t *testing.T) {
 	f, types, now := setup()
 	spec := &wire.Submission{CPUs: 8, Estimate: 10, Spot: true}
-	demand := []Demand{{Spec: spec, Count: 3, Late: now.Add(5 * time.Second)}}
+	demand := []Demand{{Spec: spec, Count: 3, Due: now.Add(5 * time.Second)}}
 	p := f.Decide(types, nil, demand, nil, now, now)
 	total := 0
 	seen := map[string]bool{}
@@ -100,30 +100,30 @@
 	old := now.Add(-5 * time.Minute)
 	ms := []Machine{
 		{Name: "failed", Type: "m8", Zone: "a", State: wire.HostFailed, Since: old},
-		{Name: "silent", Type: "m8", Zone: "a", Heard: now.Add(-time.Minute), Since: old, Kept: true},
+		{Name: "silent", Type: "m8", Zone: "a", Heard: now.Add(-time.Minute), Since: old, Registered: true},
 		{Name: "stuck", Type: "m8", Zone: "a", State: wire.HostBooting, Since: old},
 		{Name: "idle", Type: "m8", Zone: "a", Heard: now, Idle: now.Add(-time.Minute), Since: old, CPUs: 8, Mem: 64},
 		{Name: "busy", Type: "m8", Zone: "a", Heard: now, Since: old},
 		{Name: "new", Type: "m8", Zone: "a", State: wire.HostBooting, Since: now},
-		{Name: "quiet", Type: "m8", Zone: "a", State: wire.HostRunning, Heard: now.Add(-5 * time.Second), Since: old, Kept: true},
-		{Name: "taken", Type: "m8", Zone: "a", Heard: now.Add(-3500 * time.Millisecond), Since: old, Kept: true},
-		{Name: "awaited", Type: "m8", Zone: "a", State: wire.HostRunning, Heard: now.Add(-5 * time.Second), Since: old, Kept: true, Awaited: true},
+		{Name: "quiet", Type: "m8", Zone: "a", State: wire.HostRunning, Heard: now.Add(-5 * time.Second), Since: old, Registered: true},
+		{Name: "taken", Type: "m8", Zone: "a", Heard: now.Add(-3500 * time.Millisecond), Since: old, Registered: true},
+		{Name: "awaited", Type: "m8", Zone: "a", State: wire.HostRunning, Heard: now.Add(-5 * time.Second), Since: old, Registered: true, Awaited: true},
 	}
 	got := f.Decide(types, ms, nil, nil, now, now.Add(-2*time.Minute)).Return
 	if want := []string{"failed", "silent", "stuck", "taken", "awaited", "idle"}; !slices.Equal(got, want) {
 		t.Fatalf("returns %v, want %v", got, want)
 	}
 	// The cloud's list has a later one: that machine is gone, and holds up its owner.
-	gone := []Machine{{Name: "gone", Type: "m8", Zone: "a", Heard: now.Add(-2 * time.Second), Since: old, Kept: true, Awaited: true, Passed: true},
-		{Name: "heard", Type: "m8", Zone: "a", Heard: now, Since: old, Kept: true, Awaited: true, Passed: true},
-		{Name: "fresh", Type: "m8", Zone: "a", Heard: now.Add(-2 * time.Second), Since: old, Kept: true, Awaited: true}}
+	gone := []Machine{{Name: "gone", Type: "m8", Zone: "a", Heard: now.Add(-2 * time.Second), Since: old, Registered: true, Awaited: true, SkippedInList: true},
+		{Name: "heard", Type: "m8", Zone: "a", Heard: now, Since: old, Registered: true, Awaited: true, SkippedInList: true},
+		{Name: "fresh", Type: "m8", Zone: "a", Heard: now.Add(-2 * time.Second), Since: old, Registered: true, Awaited: true}}
 	if got := f.Decide(types, gone, nil, nil, now, now.Add(-2*time.Minute)).Return; !slices.Equal(got, []string{"gone"}) {
 		t.Fatalf("returns %v of machines that the cloud does not list", got)
 	}
 	// One machine of many held up its owner for as long as a tenth of them would.
 	many := make([]Machine, 100)
 	for i := range many {
-		many[i] = Machine{Name: fmt.Sprintf("n-%03d", i), Type: "m8", Zone: "a", State: wire.HostRunning, Heard: now, Since: old, Kept: true, Awaited: true}
+		many[i] = Machine{Name: fmt.Sprintf("n-%03d", i), Type: "m8", Zone: "a", State: wire.HostRunning, Heard: now, Since: old, Registered: true, Awaited: true}
 	}
 	for late := 1; late <= 3; late++ {
 		many[late].Heard = now.Add(-3 * time.Second)
@@ -246,7 +246,7 @@
 		if c.machines {
 			machines = busy(now)
 		}
-		demand := []Demand{{Spec: &wire.Submission{CPUs: 8, Estimate: 10, Spot: true}, Count: 1, Late: now, Cheap: c.cheap}}
+		demand := []Demand{{Spec: &wire.Submission{CPUs: 8, Estimate: 10, Spot: true}, Count: 1, Due: now, PreferSpot: c.cheap}}
 		rented := 0
 		for _, r := range f.Decide(types, machines, demand, nil, now, now).Rent {
 			rented += r.Count
@@ -270,7 +270,7 @@
 		for i := range 2 {
 			ms = append(ms, Machine{Name: fmt.Sprintf("n-%02d", i), Type: "m8", Zone: "a", State: wire.HostRunning, Heard: now, Since: began, Slots: []Slot{{CPUs: 8, Left: 5}}})
 		}
-		p := f.Decide(types, ms, []Demand{{Spec: low, Count: 1, Late: now.Add(time.Minute)}}, nil, now, began)
+		p := f.Decide(types, ms, []Demand{{Spec: low, Count: 1, Due: now.Add(time.Minute)}}, nil, now, began)
 		for _, r := range p.Rent {
 			rented += r.Count
 			f.Answered(r, 0, now, false)
@@ -295,7 +295,7 @@
 			ms = append(ms, Machine{Name: fmt.Sprintf("n-%02d", i), Type: "m8", Zone: "a", State: wire.HostRunning, Heard: now, Since: now, Slots: []Slot{{CPUs: 8, Left: 20}}})
 		}
 		low := &wire.Submission{UID: "low", Priority: "standard", CPUs: 8, Estimate: 10, Spot: true}
-		p := f.Decide(types, ms, []Demand{{Spec: low, Count: 1, Late: now.Add(40 * time.Second)}}, Inflow{wire.Rank("high"): cpus, wire.Rank("low"): 100}, now, now)
+		p := f.Decide(types, ms, []Demand{{Spec: low, Count: 1, Due: now.Add(40 * time.Second)}}, Inflow{wire.Rank("high"): cpus, wire.Rank("low"): 100}, now, now)
 		got := 0
 		for _, r := range p.Rent {
 			got += r.Count
@@ -323,11 +323,11 @@
 		}
 		var machines []Machine
 		for i := range 4 { // whose tasks end soon
-			machines = append(machines, Machine{Name: fmt.Sprint("n-", i), Type: "m8", Zone: "a", Heard: now, Since: now.Add(-time.Minute), State: wire.HostRunning, Kept: true,
+			machines = append(machines, Machine{Name: fmt.Sprint("n-", i), Type: "m8", Zone: "a", Heard: now, Since: now.Add(-time.Minute), State: wire.HostRunning, Registered: true,
 				Slots: []Slot{{CPUs: 8, Mem: 64, Left: 15, Pinned: true}}})
 		}
-		gang := Demand{Spec: &wire.Submission{UID: "gang", Kind: wire.Gang, Priority: c.priority, CPUs: 7, Estimate: 10, OneZone: true}, Count: 2, Late: now.Add(40 * time.Second)}
-		array := Demand{Spec: &wire.Submission{UID: "array", Kind: wire.Batch, Priority: "standard", CPUs: 1, Estimate: 10, Spot: true}, Count: 16, Late: now.Add(40 * time.Second)}
+		gang := Demand{Spec: &wire.Submission{UID: "gang", Kind: wire.Gang, Priority: c.priority, CPUs: 7, Estimate: 10, OneZone: true}, Count: 2, Due: now.Add(40 * time.Second)}
+		array := Demand{Spec: &wire.Submission{UID: "array", Kind: wire.Batch, Priority: "standard", CPUs: 1, Estimate: 10, Spot: true}, Count: 16, Due: now.Add(40 * time.Second)}
 		demands := []Demand{gang, array}
 		if c.priority == "low" {
 			demands = []Demand{array, gang}
@@ -373,13 +373,13 @@
 				n = 2
 			}
 			for k := range n {
-				machines = append(machines, Machine{Name: fmt.Sprint("n-", zone, k), Type: "m8", Zone: zone, Heard: now, Since: now.Add(-time.Minute), State: wire.HostRunning, Kept: true,
+				machines = append(machines, Machine{Name: fmt.Sprint("n-", zone, k), Type: "m8", Zone: zone, Heard: now, Since: now.Add(-time.Minute), State: wire.HostRunning, Registered: true,
 					Slots: []Slot{{CPUs: 8, Mem: 64, Left: c.left[i], Pinned: true}}})
 			}
 		}
 		spec := &wire.Submission{UID: "gang", Kind: wire.Gang, Priority: "high", CPUs: 7, Estimate: 10, OneZone: true}
 		got := map[string]int{}
-		for _, r := range f.Decide(types, machines, []Demand{{Spec: spec, Count: c.tasks, Late: now.Add(time.Duration(c.late) * time.Second)}}, nil, now, now).Rent {
+		for _, r := range f.Decide(types, machines, []Demand{{Spec: spec, Count: c.tasks, Due: now.Add(time.Duration(c.late) * time.Second)}}, nil, now, now).Rent {
 			got[r.Zone] += r.Count
 		}
 		if got["a"] != c.a || got["b"] != c.b {
@@ -433,9 +433,9 @@
 		f, types, now := setup()
 		types = append(types, wire.MachineType{Name: "g8", CPUs: 8, GPUs: 2, Memory: 64, Price: 9, SpotPrice: 5, Boot: 10, Zones: []string{"a"}})
 		zone := "b"
-		first := Demand{Spec: &wire.Submission{UID: "1", Priority: "high", CPUs: 8, GPUs: 1, Estimate: 10}, Count: 1, Late: now}
-		then := Demand{Spec: &wire.Submission{UID: "2", Priority: "high", CPUs: 8, Estimate: 10, Zone: &zone}, Count: 1, Late: now}
-		last := Demand{Spec: &wire.Submission{UID: "3", Priority: "low", CPUs: 8, Estimate: 10, Spot: true}, Count: 80, Late: now}
+		first := Demand{Spec: &wire.Submission{UID: "1", Priority: "high", CPUs: 8, GPUs: 1, Estimate: 10}, Count: 1, Due: now}
+		then := Demand{Spec: &wire.Submission{UID: "2", Priority: "high", CPUs: 8, Estimate: 10, Zone: &zone}, Count: 1, Due: now}
+		last := Demand{Spec: &wire.Submission{UID: "3", Priority: "low", CPUs: 8, Estimate: 10, Spot: true}, Count: 80, Due: now}
 		rents := f.Decide(types, nil, []Demand{first, then, last}, nil, now, now).Rent
 		if len(rents) < 4 || rents[0].Type != "g8" || rents[1].Zone != "b" || rents[1].Spot || !rents[2].Spot || !rents[3].Spot {
 			t.Fatalf("requests %+v", rents)
--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"time"
 
 	"topazhollow/internal/wire"
 )
@@ -80,53 +79,72 @@
 	return n
 }
 
+// gangOffer is what machines to rent for a gang in one of its zones.
+type gangOffer struct {
+	place       *gangPlace
+	pool        pool
+	machineType *wire.MachineType
+	count       int
+}
+
 // layGang lays out a gang of one zone where it can start soonest, or rents what it lacks in the zone that lacks
-// least, if that would be late. start makes of a time one that is to be expected. It says when the gang starts
-// by that, and whether machines are rented for it; the time is infinite if there is no room and none to rent.
-func (f *Fleet) layGang(l *layout, types []wire.MachineType, d *Demand, want map[pool]int, run, allowance float64, start func(float64) float64, now time.Time) (at float64, rented bool) {
+// least, if that would be late. It says in how many seconds the gang starts by that, and whether machines are
+// rented for it; the time is infinite if there is no room and none to rent.
+func (r *rental) layGang(t *task) (at float64, rented bool) {
+	places := r.all.gangPlaces(r.types, t.demand.Spec, t.demand.Count)
 	at = math.Inf(1)
 	var best *gangPlace
-	places := l.gangPlaces(types, d.Spec, d.Count)
 	for i := range places {
 		if p := &places[i]; p.at < at {
 			best, at = p, p.at
 		}
 	}
-	if start(at) > allowance {
-		least := math.MaxInt
-		var from pool
-		var typ *wire.MachineType
-		for i := range places {
-			p := &places[i]
-			there := *d
-			there.Spec = p.spec
-			place, t := f.cheapest(types, &there, want, start(p.at), now)
-			if t == nil {
-				continue
-			}
-			lacks := d.Count - p.room(f.boot(place, t), d.Count)
-			each := max(p.spec.Times(t.CPUs, t.GPUs, t.Memory), 1)
-			if need := max((lacks+each-1)/each, 1); need < least {
-				best, least, from, typ = p, need, place, t
-			}
-		}
-		if typ != nil {
-			at, rented = f.boot(from, typ), true
-			want[from] += least
-			for range least {
-				b := newBin(from, typ, at)
-				l.bins, best.bins = append(l.bins, b), append(best.bins, b)
-			}
+	if r.expect(t, at) > t.allowance {
+		if offer, ok := r.gangOffer(t, places); ok {
+			best, at, rented = offer.place, r.rentForGang(&offer), true
 		}
 	}
 	if best == nil {
 		return at, false
 	}
-	left := d.Count
+	left := t.demand.Count
 	for _, b := range best.bins {
 		if left > 0 && b.fits(best.spec, at) > 0 {
-			left -= b.take(best.spec, at, run, left)
+			left -= b.take(best.spec, at, t.run, left)
 		}
 	}
 	return at, rented
 }
+
+// gangOffer finds the zone in which the fewest machines have to be rented for a gang.
+func (r *rental) gangOffer(t *task, places []gangPlace) (best gangOffer, found bool) {
+	total := t.demand.Count
+	for i := range places {
+		p := &places[i]
+		there := *t.demand
+		there.Spec = p.spec
+		from, machineType := r.f.cheapest(r.types, &there, r.want, r.expect(t, p.at), r.now)
+		if machineType == nil {
+			continue
+		}
+		lacks := total - p.room(r.f.boot(from, machineType), total)
+		each := max(p.spec.Times(machineType.CPUs, machineType.GPUs, machineType.Memory), 1)
+		count := max((lacks+each-1)/each, 1)
+		if !found || count < best.count {
+			best, found = gangOffer{place: p, pool: from, machineType: machineType, count: count}, true
+		}
+	}
+	return best, found
+}
+
+// rentForGang books the machines of an offer, and says in how many seconds they are up.
+func (r *rental) rentForGang(offer *gangOffer) (up float64) {
+	up = r.f.boot(offer.pool, offer.machineType)
+	r.want[offer.pool] += offer.count
+	for range offer.count {
+		b := newBin(offer.pool, offer.machineType, up)
+		r.all.bins = append(r.all.bins, b)
+		offer.place.bins = append(offer.place.bins, b)
+	}
+	return up
+}
--- a/internal/fleet/retire.go
+++ b/internal/fleet/retire.go
@@ -51,15 +51,8 @@
 // and the reserve, and taken back into use as soon as that is no longer so. What a
 // retired machine still runs is counted as work that the others are about to get.
 func (f *Fleet) retire(live []*Machine, types map[string]*wire.MachineType, demands []Demand, now time.Time) {
-	waiting, pinned := map[string]float64{}, false
-	for _, d := range demands {
-		pinned = pinned || !d.Spec.Spot
-		for name, t := range types {
-			if allowed(d.Spec, name, "", true) || d.Spec.Zone != nil {
-				waiting[name] += float64(d.Count) * share(t, d.Spec.CPUs, d.Spec.GPUs, d.Spec.Memory)
-			}
-		}
-	}
+	// If some work may not use cheap machines, it is not known which of the dear ones it needs.
+	pinned := slices.ContainsFunc(demands, func(d Demand) bool { return !d.Spec.Spot })
 	byType := map[string][]*Machine{}
 	there := map[string]bool{}
 	for _, m := range live {
@@ -72,40 +65,59 @@
 		}
 	}
 	if pinned {
-		return // some work may not use cheap machines: which of the dear ones it needs is not known
+		return
+	}
+	waiting := waitingByType(types, demands)
+	for name, machines := range byType {
+		f.retireOfType(types[name], machines, waiting[name], now)
 	}
-	for name, list := range byType {
-		t := types[name]
-		slices.SortFunc(list, func(a, b *Machine) int {
-			return cmp.Or(cmp.Compare(b.free(t), a.free(t)), cmp.Compare(a.Name, b.Name))
-		})
-		kept, room := 0.0, -waiting[name]
-		for _, m := range list {
-			if f.retired[m.Name] {
-				room -= 1 - m.free(t)
-			} else {
-				room += m.free(t)
-				kept++
+}
+
+// waitingByType is how many machines' room the waiting tasks take that may run on a type.
+func waitingByType(types map[string]*wire.MachineType, demands []Demand) map[string]float64 {
+	waiting := map[string]float64{}
+	for _, d := range demands {
+		for name, t := range types {
+			if allowed(d.Spec, name, "", true) || d.Spec.Zone != nil {
+				waiting[name] += float64(d.Count) * share(t, d.Spec.CPUs, d.Spec.GPUs, d.Spec.Memory)
 			}
 		}
-		for i := len(list) - 1; i >= 0 && room < reserve*kept; i-- { // the fullest first: they run on anyway
-			if m := list[i]; f.retired[m.Name] {
-				delete(f.retired, m.Name)
-				room++
-				kept++
-			}
+	}
+	return waiting
+}
+
+// retireOfType retires machines of one type or takes them back. Waiting is the machines' room
+// that waiting tasks take.
+func (f *Fleet) retireOfType(t *wire.MachineType, machines []*Machine, waiting float64, now time.Time) {
+	slices.SortFunc(machines, func(a, b *Machine) int {
+		return cmp.Or(cmp.Compare(b.free(t), a.free(t)), cmp.Compare(a.Name, b.Name))
+	})
+	kept, room := 0.0, -waiting // machines that are kept, and their free room in machines
+	for _, m := range machines {
+		if f.retired[m.Name] {
+			room -= 1 - m.free(t)
+		} else {
+			room += m.free(t)
+			kept++
 		}
-		// Twice the reserve before the next goes, and none for a while after machines were
-		// asked for, so that none goes back and forth.
-		for _, m := range list {
-			if now.Sub(f.asked) < calm || room-1 < 2*reserve*(kept-1) || kept <= math.Max(1, float64(f.opt.Warm)) {
-				break
-			}
-			if !f.retired[m.Name] && f.dear(m, t) && !m.pinned() {
-				f.retired[m.Name] = true
-				room--
-				kept--
-			}
+	}
+	for i := len(machines) - 1; i >= 0 && room < reserve*kept; i-- { // the fullest first: they run on anyway
+		if m := machines[i]; f.retired[m.Name] {
+			delete(f.retired, m.Name)
+			room++
+			kept++
+		}
+	}
+	// Twice the reserve before the next goes, and none for a while after machines were
+	// asked for, so that none goes back and forth.
+	for _, m := range machines {
+		if now.Sub(f.asked) < calm || room-1 < 2*reserve*(kept-1) || kept <= math.Max(1, float64(f.opt.Warm)) {
+			break
+		}
+		if !f.retired[m.Name] && f.dear(m, t) && !m.pinned() {
+			f.retired[m.Name] = true
+			room--
+			kept--
 		}
 	}
 }
--- a/internal/fleet/retire_test.go
+++ b/internal/fleet/retire_test.go
@@ -39,7 +39,7 @@
 			wait := 0.0
 			if rng.IntN(3) == 0 {
 				wait = float64(rng.IntN(60))
-				demands = []Demand{{Spec: &wire.Submission{CPUs: 2, Spot: true}, Count: int(wait), Late: now}}
+				demands = []Demand{{Spec: &wire.Submission{CPUs: 2, Spot: true}, Count: int(wait), Due: now}}
 			}
 			before := len(f.retired)
 			f.retire(ms, byType, demands, now)
@@ -85,7 +85,7 @@
 		ms = append(ms, Machine{Name: fmt.Sprintf("n-%02d", i), Type: "m8", Zone: "a", Spot: i > 0, State: wire.HostRunning, Heard: now,
 			Since: now.Add(-time.Hour), CPUs: 4, Mem: 32, Slots: []Slot{{CPUs: 4, Mem: 32, Left: 30}}})
 	}
-	pinned := []Demand{{Spec: &wire.Submission{CPUs: 1, Estimate: 5}, Count: 1, Late: now.Add(time.Hour)}}
+	pinned := []Demand{{Spec: &wire.Submission{CPUs: 1, Estimate: 5}, Count: 1, Due: now.Add(time.Hour)}}
 	if p := f.Decide(types, ms, pinned, nil, now, now); len(p.Retire) != 0 {
 		t.Fatalf("retires %v while work waits that may use nothing else", p.Retire)
 	}
--- /dev/null
+++ b/internal/fleet/return.go
@@ -0,0 +1,49 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// minStay is for how long after its rental an idle machine is not returned.
+const minStay = 50 * time.Second
+
+func (m *Machine) price(types map[string]*wire.MachineType) float64 {
+	if m.Spot {
+		return types[m.Type].SpotPrice
+	}
+	return types[m.Type].Price
+}
+
+// giveBack returns machines that have been idle for long, dear ones first, but
+// keeps a few warm. Cheap ones, which may not be had again, stay for longer, as far
+// as they are no more than a tenth of all: more than that idle is no lull.
+func (f *Fleet) giveBack(plan *Plan, types map[string]*wire.MachineType, idle []*Machine, total int, now time.Time) {
+	slices.SortFunc(idle, func(a, b *Machine) int {
+		if d := cmp.Compare(b.price(types), a.price(types)); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
+	left, spare := len(idle), total/10
+	for _, m := range idle {
+		if total <= f.opt.Warm {
+			return
+		}
+		keep := f.opt.IdleReturn
+		if f.retired[m.Name] {
+			keep = 0
+		}
+		if m.Spot && f.opt.SpotShare > 0 && left <= spare {
+			keep = time.Duration(float64(keep) * min(4, types[m.Type].Price/max(m.price(types), 1e-9)))
+		}
+		if now.Sub(m.Idle) > keep && now.Sub(m.Since) > minStay {
+			plan.Return = append(plan.Return, m.Name)
+			total--
+			left--
+		}
+	}
+}
--- a/internal/provisioning/machines.go
+++ b/internal/provisioning/machines.go
@@ -54,7 +54,7 @@
 	machine.Since = a.since(machine.Name, now)
 	host, listed := a.listed[machine.Name]
 	machine.State = host.State
-	machine.Passed = !listed && machine.Name < newestListed
+	machine.SkippedInList = !listed && machine.Name < newestListed
 	if observed.Reported {
 		if machine.Heard.IsZero() {
 			machine.Heard = a.began
--- a/internal/provisioning/provisioning_test.go
+++ b/internal/provisioning/provisioning_test.go
@@ -20,7 +20,7 @@
 
 func demand(now time.Time) []fleet.Demand {
 	spec := &wire.Submission{UID: "job-000001", Kind: wire.Batch, Tasks: 4, CPUs: 16, Memory: 4, Estimate: 60, Spot: true}
-	return []fleet.Demand{{Spec: spec, Count: 4, Late: now}}
+	return []fleet.Demand{{Spec: spec, Count: 4, Due: now}}
 }
 
 // TestListIsPaced: one read at a time, half a lag after the one before, and at once after one
--- a/overview.go
+++ b/overview.go
@@ -56,66 +56,101 @@
 
 var phases = map[int]string{loading: "loading", barrier: "barrier", ready: "ready"}
 
+// quantiles are those of the times from submission to start that are shown, in percent.
+var quantiles = map[string]float64{"p50": 50, "p90": 90, "p99": 99, "max": 100}
+
 func (n *Node) overview(now time.Time) overview {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	o := overview{Node: n.name, Version: Version, Entitled: n.entitled(now), Owners: map[string]string{}, Items: map[string]itemOverview{}, Waits: map[string]int64{}}
+	o := overview{
+		Node:     n.name,
+		Version:  Version,
+		Entitled: n.entitled(now),
+		Owners:   map[string]string{},
+		Items:    map[string]itemOverview{},
+		Machines: n.machinesOverview(now),
+		Waits:    n.waitsOverview(),
+		Told:     n.horizon.Told(),
+		Served:   n.admissionStatus(now),
+		Store:    n.storeStatus(),
+		Unheard:  n.unheardPeers(now),
+		Still:    n.still.Seconds(),
+		Late:     n.late,
+	}
 	if n.record != nil {
 		o.Term, o.Members, o.Deaf = n.record.Term, n.record.Members(), n.record.Deaf
 		for name, it := range n.record.Items {
 			o.Owners[name] = it.Owner
 		}
 	}
-	o.Store = n.storeStatus()
-	o.Told = n.horizon.Told()
 	if until := n.horizon.Until(now); !until.IsZero() {
 		behind := now.Sub(until).Seconds()
 		o.Behind = &behind
 	}
-	o.Served = n.admissionStatus(now)
 	for name, it := range n.items {
-		x := itemOverview{Phase: phases[it.phase], Since: it.since, Awaited: len(it.await), InSync: n.record.Items[name].InSync}
-		if name != tenure.Fleet {
-			it.team.Jobs(func(j *ledger.Job) {
-				x.Jobs++
-				x.Waiting += it.team.Unstarted(j)
-			})
-			x.Held, x.Unproven = it.team.Held()
-			x.CPUs, x.GPUs = it.team.Used()
+		o.Items[name] = n.itemOverview(name, it)
+	}
+	for uid, j := range n.jobs {
+		if !j.active {
+			continue
+		}
+		o.Jobs++
+		if n.blame.Faulty(uid) {
+			o.Faulty++
 		}
-		o.Items[name] = x
 	}
+	return o
+}
+
+// itemOverview describes an item that this controller owns.
+func (n *Node) itemOverview(name string, it *item) itemOverview {
+	x := itemOverview{Phase: phases[it.phase], Since: it.since, Awaited: len(it.await), InSync: n.record.Items[name].InSync}
+	if name == tenure.Fleet {
+		return x
+	}
+	it.team.Jobs(func(j *ledger.Job) {
+		x.Jobs++
+		x.Waiting += it.team.Unstarted(j)
+	})
+	x.Held, x.Unproven = it.team.Held()
+	x.CPUs, x.GPUs = it.team.Used()
+	return x
+}
+
+// machinesOverview counts machines by state.
+func (n *Node) machinesOverview(now time.Time) machinesOverview {
+	x := machinesOverview{Homed: len(n.home.All())}
 	silent := 2 * n.vainFor()
 	for _, m := range n.machines {
 		if m.gone || m.view == nil {
 			continue
 		}
-		o.Machines.Known++
+		x.Known++
 		if now.Sub(m.heard) > silent {
-			o.Machines.Silent++
+			x.Silent++
 		}
 		if !m.idle.IsZero() {
-			o.Machines.Idle++
-		}
-	}
-	o.Machines.Homed = len(n.home.All())
-	for uid, j := range n.jobs {
-		if j.active {
-			o.Jobs++
-		}
-		if j.active && n.blame.Faulty(uid) {
-			o.Faulty++
+			x.Idle++
 		}
 	}
+	return x
+}
+
+// unheardPeers names the controllers that are not heard.
+func (n *Node) unheardPeers(now time.Time) (names []string) {
 	for _, name := range slices.Sorted(maps.Keys(n.peers)) {
 		if !n.peers[name].near(now) {
-			o.Unheard = append(o.Unheard, name)
+			names = append(names, name)
 		}
 	}
-	o.Still, o.Late = n.still.Seconds(), n.late
-	for name, q := range map[string]float64{"p50": 50, "p90": 90, "p99": 99, "max": 100} {
-		o.Waits[name] = n.waits.ValueAtQuantile(q)
+	return names
+}
+
+// waitsOverview is the distribution of times from submission to start, in milliseconds.
+func (n *Node) waitsOverview() map[string]int64 {
+	waits := map[string]int64{"count": n.waits.TotalCount()}
+	for name, q := range quantiles {
+		waits[name] = n.waits.ValueAtQuantile(q)
 	}
-	o.Waits["count"] = n.waits.TotalCount()
-	return o
+	return waits
 }
