Barriers probe machines: knock gets the field's name, and one pause serves all

Need: knock, mute and their functions were names of our own. Change: barrierprobe.go has probes of awaited machines in functions of one step each; the kind of the message between controllers stays "knock", as controllers of both versions may run side by side (constant probeKind). pause is wait.For instead of the same code again.

--- a/knock_test.go
+++ b/barrierprobe_test.go
@@ -15,12 +15,12 @@
 	"topazhollow/internal/wire"
 )
 
-// TestKnock: after an end of all controllers the barrier waited for each machine's
-// next report, and for each dead one until silence told. A knock must make a machine
+// TestBarrierProbe: after an end of all controllers the barrier waited for each machine's
+// next report, and for each dead one until silence told. A probe must make a machine
 // known under the term at once, whatever its session, without a command and without a
 // second one; one that does not answer must be told of. Nothing goes to machines of
 // other homes, nor without being entitled.
-func TestKnock(t *testing.T) {
+func TestBarrierProbe(t *testing.T) {
 	check := rehearse.NewChecker(map[string]float64{"red": 8})
 	per := rehearse.Periods{Report: time.Hour, Lease: time.Hour, Run: func(string) time.Duration { return time.Hour }}
 	addrs := map[string]string{}
@@ -47,21 +47,21 @@
 	n.record = bare("127.0.0.1:1").record
 	n.record.Nodes = map[string]uint64{"node-a": n.inc, "node-b": 1}
 	n.home.SetTerm(5, func(string) bool { return true })
-	knock := func() {
+	probe := func() {
 		n.mu.Lock()
-		n.onKnock(addrs, time.Now())
+		n.onProbe(addrs, time.Now())
 		n.mu.Unlock()
 		if err := n.group.Wait(); err != nil {
 			t.Fatal(err)
 		}
 		n.group = &errgroup.Group{}
 	}
-	knock()
+	probe()
 	if len(n.board) != 0 {
-		t.Fatal("knocked without being entitled")
+		t.Fatal("probed without being entitled")
 	}
 	n.lease.Renewed(time.Now())
-	knock()
+	probe()
 	for name := range workers {
 		m := n.machines[name]
 		mine := n.record.Home(name) == n.name
@@ -75,7 +75,7 @@
 			mute = append(mute, name)
 		}
 	}
-	if got := n.mute(); !slices.Equal(got, mute) {
+	if got := n.unanswered(); !slices.Equal(got, mute) {
 		t.Errorf("mute are %v, not %v", got, mute)
 	}
 	seq := map[string]uint64{}
@@ -84,7 +84,7 @@
 			seq[name] = m.view.Seq
 		}
 	}
-	knock()
+	probe()
 	for name, m := range n.machines {
 		if m.view != nil && m.view.Seq != seq[name] {
 			t.Errorf("%s was asked again", name)
@@ -94,7 +94,7 @@
 		t.Errorf("%d machines heard, rules %v, %d starts", len(seq), check.Rules(), check.Started)
 	}
 	n.hear(&wire.Report{Machine: "n-000099", Session: 1, Seq: 1, Token: 5, Tasks: []wire.TaskStatus{}}, time.Now())
-	if got := n.mute(); slices.Contains(got, "n-000099") {
+	if got := n.unanswered(); slices.Contains(got, "n-000099") {
 		t.Errorf("mute though it reported since: %v", got)
 	}
 }
--- a/fleetview.go
+++ b/fleetview.go
@@ -116,7 +116,7 @@
 		}
 	}
 	add(awaited, n.awaits())
-	add(mute, n.mute())
+	add(mute, n.unanswered())
 	for _, p := range n.peers {
 		if now.Sub(p.heard) < peerWordLife {
 			add(awaited, p.awaits)
--- a/node.go
+++ b/node.go
@@ -29,6 +29,7 @@
 	"topazhollow/internal/settings"
 	"topazhollow/internal/state"
 	"topazhollow/internal/tenure"
+	"topazhollow/internal/wait"
 	"topazhollow/internal/wire"
 	"topazhollow/internal/workers"
 )
@@ -108,7 +109,7 @@
 	group      *errgroup.Group
 	ctx        context.Context
 	began      time.Time
-	knocked    knocking
+	probed     barrierProbes
 	stray      map[string]bool // machines of other homes that reported here since the last status
 	firsts     map[string]bool // what was told of this process's first steps
 	admit      *admit          // who gets how much of what is short
@@ -281,16 +282,7 @@
 }
 
 // pause waits, and says false when the context ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+func pause(ctx context.Context, d time.Duration) bool { return wait.For(ctx, d) }
 
 // promiseLife is how long a promise not to raise the term holds.
 const promiseLife = 3 * time.Second
--- a/provisioning.go
+++ b/provisioning.go
@@ -142,7 +142,7 @@
 		read := time.Now()
 		account.ListingRead(hosts, func(name string) bool { return n.machine(name).gone }, read)
 		awaited, _ := n.awaited(read)
-		n.knockAll(account.Hosts(), awaited)
+		n.probeAwaited(account.Hosts(), awaited)
 		return nil
 	})
 }
--- a/rebuild.go
+++ b/rebuild.go
@@ -185,14 +185,14 @@
 // inspect asks a machine that is on no list whether it is there. Two reports are no proof: copies of
 // what a machine sent that was returned long ago may come one after the other to a process that never knew it.
 func (n *Node) inspect(name, addr string, m *machine) {
-	if m.inspected.After(m.unlisted) && time.Since(m.inspected) < knockTimeout {
+	if m.inspected.After(m.unlisted) && time.Since(m.inspected) < probeTimeout {
 		return
 	}
 	m.inspected = time.Now()
 	n.group.Go(func() error {
 		link := httpx.NewLink(addr, 1<<20)
 		defer link.Close()
-		resp, _, err := link.Do(n.ctx, "GET", wire.PathInspect, nil, knockTimeout)
+		resp, _, err := link.Do(n.ctx, "GET", wire.PathInspect, nil, probeTimeout)
 		var r wire.Report
 		there := err == nil && resp.Status == 200 && wire.Decode(resp.Body, &r) == nil && r.Machine == name
 		n.mu.Lock()
--- a/talk.go
+++ b/talk.go
@@ -52,7 +52,7 @@
 		Progress map[string][2]int `json:"progress,omitempty"` // of own teams' jobs, in one status a second; nil: as it was
 		Drain    []string          `json:"drain,omitempty"`
 		Awaits   []string          `json:"awaits,omitempty"` // machines that a barrier waits for
-		Mute     []string          `json:"mute,omitempty"`   // machines that did not answer a knock
+		Mute     []string          `json:"mute,omitempty"`   // machines that did not answer a probe
 		Writes   *float64          `json:"writes,omitempty"` // changes of the state service wanted a second
 		Store    rebuild.Word      `json:"store"`            // what the sender holds of the state service
 		Version  *uint64           `json:"version"`          // of the control record that it knows; a promise counts for that one and later ones
@@ -155,10 +155,10 @@
 		if err = wire.Decode(body, &o); err == nil {
 			n.onOrders(&o, now)
 		}
-	case "knock":
-		var k knockMsg
-		if err = wire.Decode(body, &k); err == nil {
-			n.onKnock(k.Addrs, now)
+	case probeKind:
+		var m probeMsg
+		if err = wire.Decode(body, &m); err == nil {
+			n.onProbe(m.Addrs, now)
 		}
 	case "record":
 		var m recordMsg
@@ -416,7 +416,7 @@
 	clear(n.stray)
 	s.Demands = n.demands(now)
 	s.Progress, s.Plan = n.progress(now), n.planWord()
-	s.Awaits, s.Mute = n.awaits(), n.mute()
+	s.Awaits, s.Mute = n.awaits(), n.unanswered()
 	if n.items[tenure.Fleet] != nil {
 		s.Drain = slices.Sorted(maps.Keys(n.drain))
 	}
--- a/writeback.go
+++ b/writeback.go
@@ -325,7 +325,7 @@
 		}
 	}
 	n.log.Info("machines counted", "listed", len(n.store.census), "remembered", len(n.store.names), "awaited", len(awaited))
-	n.knockAll(addrs, awaited)
+	n.probeAwaited(addrs, awaited)
 	n.wake()
 }
 
