Links between controllers: short functions and named times

Change: a session's sending, the wait for lines and the check for older connections are functions of their own; times have names and units. No change of behaviour.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,10 +19,21 @@
 	"topazhollow/internal/wire"
 )
 
+// Limits of links, in bytes and connections.
 const (
 	maxLine   = 4 << 20
-	maxQueued = 8 << 20
+	maxQueued = 8 << 20 // unsent lines to one peer; more end the connection
 	maxConns  = 64
+	keptBytes = 1 << 20 // a larger buffer for writing is not kept
+)
+
+// Times of links.
+const (
+	dialTimeout  = time.Second
+	redialDelay  = 300 * time.Millisecond
+	writeTimeout = 4 * time.Second
+	helloTimeout = 5 * time.Second
+	lineTimeout  = 15 * time.Second // silence that ends an incoming connection
 )
 
 // Hello opens every connection.
@@ -134,15 +145,17 @@
 		}
 		l.handler.PeerDown(node)
 		select {
-		case <-time.After(300 * time.Millisecond):
+		case <-time.After(redialDelay):
 		case <-ctx.Done():
 		}
 	}
 	return nil
 }
 
-func (l *Links) session(ctx context.Context, s *sender, n uint64) error {
-	d := net.Dialer{Timeout: time.Second, KeepAlive: -1}
+// session connects to a peer, and sends what is queued until the connection ends. Number is
+// that of the connection.
+func (l *Links) session(ctx context.Context, s *sender, number uint64) error {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	conn, err := d.DialContext(ctx, "tcp4", s.addr)
 	if err != nil {
 		return err
@@ -151,7 +164,7 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	hello := l.self
-	hello.Conn = n
+	hello.Conn = number
 	if _, err := conn.Write(append(wire.Encode(hello), '\n')); err != nil {
 		return err
 	}
@@ -159,28 +172,28 @@
 	s.up, s.queue, s.queued = true, nil, 0
 	s.mu.Unlock()
 	l.handler.PeerUp(s.node)
-	// The peer never writes here; a read only notices the end.
-	ended := make(chan struct{})
+	return s.send(conn, whenClosed(conn))
+}
+
+// whenClosed tells when a connection ends on which the peer never writes.
+func whenClosed(conn net.Conn) <-chan struct{} {
+	closed := make(chan struct{})
 	go func() {
 		var b [1]byte
 		_, _ = conn.Read(b[:])
-		close(ended)
+		close(closed)
 	}()
+	return closed
+}
+
+// send writes queued lines until the connection ends.
+func (s *sender) send(conn net.Conn, closed <-chan struct{}) error {
 	var buf []byte
 	for {
-		select {
-		case <-s.signal:
-		case <-ended:
-			return errors.New("closed by the peer")
-		}
-		s.mu.Lock()
-		if !s.up {
-			s.mu.Unlock()
-			return errors.New("too much unsent")
+		lines, err := s.take(closed)
+		if err != nil {
+			return err
 		}
-		lines := s.queue
-		s.queue, s.queued = nil, 0
-		s.mu.Unlock()
 		buf = buf[:0]
 		for _, line := range lines {
 			buf = append(buf, line...)
@@ -188,16 +201,33 @@
 		if len(buf) == 0 {
 			continue
 		}
-		_ = conn.SetWriteDeadline(time.Now().Add(4 * time.Second))
+		_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := conn.Write(buf); err != nil {
 			return err
 		}
-		if cap(buf) > 1<<20 {
+		if cap(buf) > keptBytes {
 			buf = nil
 		}
 	}
 }
 
+// take waits for queued lines and takes them, which may be none.
+func (s *sender) take(closed <-chan struct{}) ([][]byte, error) {
+	select {
+	case <-s.signal:
+	case <-closed:
+		return nil, errors.New("closed by the peer")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.up {
+		return nil, errors.New("too much unsent")
+	}
+	lines := s.queue
+	s.queue, s.queued = nil, 0
+	return lines, nil
+}
+
 // Listen takes the peers' connections until the context ends.
 func (l *Links) Listen(ctx context.Context, addr string) error {
 	return httpx.Listen(ctx, addr, maxConns, 2*maxLine, func(c *httpx.Conn) {
@@ -208,10 +238,12 @@
 	})
 }
 
+// receive takes a peer's lines until the connection ends, or a newer one of the peer was
+// seen.
 func (l *Links) receive(ctx context.Context, c *httpx.Conn) error {
 	scan := bufio.NewScanner(c)
 	scan.Buffer(make([]byte, 0, 4<<10), maxLine)
-	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	c.SetReadDeadline(time.Now().Add(helloTimeout))
 	if !scan.Scan() {
 		return scan.Err()
 	}
@@ -219,23 +251,16 @@
 	if err := wire.Decode(scan.Bytes(), &hello); err != nil || l.out[hello.Node] == nil {
 		return fmt.Errorf("no peer's hello: %.80q", scan.Bytes())
 	}
-	l.mu.Lock()
-	if last := l.latest[hello.Node]; last.Incarnation > hello.Incarnation || (last.Incarnation == hello.Incarnation && last.Conn > hello.Conn) {
-		l.mu.Unlock()
-		return errors.New("older connection")
+	if !l.begin(hello) {
+		return errOlder
 	}
-	l.latest[hello.Node] = hello
-	l.mu.Unlock()
 	for ctx.Err() == nil {
-		c.SetReadDeadline(time.Now().Add(15 * time.Second))
+		c.SetReadDeadline(time.Now().Add(lineTimeout))
 		if !scan.Scan() {
 			return scan.Err()
 		}
-		l.mu.Lock()
-		current := l.latest[hello.Node] == hello
-		l.mu.Unlock()
-		if !current {
-			return errors.New("older connection")
+		if !l.newest(hello) {
+			return errOlder
 		}
 		var e Envelope
 		if err := wire.Decode(scan.Bytes(), &e); err != nil {
@@ -245,3 +270,25 @@
 	}
 	return nil
 }
+
+// errOlder ends a connection of a peer that has a newer one.
+var errOlder = errors.New("older connection")
+
+// begin makes a connection its peer's newest, unless a newer one was seen.
+func (l *Links) begin(hello Hello) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last := l.latest[hello.Node]
+	if last.Incarnation > hello.Incarnation || last.Incarnation == hello.Incarnation && last.Conn > hello.Conn {
+		return false
+	}
+	l.latest[hello.Node] = hello
+	return true
+}
+
+// newest says whether a connection is still its peer's newest.
+func (l *Links) newest(hello Hello) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.latest[hello.Node] == hello
+}
