--- a/barrierprobe.go
+++ b/barrierprobe.go
@@ -143,7 +143,7 @@
 		probes.unanswered[name] = true
 		return
 	}
-	n.hear(report, time.Now())
+	n.hearAnswer(report, time.Now())
 	n.noteView(name)
 	n.tellViews()
 }
--- a/fleetview.go
+++ b/fleetview.go
@@ -152,7 +152,7 @@
 		}
 		behind := time.Duration(d.Behind) * time.Millisecond
 		list = append(list, fleet.Demand{
-			Spec:       j.spec,
+			Spec:       specIn(j.spec, d.Zone),
 			Count:      d.Count,
 			Beyond:     d.Beyond,
 			Due:        n.due(j, now).Add(-behind),
@@ -241,3 +241,13 @@
 	}
 	return s
 }
+
+// specIn is a job's description with its tasks bound to a zone; "" binds nothing.
+func specIn(spec *wire.Submission, zone string) *wire.Submission {
+	if zone == "" {
+		return spec
+	}
+	bound := *spec
+	bound.Zone = &zone
+	return &bound
+}
--- a/internal/arch/arch.go
+++ b/internal/arch/arch.go
@@ -36,6 +36,7 @@
 		"internal/provisioning",
 		"internal/ledger",
 		"internal/workers",
+		"internal/leasegrant",
 		"internal/cloud",
 		"internal/peer",
 		"internal/state",
@@ -44,6 +45,7 @@
 	{"library", []string{""}},
 	{"tools", []string{
 		"internal/arch",
+		"internal/history",
 		"internal/rehearse",
 		"internal/blob",
 		"internal/keeper",
