--- a/internal/rehearse/worker.go
+++ b/internal/rehearse/worker.go
@@ -308,7 +308,7 @@
 	defer client.CloseIdleConnections()
 	at := 0
 	for ctx.Err() == nil {
-		next := w.per.Report
+		var next time.Duration
 		if w.hangs() {
 			next = hungStep
 		} else {
