Failover of the control record in steps: who left, who came, whose items move

Need: tenure.Repair did it all in one function of 53 lines. Change: removeMissing, addPresent and failover, with the conditions in the same order; a service's endless run time stands once. No change of behaviour.

Measured: tests of internal/tenure, internal/rebuild (with its model) and internal/fleet pass.

--- a/fleetview.go
+++ b/fleetview.go
@@ -14,9 +14,6 @@
 
 // What the fleet's owner knows, as inputs of its decisions.
 
-// endlessRun is the run time in seconds that a service's task counts with.
-const endlessRun = 1e6
-
 // fleetLogEvery is how often the log describes the whole fleet.
 const fleetLogEvery = 20 * time.Second
 
@@ -80,7 +77,7 @@
 func slotOf(m *machine, spec *wire.Submission, ref ledger.Ref, now time.Time) fleet.Slot {
 	left := max(spec.Estimate, 1)
 	if spec.Kind == wire.Service {
-		left = endlessRun
+		left = fleet.EndlessRun
 	} else if since, running := m.running[ref]; running {
 		left = max(left-now.Sub(since).Seconds(), left/8)
 	}
--- a/internal/fleet/rent.go
+++ b/internal/fleet/rent.go
@@ -12,8 +12,8 @@
 // maxRents is how many requests go out for one pool at a time.
 const maxRents = 2
 
-// endlessRun is the run time in seconds that a service's task counts with.
-const endlessRun = 1e6
+// EndlessRun is the run time in seconds that a service's task counts with.
+const EndlessRun = 1e6
 
 // rental is one layout of all waiting tasks, by which it is found what to rent.
 type rental struct {
@@ -72,7 +72,7 @@
 func (r *rental) taskOf(d *Demand) *task {
 	t := &task{demand: d, run: max(d.Spec.Estimate, 1)}
 	if d.Spec.Kind == wire.Service {
-		t.run = endlessRun
+		t.run = EndlessRun
 	}
 	t.allowance = max(0, d.Due.Sub(r.now).Seconds()-r.f.opt.Haste*t.run-FetchTime(r.types, d.Spec))
 	if by, ok := r.f.plans[d.Spec.UID]; ok {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -147,56 +147,79 @@
 // member, who then has to pass the full barrier.
 func Repair(r *Record, items []string, live map[string]Presence) (*Record, []Condition) {
 	next := r.Clone()
-	changed := false
-	var conds []Condition
-	for _, n := range r.Members() {
-		p, ok := live[n]
-		if ok && p.Incarnation == r.Nodes[n] {
-			continue
-		}
-		delete(next.Nodes, n)
-		next.Deaf = slices.DeleteFunc(next.Deaf, func(d string) bool { return d == n })
-		conds = append(conds, Condition{n, p.Version})
-		changed = true
-	}
+	left := next.removeMissing(r, live)
 	stays := maps.Clone(next.Nodes) // members that kept their memory
-	for _, n := range slices.Sorted(maps.Keys(live)) {
-		if _, member := next.Nodes[n]; !member {
-			next.Nodes[n] = live[n].Incarnation
-			if _, listed := r.Nodes[n]; !listed {
-				conds = append(conds, Condition{n, live[n].Version})
-			}
-			changed = true
-		}
-	}
+	joined, came := next.addPresent(r, live)
 	if len(next.Nodes) == 0 {
 		return nil, nil
 	}
 	members := next.Members()
 	wish := Placement(items, members)
 	next.Term = r.Term + 1
+	moved := false
 	for _, name := range items {
-		it, known := next.Items[name]
-		it.InSync = slices.DeleteFunc(it.InSync, func(n string) bool { _, ok := stays[n]; return !ok })
-		if _, ok := stays[it.Owner]; !known || !ok {
-			it.Since = next.Term
-			it.Owner = wish[name]
-			it.Blind = known || len(r.Items) > 0
-			for _, n := range Ranked(name, members) {
-				if slices.Contains(it.InSync, n) {
-					it.Owner, it.Blind = n, next.Items[name].Blind
-					break
-				}
-			}
-			it.InSync = slices.DeleteFunc(it.InSync, func(n string) bool { return n == it.Owner || it.Blind })
-			changed = true
+		if next.failover(name, stays, wish[name], members, len(r.Items) > 0) {
+			moved = true
 		}
-		next.Items[name] = it
 	}
-	if !changed {
+	if len(left) == 0 && !came && !moved {
 		return nil, nil
 	}
-	return next, conds
+	return next, append(left, joined...)
+}
+
+// removeMissing takes the members of a record out that are gone or whose process is another.
+func (r *Record) removeMissing(before *Record, live map[string]Presence) (conditions []Condition) {
+	for _, n := range before.Members() {
+		p, ok := live[n]
+		if ok && p.Incarnation == before.Nodes[n] {
+			continue
+		}
+		delete(r.Nodes, n)
+		r.Deaf = slices.DeleteFunc(r.Deaf, func(d string) bool { return d == n })
+		conditions = append(conditions, Condition{n, p.Version})
+	}
+	return conditions
+}
+
+// addPresent makes all that are present members, and says whether any was none. The conditions
+// are those of nodes that the record before did not name: removeMissing has those of the others.
+func (r *Record) addPresent(before *Record, live map[string]Presence) (conditions []Condition, came bool) {
+	for _, n := range slices.Sorted(maps.Keys(live)) {
+		if _, member := r.Nodes[n]; member {
+			continue
+		}
+		came = true
+		r.Nodes[n] = live[n].Incarnation
+		if _, listed := before.Nodes[n]; !listed {
+			conditions = append(conditions, Condition{n, live[n].Version})
+		}
+	}
+	return conditions, came
+}
+
+// failover gives an item whose owner does not stay, or that is new, to another one, and says
+// whether it did. First is the highest-ranked member; recorded says that there were items
+// before, so that a task of a new one may be on a machine.
+func (r *Record) failover(name string, stays map[string]uint64, first string, members []string, recorded bool) bool {
+	it, known := r.Items[name]
+	it.InSync = slices.DeleteFunc(it.InSync, func(n string) bool { _, ok := stays[n]; return !ok })
+	_, ownerStays := stays[it.Owner]
+	if known && ownerStays {
+		r.Items[name] = it
+		return false
+	}
+	blind := it.Blind
+	it.Since, it.Owner, it.Blind = r.Term, first, known || recorded
+	for _, n := range Ranked(name, members) {
+		if slices.Contains(it.InSync, n) {
+			it.Owner, it.Blind = n, blind
+			break
+		}
+	}
+	it.InSync = slices.DeleteFunc(it.InSync, func(n string) bool { return n == it.Owner || it.Blind })
+	r.Items[name] = it
+	return true
 }
 
 // Sync is what an owner knows of one of its items.
