--- a/internal/rehearse/worker.go
+++ b/internal/rehearse/worker.go
@@ -127,6 +127,9 @@
 func (w *Worker) report() wire.Report {
 	w.seq++
 	r := wire.Report{Machine: w.name, Addr: w.addr, Type: w.typ, Zone: w.zone, Spot: w.spot, Session: w.session, Seq: w.seq, Token: w.token, Tasks: []wire.TaskStatus{}}
+	if w.faults.taken > 0 {
+		r.Notice = new(w.faults.taken)
+	}
 	for _, t := range w.tasks {
 		r.Tasks = append(r.Tasks, *t)
 	}
@@ -308,10 +311,8 @@
 	defer client.CloseIdleConnections()
 	at := 0
 	for ctx.Err() == nil {
-		next := w.per.Report
-		if w.hangs() {
-			next = hungStep
-		} else {
+		next := hungStep
+		if !w.hangs() {
 			at, next = w.reportOnce(client, at)
 		}
 		select {
--- a/node.go
+++ b/node.go
@@ -29,6 +29,7 @@
 	"topazhollow/internal/settings"
 	"topazhollow/internal/state"
 	"topazhollow/internal/tenure"
+	"topazhollow/internal/wait"
 	"topazhollow/internal/wire"
 	"topazhollow/internal/workers"
 )
@@ -108,11 +109,12 @@
 	group      *errgroup.Group
 	ctx        context.Context
 	began      time.Time
-	knocked    knocking
+	probed     barrierProbes
 	stray      map[string]bool // machines of other homes that reported here since the last status
 	firsts     map[string]bool // what was told of this process's first steps
 	admit      *admit          // who gets how much of what is short
 	store      *keeping        // what is known of the state service, and must outlive it
+	config     *configFollow   // the teams' configuration; nil: it does not change
 }
 
 // first logs once when this process came to a step, for how long after its start.
@@ -143,6 +145,7 @@
 	counted   bool
 	heard     time.Time
 	homed     time.Time // when its home last heard it, as far as told
+	homeKnew  time.Time // a start that its home sent and that may still arrive was sent knowing all withdrawals before
 	home      string    // by the record homeBy
 	homeBy    *tenure.Record
 	spared    time.Time // when it was last kept alive here as its home was silent
@@ -220,6 +223,9 @@
 	n.horizon = horizon.New(slices.Collect(maps.Keys(n.peers)), settings.Seconds(s.Deployment.Workers.Cancel), settings.Seconds(s.Deployment.Workers.Lease))
 	n.links = peer.New(s.Name, n.inc, addrs, (*peerHandler)(n), n.log)
 	n.front = frontend.New(s, n.state, (*userBackend)(n))
+	if n.config = newConfigFollow(s, o); n.config != nil {
+		n.front.Follow((*configTenants)(n))
+	}
 	return n
 }
 
@@ -281,16 +287,7 @@
 }
 
 // pause waits, and says false when the context ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+func pause(ctx context.Context, d time.Duration) bool { return wait.For(ctx, d) }
 
 // promiseLife is how long a promise not to raise the term holds.
 const promiseLife = 3 * time.Second
--- a/writeback.go
+++ b/writeback.go
@@ -69,6 +69,7 @@
 	}
 	n.store.wrote = now
 	n.writeBack(now)
+	n.writeBackConfig()
 	if n.items[tenure.Fleet] != nil && !n.store.sealed && !n.store.sealing {
 		n.store.sealing = true
 		generation := n.generation()
@@ -325,7 +326,7 @@
 		}
 	}
 	n.log.Info("machines counted", "listed", len(n.store.census), "remembered", len(n.store.names), "awaited", len(awaited))
-	n.knockAll(addrs, awaited)
+	n.probeAwaited(addrs, awaited)
 	n.wake()
 }
 
