--- a/inflight_test.go
+++ b/inflight_test.go
@@ -134,3 +134,31 @@
 		t.Errorf("another one's word counts: %v", got)
 	}
 }
+
+// TestOrderIsTrustedUntilARead: a job that its machine's home does not know is renewed on its owner's order, for the watch
+// may be behind. Once the state service was read after the start it is over, or it would be known.
+func TestOrderIsTrustedUntilARead(t *testing.T) {
+	o := newOrdering()
+	n := o.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	o.report(o.now)
+	n.home.Take(1, o.name, []ledger.Order{{Op: wire.Start, Key: ledger.Key{Job: "job-000950"}, Attempt: 1, Session: 1, CPUs: 1, Memory: 1}})
+	if _, commands := o.report(o.now); len(commands) != 1 {
+		t.Fatalf("the start does not go out: %+v", commands)
+	}
+	renews := func(at time.Time) bool {
+		o.seq++
+		r := wire.Report{Machine: o.name, Addr: "127.0.0.1:1", Type: "m32", Zone: "east", Session: 1, Seq: o.seq, Token: 1,
+			Tasks: []wire.TaskStatus{{Task: "job-000950/0", Attempt: 1, State: wire.Running}}}
+		_, ok := n.renewal(&r, at)
+		return ok
+	}
+	if !renews(o.now.Add(time.Second)) {
+		t.Error("a task that its owner ordered is not kept alive before anything was read")
+	}
+	n.horizon.Read(o.now.Add(2 * time.Second))
+	if renews(o.now.Add(3 * time.Second)) {
+		t.Error("a task of a job that is not active is kept alive on an old order")
+	}
+}
--- a/internal/leasegrant/leasegrant.go
+++ b/internal/leasegrant/leasegrant.go
@@ -34,7 +34,8 @@
 type Knowledge interface {
 	// Job is a job's state.
 	Job(uid string) JobState
-	// Ordered says whether the job's owner ordered the start of an attempt here in this term.
+	// Ordered says whether the job's owner ordered the start of an attempt here in this term, and the state service was
+	// not read since.
 	Ordered(attempt ledger.Ref) bool
 	// Lost says whether the job of an attempt may have been lost with data of the state service.
 	Lost(attempt uint64) bool
--- a/internal/leasegrant/model_test.go
+++ b/internal/leasegrant/model_test.go
@@ -667,7 +667,7 @@
 	if w.mutant != "starts of what is over" {
 		m.DropStarts(w.over(c))
 	}
-	m.Known = c.horizon.Until(w.now)
+	m.Now, m.Known = w.now, c.horizon.Until(w.now)
 }
 
 // do carries out a direct command.
@@ -829,8 +829,10 @@
 
 func (k *knowledge) Ordered(attempt ledger.Ref) bool {
 	for i := range k.w.machines {
-		if m := k.c.home.Get(machineName(i)); m != nil && m.Ordered(attempt) {
-			return true
+		if m := k.c.home.Get(machineName(i)); m != nil {
+			if sent, ok := m.Ordered(attempt); ok && (sent.IsZero() || !k.c.horizon.LastRead().After(sent)) {
+				return true
+			}
 		}
 	}
 	return false
--- a/internal/workers/home.go
+++ b/internal/workers/home.go
@@ -26,7 +26,8 @@
 	barred bool // will never be sent
 	forgot bool // a forget was queued: never to be sent again
 
-	known time.Time // when it was first sent, every withdrawal confirmed before then was known here
+	at    time.Time // when it was first sent
+	known time.Time // every withdrawal confirmed before this was known here then
 }
 
 // Machine is a machine at its home.
@@ -35,7 +36,8 @@
 	Heard  time.Time   // when a report last came
 	Busy   bool        // a /do is under way
 	Deaf   bool        // the last /do failed: only report answers until it is heard again
-	Known  time.Time   // set before commands are sent: every withdrawal confirmed before it is known here
+	Now    time.Time   // set before commands are sent, as is Known
+	Known  time.Time   // every withdrawal confirmed before it is known here
 
 	starts map[ledger.Ref]*start
 	queue  []wire.Command
@@ -229,10 +231,13 @@
 	return slices.ContainsFunc(m.Report.Tasks, func(t wire.TaskStatus) bool { return refOf(t.Task, t.Attempt) == ref })
 }
 
-// Ordered says whether an owner ordered a start here in this term.
-func (m *Machine) Ordered(ref ledger.Ref) bool {
+// Ordered says whether an owner ordered a start here in this term, and when it was first sent; zero: not yet.
+func (m *Machine) Ordered(ref ledger.Ref) (sent time.Time, ok bool) {
 	s := m.starts[ref]
-	return s != nil && s.order.Op == wire.Start
+	if s == nil || s.order.Op != wire.Start {
+		return time.Time{}, false
+	}
+	return s.at, true
 }
 
 // Starts says whether a start waits to be sent.
@@ -298,8 +303,8 @@
 
 // stamp notes what was known when a start was first sent.
 func (m *Machine) stamp(s *start) {
-	if s.known.IsZero() {
-		s.known = m.Known
+	if s.at.IsZero() {
+		s.at, s.known = m.Now, m.Known
 	}
 }
 
@@ -323,7 +328,7 @@
 // withdrawals were known when such a start was sent. It is zero if there is none.
 func (m *Machine) InFlight(over func(job string) bool) (known time.Time) {
 	for ref, s := range m.starts {
-		if s.listed || s.barred || s.known.IsZero() || m.settled(s) || !over(ref.Job) {
+		if s.listed || s.barred || s.at.IsZero() || m.settled(s) || !over(ref.Job) {
 			continue
 		}
 		if known.IsZero() || s.known.Before(known) {
--- a/renewal.go
+++ b/renewal.go
@@ -48,8 +48,14 @@
 	return leasegrant.Unknown
 }
 
+// Ordered trusts an owner's order until the state service was read after it: a job that is not known then is over,
+// since it was accepted before.
 func (k *leaseKnowledge) Ordered(attempt ledger.Ref) bool {
-	return k.home != nil && k.home.Ordered(attempt)
+	if k.home == nil {
+		return false
+	}
+	sent, ok := k.home.Ordered(attempt)
+	return ok && (sent.IsZero() || !k.n.horizon.LastRead().After(sent))
 }
 
 func (k *leaseKnowledge) Lost(attempt uint64) bool {
@@ -68,7 +74,7 @@
 // know it yet, and what is known by now is noted with the others.
 func (n *Node) readyToSend(m *workers.Machine, now time.Time) {
 	m.DropStarts(n.over)
-	m.Known = n.horizon.Until(now)
+	m.Now, m.Known = now, n.horizon.Until(now)
 }
 
 // confirming tells the peers of a withdrawal before a user is told of it for the first time here.
