--- a/internal/ledger/quota_test.go
+++ b/internal/ledger/quota_test.go
@@ -102,3 +102,17 @@
 		t.Fatalf("%v tasks asked for, want 2 of each gang and 4 small ones", asked)
 	}
 }
+
+// TestSmallTasksPassALargeOneOfTheirPriority: what the quota has left goes to a job of the same priority that fits it.
+func TestSmallTasksPassALargeOneOfTheirPriority(t *testing.T) {
+	now := time.Unix(1000, 0)
+	team := NewTeam("team", 0, 3, 0, math.Inf(1), NewReplica(), 1, func(string, ...any) {})
+	large := &wire.Submission{UID: "job-000001", Kind: wire.Batch, Priority: "standard", Tasks: 1, CPUs: 4}
+	small := &wire.Submission{UID: "job-000002", Kind: wire.Batch, Priority: "standard", Tasks: 5, CPUs: 1}
+	team.AddJob(large, 1, now, nil)
+	team.AddJob(small, 2, now, nil)
+	placeDemanded(team, now)
+	if held := len(team.Job(small.UID).holds); held != 3 {
+		t.Fatalf("%d small tasks hold quota, want 3", held)
+	}
+}
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -917,8 +917,9 @@
 }
 
 // Demands lists what the team would place if there were room, most urgent first, and for each
-// class what is beyond the quota. Of the jobs that wait to begin at once, gangs among them, only the most urgent one
-// reserves quota: gangs may wait for machines for minutes, and all of them together would keep it from everybody.
+// class what is beyond the quota. Of the gangs that wait to begin only the most urgent one reserves quota: they may
+// wait for machines for minutes, and all of them together would keep it from everybody. An array that can't begin
+// reserves it from lower priorities alone, since jobs of its own priority that fit would otherwise wait beside free quota.
 func (t *Team) Demands(now time.Time) []Demand {
 	cpus, gpus := t.charged()
 	var out, probes []Demand
@@ -927,10 +928,15 @@
 	lacks, kept := t.lacking(t.MaxCPUs - cpus)
 	taken := quota{cpus, gpus} // what more urgent jobs leave nothing of
 	reserved := false          // part of it is reserved for a job that can't begin
+	var blocked *Job           // an array that can't begin: less urgent priorities wait for it
 	for _, j := range t.order {
 		if j.Over || j.Finishing || now.Before(j.notUntil) {
 			continue
 		}
+		if blocked != nil && !reserved && wire.Rank(j.Spec.Priority) < wire.Rank(blocked.Spec.Priority) {
+			reserved = true
+			taken.reserve(blocked.Spec, 1, t.MaxCPUs-(kept-lacks[blocked.Spec.Class]), t.MaxGPUs)
+		}
 		d := Demand{Spec: j.Spec}
 		if j.faulty {
 			if len(j.holds) == 0 && t.Unstarted(j) > 0 {
@@ -945,11 +951,16 @@
 		within := min(fit, most(t.CPUs-cpus, j.Spec.CPUs), most(t.GPUs-gpus, j.Spec.GPUs))
 		cpus += float64(fit) * j.Spec.CPUs
 		gpus += float64(fit) * j.Spec.GPUs
-		if atOnce := j.startsAtOnce(left); fit >= atOnce && (atOnce == 0 || j.Spec.Kind != wire.Gang) {
+		switch atOnce := j.startsAtOnce(left); {
+		case atOnce > 0 && j.Spec.Kind == wire.Gang:
+			if !reserved {
+				reserved = true
+				taken.reserve(j.Spec, atOnce, t.MaxCPUs-(kept-own), t.MaxGPUs)
+			}
+		case fit < atOnce && blocked == nil:
+			blocked = j
+		default:
 			taken.add(j.Spec, fit)
-		} else if !reserved {
-			reserved = true
-			taken.reserve(j.Spec, atOnce, t.MaxCPUs-(kept-own), t.MaxGPUs)
 		}
 		if own > 0 {
 			used := min(own, float64(fit)*j.Spec.CPUs)
