Scale runs: real controllers against thousands of hollow workers, with slopes

Need: figures of what each role takes towards 15,000 workers, 46 controllers and 950 teams. Change: internal/scale and 'topaz rehearse scale' (one run, JSON result, HTML page) and 'scale-slopes' (lines through several results).

--- a/internal/rehearse/state.go
+++ b/internal/rehearse/state.go
@@ -97,12 +97,17 @@
 
 // Door opens one.
 func (s *State) Door() (*Door, error) {
+	return s.DoorVia(func(h http.Handler) http.Handler { return h })
+}
+
+// DoorVia opens one whose requests pass through what wrap makes of its handler, as to count them.
+func (s *State) DoorVia(wrap func(http.Handler) http.Handler) (*Door, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	d := &Door{s: s, addr: l.Addr().String()}
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{Handler: wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.expire()
 		out := s.out || d.refused
@@ -120,7 +125,7 @@
 			return
 		}
 		s.mux.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), doorKey{}, d)))
-	})}
+	}))}
 	s.mu.Lock()
 	s.servers = append(s.servers, server)
 	s.mu.Unlock()
@@ -504,8 +509,9 @@
 	defer s.mu.Unlock()
 	for {
 		ch := wire.Changes{Revision: s.revision, Events: []wire.Change{}}
-		for _, e := range s.log {
-			if e.version <= after || !strings.HasPrefix(e.key, q.Get("under")) {
+		first := sort.Search(len(s.log), func(i int) bool { return s.log[i].version > after })
+		for _, e := range s.log[first:] {
+			if !strings.HasPrefix(e.key, q.Get("under")) {
 				continue
 			}
 			c := wire.Change{Set: e.key, Value: e.value, Version: e.version}
--- /dev/null
+++ b/internal/scale/config.go
@@ -0,0 +1,155 @@
+// Package scale measures how the controllers' cost grows with the fleet: it runs real
+// controller processes on this machine against thousands of hollow workers, which speak
+// the workers' protocol and run nothing, and against stand-ins for the state service, the
+// cloud and the users. One run plays one experiment and gives one Result; several results
+// give slopes.
+package scale
+
+import (
+	"fmt"
+
+	"topazhollow/internal/tomlfile"
+)
+
+// Config describes an experiment.
+type Config struct {
+	Seed              uint64  `toml:"seed" json:"seed"`                               // draws zones, teams and run times
+	Duration          float64 `toml:"duration_s" json:"duration_s"`                   // measured time, after the region has settled
+	Settle            float64 `toml:"settle_s" json:"settle_s"`                       // the most that settling may take
+	Controllers       int     `toml:"controllers" json:"controllers"`                 //
+	Workers           int     `toml:"workers" json:"workers"`                         //
+	WorkersPerProcess int     `toml:"workers_per_process" json:"workers_per_process"` //
+	Zones             int     `toml:"zones" json:"zones"`                             //
+	Teams             int     `toml:"teams" json:"teams"`                             //
+	TasksPerWorker    float64 `toml:"tasks_per_worker" json:"tasks_per_worker"`       // replicas of services, which run throughout
+	StartsPerSecond   float64 `toml:"starts_per_s" json:"starts_per_s"`               // of tasks of arrays, beside them
+	TasksPerJob       int     `toml:"tasks_per_job" json:"tasks_per_job"`             // of an array
+	TaskRun           float64 `toml:"task_run_s" json:"task_run_s"`                   // mean run time of an array's task
+	UrgentShare       float64 `toml:"urgent_share" json:"urgent_share"`               // of the arrays
+	UrgentWithin      float64 `toml:"urgent_within_s" json:"urgent_within_s"`         // objective for their starts
+	Report            float64 `toml:"report_s" json:"report_s"`                       // period of a worker's reports
+	WorkerLease       float64 `toml:"worker_lease_s" json:"worker_lease_s"`           //
+	Cancel            float64 `toml:"cancel_s" json:"cancel_s"`                       //
+	CountPeerLines    bool    `toml:"count_peer_lines" json:"count_peer_lines"`       // lines between controllers pass a counter
+
+	Faults Faults `toml:"faults" json:"faults"`
+	Store  Store  `toml:"store" json:"store"`
+	Limits Limits `toml:"limits" json:"limits"`
+}
+
+// Faults are troubles at seconds of the measured time; 0 stands for none.
+type Faults struct {
+	ControllerEnds float64 `toml:"controller_ends_s" json:"controller_ends_s"` // the first controller is killed
+	AllEnd         float64 `toml:"all_end_s" json:"all_end_s"`                 // all controllers are killed
+	Back           float64 `toml:"back_after_s" json:"back_after_s"`           // those killed start again after this
+}
+
+// Store is the limits of the state service, which all controllers share.
+type Store struct {
+	RPS      float64 `toml:"rps" json:"rps"`
+	WriteRPS float64 `toml:"write_rps" json:"write_rps"`
+	ValueKB  float64 `toml:"value_kb" json:"value_kb"`
+	TxnOps   int     `toml:"txn_ops" json:"txn_ops"`
+}
+
+// Limits bound the run itself and what each controller is told it may use.
+type Limits struct {
+	Processes          int     `toml:"processes" json:"processes"`                       // that the run may start
+	MemoryMB           float64 `toml:"memory_mb" json:"memory_mb"`                       // of all processes together; the run ends above
+	Seconds            float64 `toml:"seconds" json:"seconds"`                           // the run ends after this
+	ControllerMemoryMB float64 `toml:"controller_memory_mb" json:"controller_memory_mb"` // limits.memory_mb of its settings
+	ControllerSockets  int     `toml:"controller_sockets" json:"controller_sockets"`     // limits.max_sockets of its settings
+}
+
+// Default is an experiment that a newcomer's machine carries in under two minutes.
+func Default() *Config {
+	return &Config{
+		Seed: 1, Duration: 30, Settle: 40, Controllers: 3, Workers: 500, WorkersPerProcess: 2500, Zones: 23, Teams: 8,
+		TasksPerWorker: 1, StartsPerSecond: 20, TasksPerJob: 10, TaskRun: 10, UrgentShare: 0.1, UrgentWithin: 3.1,
+		Report: 5, WorkerLease: 26.5, Cancel: 46.5, CountPeerLines: true,
+		Faults: Faults{Back: 3},
+		Store:  Store{RPS: 6000, WriteRPS: 1200, ValueKB: 64, TxnOps: 48},
+		Limits: Limits{Processes: 64, MemoryMB: 6000, Seconds: 110, ControllerMemoryMB: 2048, ControllerSockets: 20000},
+	}
+}
+
+// Load reads an experiment from a TOML file over the defaults. Errors name file and field.
+func Load(path string) (*Config, error) {
+	c := Default()
+	if path == "" {
+		return c, nil
+	}
+	if err := tomlfile.Load(path, c); err != nil {
+		return nil, err
+	}
+	if err := c.Check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// String is the experiment as a file.
+func (c *Config) String() string { return tomlfile.String(c) }
+
+// Check says which field is out of range and what was expected.
+func (c *Config) Check() error {
+	in := tomlfile.In
+	err := tomlfile.CheckBounds(
+		in("duration_s", c.Duration, 1, 3600),
+		in("settle_s", c.Settle, 1, 3600),
+		in("controllers", float64(c.Controllers), 1, 64),
+		in("workers", float64(c.Workers), 1, 50000),
+		in("workers_per_process", float64(c.WorkersPerProcess), 1, 5000),
+		in("zones", float64(c.Zones), 1, 200),
+		in("teams", float64(c.Teams), 1, 5000),
+		in("tasks_per_worker", c.TasksPerWorker, 0, 200),
+		in("starts_per_s", c.StartsPerSecond, 0, 20000),
+		in("tasks_per_job", float64(c.TasksPerJob), 1, 1000),
+		in("task_run_s", c.TaskRun, 0.1, 3600),
+		in("urgent_share", c.UrgentShare, 0, 1),
+		in("urgent_within_s", c.UrgentWithin, 0.1, 600),
+		in("report_s", c.Report, 0.1, 600),
+		in("worker_lease_s", c.WorkerLease, 0.5, 3600),
+		in("cancel_s", c.Cancel, 1, 3600),
+		in("faults.controller_ends_s", c.Faults.ControllerEnds, 0, c.Duration),
+		in("faults.all_end_s", c.Faults.AllEnd, 0, c.Duration),
+		in("faults.back_after_s", c.Faults.Back, 0, 600),
+		in("store.rps", c.Store.RPS, 1, 1e6),
+		in("store.write_rps", c.Store.WriteRPS, 1, 1e6),
+		in("store.value_kb", c.Store.ValueKB, 1, 1<<10),
+		in("store.txn_ops", float64(c.Store.TxnOps), 4, 1e4),
+		in("limits.memory_mb", c.Limits.MemoryMB, 64, 1<<20),
+		in("limits.seconds", c.Limits.Seconds, 1, 7200),
+		in("limits.controller_memory_mb", c.Limits.ControllerMemoryMB, 32, 1<<20),
+		in("limits.controller_sockets", float64(c.Limits.ControllerSockets), 64, 1<<20),
+	)
+	if err != nil {
+		return err
+	}
+	if need := c.Controllers + c.processes(); need > c.Limits.Processes {
+		return fmt.Errorf("field limits.processes: %d is too few, %d controllers and %d processes of workers need %d", c.Limits.Processes, c.Controllers, c.processes(), need)
+	}
+	return nil
+}
+
+// processes is how many processes hold the workers.
+func (c *Config) processes() int {
+	return (c.Workers + c.WorkersPerProcess - 1) / c.WorkersPerProcess
+}
+
+// standing is how many tasks run throughout.
+func (c *Config) standing() int { return int(float64(c.Workers) * c.TasksPerWorker) }
+
+// passing is how many tasks of arrays run at a time, on average.
+func (c *Config) passing() float64 { return c.StartsPerSecond * c.TaskRun }
+
+// machineCores is the size of a machine: room for what stands and three times what passes.
+func (c *Config) machineCores() float64 {
+	return float64(int(c.TasksPerWorker)) + 3 + float64(int(3*c.passing()/float64(c.Workers)))
+}
+
+// teamLimit is a team's limit in cores, of which every task takes one.
+func (c *Config) teamLimit() float64 {
+	spread := max(3*c.passing()/float64(c.Teams), 2*float64(c.TasksPerJob))
+	return float64(c.standing()/c.Teams+1) + spread
+}
--- /dev/null
+++ b/internal/scale/hollow.go
@@ -0,0 +1,309 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"topazhollow/internal/httpx"
+	"topazhollow/internal/wire"
+)
+
+// Times of the workers' protocol.
+const (
+	answerTimeout = 4 * time.Second        // for the answer to a report
+	retryAfter    = time.Second            // until the next controller is tried
+	leastPause    = 500 * time.Millisecond // between reports about changes
+	movePause     = 50 * time.Millisecond  // before the report to the controller that another one named
+)
+
+// maxAnswer bounds the answer to a report, in bytes.
+const maxAnswer = 4 << 20
+
+// hollow is a worker that speaks the whole protocol and runs nothing: a task only takes time.
+type hollow struct {
+	pool       *pool
+	name, zone string
+	addr       string
+	listener   net.Listener
+	rng        *rand.Rand
+	wake       chan struct{} // something changed that is to be reported
+
+	mu      sync.Mutex
+	session uint64
+	seq     uint64
+	token   uint64
+	tasks   []wire.TaskStatus // in the order of their starts
+	timers  map[string]*time.Timer
+	alive   time.Time // when the last answered report was sent
+	sent    time.Time // when the last report was made
+	turned  time.Time // when a higher token last counted as a change
+	gone    bool
+}
+
+func (h *hollow) report() wire.Report {
+	h.seq++
+	return wire.Report{Machine: h.name, Addr: h.addr, Type: machineType, Zone: h.zone, Session: h.session, Seq: h.seq, Token: h.token,
+		Tasks: append([]wire.TaskStatus{}, h.tasks...)}
+}
+
+func (h *hollow) changed() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// sees takes in a token, which is not lower than the highest one seen.
+func (h *hollow) sees(token uint64) {
+	if token > h.token && time.Since(h.turned) > h.pool.lease/2 {
+		h.turned = time.Now()
+		h.changed()
+	}
+	h.token = token
+}
+
+func (h *hollow) find(task string) int {
+	return slices.IndexFunc(h.tasks, func(t wire.TaskStatus) bool { return t.Task == task })
+}
+
+func (h *hollow) execute(commands []wire.Command) {
+	for _, c := range commands {
+		at := h.find(c.Task)
+		known := at >= 0 && h.tasks[at].Attempt == c.Attempt
+		switch {
+		case c.Op == wire.Start && !known:
+			h.start(c, at)
+		case c.Op == wire.Stop && known && h.tasks[at].State != wire.Exited:
+			h.exit(at, wire.WhyStopped)
+		case c.Op == wire.Forget && known && h.tasks[at].State == wire.Exited:
+			h.tasks = slices.Delete(h.tasks, at, at+1)
+			h.changed()
+		}
+	}
+}
+
+// start begins a task, in place of an exited attempt if there is one at that index.
+func (h *hollow) start(c wire.Command, at int) {
+	if at >= 0 && h.tasks[at].State != wire.Exited {
+		return // another attempt of it is here
+	}
+	if at >= 0 {
+		h.tasks = slices.Delete(h.tasks, at, at+1)
+	}
+	uid, _, _ := wire.SplitTask(c.Task)
+	name, ok := parseJobName(uid)
+	if !ok {
+		h.tasks = append(h.tasks, wire.TaskStatus{Task: c.Task, Attempt: c.Attempt, State: wire.Exited, Why: wire.WhyNoSuch})
+		h.changed()
+		return
+	}
+	h.tasks = append(h.tasks, wire.TaskStatus{Task: c.Task, Attempt: c.Attempt, State: wire.Running})
+	h.pool.rec.event(true, c.Task, h.name, false)
+	h.changed()
+	if name.Run > 0 {
+		h.timers[c.Task] = time.AfterFunc(name.Run, func() { h.complete(c.Task, c.Attempt) })
+	}
+}
+
+func (h *hollow) complete(task string, attempt uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at := h.find(task); at >= 0 && h.tasks[at].Attempt == attempt && h.tasks[at].State == wire.Running {
+		h.exit(at, wire.WhyDone)
+	}
+}
+
+func (h *hollow) exit(at int, why string) {
+	t := &h.tasks[at]
+	t.State, t.Why = wire.Exited, why
+	h.pool.rec.event(false, t.Task, h.name, why == wire.WhyDone)
+	if timer := h.timers[t.Task]; timer != nil {
+		timer.Stop()
+		delete(h.timers, t.Task)
+	}
+	h.changed()
+}
+
+// killAll ends everything without a result.
+func (h *hollow) killAll() {
+	for i := range h.tasks {
+		if h.tasks[i].State != wire.Exited {
+			h.exit(i, wire.WhyStopped)
+		}
+	}
+	h.tasks = nil
+}
+
+// remove takes the machine away with all that is on it.
+func (h *hollow) remove() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.gone {
+		return
+	}
+	h.gone = true
+	h.killAll()
+	_ = h.listener.Close() // it was open until now
+	h.pool.rec.remove()
+}
+
+// next prepares a report. ok is false once the machine is gone.
+func (h *hollow) next() (body []byte, session uint64, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.gone {
+		return nil, 0, false
+	}
+	if time.Since(h.alive) > h.pool.lease {
+		h.killAll()
+		h.session++
+		h.alive = time.Now()
+		h.pool.rec.count(Counts{Expired: 1})
+	}
+	select {
+	case <-h.wake: // what changed until now is in this report
+	default:
+	}
+	h.sent = time.Now()
+	return wire.Encode(h.report()), h.session, true
+}
+
+// answered takes in the answer to a report sent at a time in a session.
+func (h *hollow) answered(a *wire.ReportAnswer, sent time.Time, session uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if a.Token == 0 || a.Token < h.token || session != h.session || h.gone {
+		return
+	}
+	h.alive = sent
+	h.sees(a.Token)
+	h.execute(a.Commands)
+}
+
+// run reports until the context ends or the machine is gone.
+func (h *hollow) run(ctx context.Context) {
+	at := h.rng.IntN(len(h.pool.names))
+	link := httpx.NewLink(h.pool.addrs[at], maxAnswer)
+	defer func() { link.Close() }()
+	homed := false
+	pause := time.Duration(h.rng.Float64() * float64(h.pool.report))
+	for h.pause(ctx, pause) {
+		body, session, ok := h.next()
+		if !ok {
+			return
+		}
+		sent := time.Now()
+		to, good := h.send(ctx, link, body, session, sent)
+		if good != homed {
+			homed = good
+			h.pool.rec.home(map[bool]int{true: 1, false: -1}[good])
+		}
+		switch {
+		case good:
+			pause = time.Duration((0.75 + h.rng.Float64()/2) * float64(h.pool.report))
+			continue
+		case to >= 0 && to != at:
+			at, pause = to, movePause
+		default:
+			at, pause = (at+1)%len(h.pool.names), retryAfter
+		}
+		link.Close()
+		link = httpx.NewLink(h.pool.addrs[at], maxAnswer)
+	}
+}
+
+// pause waits for the next report: for the whole time, or less if something changed.
+func (h *hollow) pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	case <-h.wake:
+	}
+	h.mu.Lock()
+	left := min(d, leastPause-time.Since(h.sent))
+	h.mu.Unlock()
+	least := time.NewTimer(left)
+	defer least.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-least.C:
+		return true
+	}
+}
+
+// send sends a report and takes in its answer; to is the controller that was named
+// instead, or -1.
+func (h *hollow) send(ctx context.Context, link *httpx.Link, body []byte, session uint64, sent time.Time) (to int, good bool) {
+	resp, _, err := link.Do(ctx, http.MethodPost, wire.PathReport, body, answerTimeout)
+	c := Counts{Reports: 1, ReportBytes: int64(len(body))}
+	defer func() { h.pool.rec.count(c) }()
+	if err != nil {
+		c.Failed = 1
+		return -1, false
+	}
+	c.AnswerBytes = int64(len(resp.Body))
+	switch resp.Status {
+	case http.StatusOK:
+		var a wire.ReportAnswer
+		if wire.Decode(resp.Body, &a) != nil {
+			c.Failed = 1
+			return -1, false
+		}
+		c.Answered = 1
+		h.pool.rec.waited(time.Since(sent))
+		h.answered(&a, sent, session)
+		return -1, true
+	case http.StatusMisdirectedRequest:
+		var m wire.Moved
+		c.Moved = 1
+		if wire.Decode(resp.Body, &m) == nil {
+			return slices.Index(h.pool.names, m.ReportTo), false
+		}
+	default:
+		c.Failed = 1
+	}
+	return -1, false
+}
+
+// do carries out direct commands.
+func (h *hollow) do(w http.ResponseWriter, r *http.Request) {
+	var d wire.Direct
+	body := http.MaxBytesReader(w, r.Body, wire.MaxBody)
+	if json.NewDecoder(body).Decode(&d) != nil || d.Token == 0 || d.Session == 0 {
+		http.Error(w, `{"error":"malformed"}`, http.StatusBadRequest)
+		return
+	}
+	status := http.StatusOK
+	h.mu.Lock()
+	if d.Token < h.token || d.Session != h.session || h.gone {
+		status = http.StatusConflict
+	} else {
+		h.sees(d.Token)
+		h.execute(d.Commands)
+	}
+	answer := wire.Encode(h.report())
+	h.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(answer) // the controller counts it as unanswered if it fails
+	h.pool.rec.count(Counts{Commands: 1, CommandBytes: max(r.ContentLength, 0), ResultBytes: int64(len(answer))})
+}
+
+// inspect answers with a report.
+func (h *hollow) inspect(w http.ResponseWriter) {
+	h.mu.Lock()
+	answer := wire.Encode(h.report())
+	h.mu.Unlock()
+	_, _ = w.Write(answer) // as above
+}
--- /dev/null
+++ b/internal/scale/jobname.go
@@ -0,0 +1,47 @@
+package scale
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// jobName is what a job's id tells, so that hollow workers need no description of it.
+type jobName struct {
+	Number int
+	Team   int
+	Run    time.Duration // of each task; 0: until it is stopped
+}
+
+// String is the id.
+func (n jobName) String() string {
+	return fmt.Sprintf("job-%06d-t%d-r%d", n.Number, n.Team, n.Run.Milliseconds())
+}
+
+// parseJobName reads an id; ok is false for one of another form.
+func parseJobName(uid string) (n jobName, ok bool) {
+	parts := strings.Split(uid, "-")
+	if len(parts) != 4 || parts[0] != "job" || !strings.HasPrefix(parts[2], "t") || !strings.HasPrefix(parts[3], "r") {
+		return n, false
+	}
+	number, err1 := strconv.Atoi(parts[1])
+	team, err2 := strconv.Atoi(parts[2][1:])
+	run, err3 := strconv.Atoi(parts[3][1:])
+	if err1 != nil || err2 != nil || err3 != nil {
+		return n, false
+	}
+	return jobName{number, team, time.Duration(run) * time.Millisecond}, true
+}
+
+// teamName is a team's name.
+func teamName(i int) string { return fmt.Sprintf("team-%03d", i) }
+
+// zoneName is a zone's name.
+func zoneName(i int) string { return fmt.Sprintf("zone-%02d", i) }
+
+// machineName is a machine's name.
+func machineName(i int) string { return fmt.Sprintf("n-%06d", i) }
+
+// machineType is the one type of machine that the stand-in for the cloud has.
+const machineType = "hollow"
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,115 @@
+package scale_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"topazhollow/internal/scale"
+	"topazhollow/internal/topaz"
+)
+
+// TestMain lets the tests' program be the command topaz for the processes that a run starts.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && slices.Contains([]string{"controller", scale.PoolCommand}, os.Args[1]) {
+		os.Exit(topaz.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+func small() *scale.Config {
+	c := scale.Default()
+	c.Workers, c.WorkersPerProcess, c.Teams, c.Zones = 30, 20, 3, 5
+	c.Report, c.StartsPerSecond, c.TasksPerJob, c.TaskRun = 0.5, 20, 5, 0.5
+	c.Duration, c.Settle = 6, 60
+	return c
+}
+
+func play(t *testing.T, c *scale.Config) *scale.Result {
+	t.Helper()
+	r, err := scale.Run(t.Context(), c, scale.Options{Program: os.Args[0], Controller: []string{os.Args[0], "controller"}, Dir: t.TempDir(), Out: io.Discard})
+	if err != nil {
+		t.Fatalf("%v; so far %+v", err, r)
+	}
+	return r
+}
+
+// TestRun: a small run of three real controllers and two processes of workers, in which one
+// controller is killed, measures every part, breaks no rule and gives a page.
+func TestRun(t *testing.T) {
+	c := small()
+	c.Faults.ControllerEnds, c.Faults.Back = 1, 1
+	r := play(t, c)
+	if r.Breaks > 0 || !r.Settled || r.Starts == 0 || r.Reports == 0 || len(r.Controllers) != 3 || len(r.Workers) != 2 || r.MachinesTaken > 0 {
+		t.Fatalf("%+v", r)
+	}
+	for _, kind := range []string{"report", "command", "status", "views", "write", "watch", "lease"} {
+		if !slices.ContainsFunc(r.Traffic, func(x scale.Traffic) bool { return x.Kind == kind && x.Messages > 0 }) {
+			t.Errorf("no message of kind %q was counted: %+v", kind, r.Traffic)
+		}
+	}
+	path := filepath.Join(t.TempDir(), "result.json")
+	if err := r.Write(path); err != nil {
+		t.Fatal(err)
+	}
+	again, err := scale.ReadResult(path)
+	if err != nil || again.Starts != r.Starts {
+		t.Fatalf("%v: %+v", err, again)
+	}
+	var page bytes.Buffer
+	if err := scale.WritePage(&page, []*scale.Result{r, again}, scale.Workers); err != nil || !strings.Contains(page.String(), "<svg") {
+		t.Errorf("%v\n%.1000s", err, page.String())
+	}
+}
+
+// TestLimit: a run that holds more memory than it may ends by itself and says so.
+func TestLimit(t *testing.T) {
+	c := small()
+	c.Limits.MemoryMB, c.Duration = 64, 60
+	r, err := scale.Run(t.Context(), c, scale.Options{Program: os.Args[0], Controller: []string{os.Args[0], "controller"}, Dir: t.TempDir(), Out: io.Discard})
+	if err == nil || r == nil || !strings.Contains(r.Stopped, "memory_mb") {
+		t.Fatalf("%v: %+v", err, r)
+	}
+}
+
+// TestWrongFields: a mistake in an experiment's file is told with file, field and what was
+// expected, by the command too, with exit code 2.
+func TestWrongFields(t *testing.T) {
+	for text, wanted := range map[string]string{
+		"workers = 0":                   "field workers: 0 is not between 1 and 50000",
+		"wrokers = 5":                   "field wrokers: no such field",
+		"workers = \"many\"":            "workers",
+		"[limits]\nprocesses = 1":       "field limits.processes",
+		"[faults]\nall_end_s = 1000000": "field faults.all_end_s",
+	} {
+		path := filepath.Join(t.TempDir(), "experiment.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var out, errs bytes.Buffer
+		code := topaz.Main(t.Context(), []string{"rehearse", "scale", "--config", path}, &out, &errs)
+		if code != topaz.ExitUsage || !strings.Contains(errs.String(), wanted) || !strings.Contains(errs.String(), path) {
+			t.Errorf("%q: exit code %d, %s", text, code, errs.String())
+		}
+	}
+}
+
+// TestPrintConfig: what --print-config prints is an experiment's file with every default.
+func TestPrintConfig(t *testing.T) {
+	var out, errs bytes.Buffer
+	if code := topaz.Main(t.Context(), []string{"rehearse", "scale", "--print-config"}, &out, &errs); code != 0 {
+		t.Fatal(code, errs.String())
+	}
+	path := filepath.Join(t.TempDir(), "experiment.toml")
+	if err := os.WriteFile(path, out.Bytes(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := scale.Load(path); err != nil || *c != *scale.Default() {
+		t.Errorf("%v: %+v", err, c)
+	}
+}
--- a/internal/topaz/rehearse.go
+++ b/internal/topaz/rehearse.go
@@ -16,6 +16,8 @@
 	Kills    rehearseKillsCmd    `cmd:"" help:"Kill workers and keepers at drawn moments, and check all that is read afterwards."`
 	Size     rehearseSizeCmd     `cmd:"" name:"loss-at-size" help:"Measure how long after one loss of everything each step is reached."`
 	Meetings rehearseMeetingsCmd `cmd:"" help:"Have troubles meet at drawn moments, with cancellations in between, and check that no rule breaks."`
+	Scale    rehearseScaleCmd    `cmd:"" help:"Measure what controllers take for a fleet of hollow workers (see docs/CAPACITY.md)."`
+	Slopes   rehearseSlopesCmd   `cmd:"" name:"scale-slopes" help:"Fit lines through the results of several runs of scale."`
 	Loss     rehearseLossCmd     `cmd:"" help:"Take data away from the state service at drawn moments, with troubles beside it, and check that nothing is forgotten or run twice."`
 }
 
--- /dev/null
+++ b/internal/topaz/scale.go
@@ -0,0 +1,117 @@
+package topaz
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"time"
+
+	"topazhollow/internal/scale"
+)
+
+type rehearseScaleCmd struct {
+	Config      string `placeholder:"FILE" help:"The experiment (TOML); what it does not say has the default."`
+	PrintConfig bool   `help:"Print the experiment with defaults, then leave."`
+	Controller  string `placeholder:"PROGRAM" help:"Controller to run, as target/topazhollow; this program's own otherwise."`
+	Result      string `placeholder:"FILE" help:"Write what was measured to this file (JSON)."`
+	Report      string `placeholder:"FILE" help:"Write a page (HTML) to this file."`
+	KeepLogs    bool   `help:"Keep the controllers' settings and logs."`
+}
+
+// Run plays one experiment; a broken rule, or an end before its time, makes the exit code 1.
+func (c *rehearseScaleCmd) Run(r *run) error {
+	set, err := scale.Load(c.Config)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	if c.PrintConfig {
+		fmt.Fprint(r.out, set)
+		return nil
+	}
+	ctx, cancel, program, dir, err := r.rehearsal("scale", time.Duration(set.Limits.Seconds*float64(time.Second))+time.Minute)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	o := scale.Options{Program: program, Controller: []string{program, "controller"}, Dir: dir, Out: r.err}
+	if c.Controller != "" {
+		path, err := exec.LookPath(c.Controller)
+		if err != nil {
+			return fmt.Errorf("%w: --controller: %w", errUsage, err)
+		}
+		o.Controller = []string{path}
+	}
+	result, err := scale.Run(ctx, set, o)
+	if result == nil {
+		return err
+	}
+	if err := c.write(result); err != nil {
+		return err
+	}
+	r.print(result, "%s", result.Summary())
+	if err != nil {
+		return fmt.Errorf("%w; the controllers' logs are in %s", err, dir)
+	}
+	if result.Breaks > 0 {
+		return fmt.Errorf("%d rules broken, as %v; the controllers' logs are in %s", result.Breaks, result.Broken[0], dir)
+	}
+	if c.KeepLogs {
+		fmt.Fprintln(r.err, "settings and logs are in", dir)
+		return nil
+	}
+	return os.RemoveAll(dir)
+}
+
+func (c *rehearseScaleCmd) write(result *scale.Result) error {
+	if c.Result != "" {
+		if err := result.Write(c.Result); err != nil {
+			return err
+		}
+	}
+	if c.Report == "" {
+		return nil
+	}
+	return writePage(c.Report, []*scale.Result{result}, scale.Workers)
+}
+
+// writePage writes a page about results to a file.
+func writePage(path string, results []*scale.Result, over scale.Axis) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := scale.WritePage(f, results, over); err != nil {
+		_ = f.Close() // the first error says more
+		return err
+	}
+	return f.Close()
+}
+
+type rehearseSlopesCmd struct {
+	Results []string `arg:"" name:"result" help:"Result files of rehearse scale."`
+	Over    string   `enum:"workers,starts,teams,controllers,tasks" default:"workers" help:"What the runs differ in: ${enum}."`
+	Report  string   `placeholder:"FILE" help:"Write a page (HTML) to this file."`
+}
+
+// Run fits lines through the figures of several results and prints them.
+func (c *rehearseSlopesCmd) Run(r *run) error {
+	var results []*scale.Result
+	for _, path := range c.Results {
+		x, err := scale.ReadResult(path)
+		if err != nil {
+			return fmt.Errorf("%w: %w", errUsage, err)
+		}
+		results = append(results, x)
+	}
+	slopes := scale.Slopes(results, scale.Axis(c.Over))
+	r.print(slopes, "%s", scale.SlopesText(slopes, scale.Axis(c.Over)))
+	if c.Report == "" {
+		return nil
+	}
+	return writePage(c.Report, results, scale.Axis(c.Over))
+}
+
+type hollowWorkersCmd struct{}
+
+// Run is a process of hollow workers, for rehearse scale.
+func (c *hollowWorkersCmd) Run(r *run) error { return scale.Work(r.ctx, os.Stdin, r.out) }
--- a/internal/topaz/topaz.go
+++ b/internal/topaz/topaz.go
@@ -49,6 +49,8 @@
 	Rehearse    rehearseCmd    `cmd:"" help:"Rehearse failures on this machine."`
 	DrillWorker drillWorkerCmd `cmd:"" hidden:"" help:"A worker's process, for rehearse."`
 
+	HollowWorkers hollowWorkersCmd `cmd:"" hidden:"" help:"A process of hollow workers, for rehearse scale."`
+
 	Build buildCmd `cmd:"" help:"Serve build tools: store and action cache of the Remote Execution API (see docs/remote-execution.md)."`
 	Keep  keepCmd  `cmd:"" help:"Keep tasks' output and files (see docs/keeper.md)."`
 	Token tokenCmd `cmd:"" help:"Print a token to read a job's output, or to use an instance for builds, made with the keepers' key."`
