--- /dev/null
+++ b/capacity_bench_test.go
@@ -0,0 +1,208 @@
+package topazhollow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"topazhollow/internal/fleet"
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/peer"
+	"topazhollow/internal/tenure"
+	"topazhollow/internal/wire"
+	"topazhollow/internal/workers"
+)
+
+// The benchmarks of this file give the processor time of single roles at sizes that a whole run on one
+// machine does not reach; docs/CAPACITY.md cites them.
+
+// fleetSizes are the numbers of machines that roles are measured at.
+var fleetSizes = []int{500, 1000, 2000, 4000, 8000, 15000}
+
+// busyTasks lists so many running tasks of a team's job on a machine.
+func busyTasks(count int) (tasks []ledger.TaskView) {
+	for i := range count {
+		tasks = append(tasks, ledger.TaskView{Key: ledger.Key{Job: "job-000001", Index: i}, Attempt: 1 << 24, State: wire.Running})
+	}
+	return tasks
+}
+
+// BenchmarkCapacityReport is a home's part in one report: parsed, taken in as a change, and told as a view.
+func BenchmarkCapacityReport(b *testing.B) {
+	for _, tasks := range []int{1, 4, 8, 16, 26} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			h := workers.New(func(string) (float64, float64, float64, bool) { return 32, 0, 256, true },
+				func(string) (float64, float64, float64) { return 1, 0, 1 })
+			h.SetTerm(1, func(string) bool { return true })
+			r := wire.Report{Machine: "n-000001", Addr: "127.0.0.1:9000", Type: "m32", Zone: "east", Session: 1, Token: 1}
+			for i := range tasks {
+				r.Tasks = append(r.Tasks, wire.TaskStatus{Task: wire.TaskName("job-000001", i), Attempt: 1 << 24, State: wire.Running})
+			}
+			for b.Loop() {
+				r.Seq++
+				r.Tasks[0].Attempt++
+				var got wire.Report
+				if err := wire.Decode(wire.Encode(&r), &got); err != nil {
+					b.Fatal(err)
+				}
+				h.Heard(&got, time.Unix(0, 0))
+				peer.Line("views", []*ledger.View{h.View(r.Machine)})
+			}
+		})
+	}
+}
+
+// BenchmarkCapacityView is one controller's part in a view that a peer tells: every controller takes in every
+// machine's. Teams are those that it owns.
+func BenchmarkCapacityView(b *testing.B) {
+	for _, c := range []struct{ machines, teams, tasks int }{
+		{500, 3, 1}, {4000, 3, 1}, {15000, 3, 1},
+		{1000, 3, 1}, {1000, 20, 1}, {1000, 100, 1}, {1000, 317, 1}, {1000, 950, 1},
+		{1000, 3, 4}, {1000, 3, 8}, {1000, 3, 16}, {1000, 3, 26},
+	} {
+		b.Run(fmt.Sprintf("machines=%d/teams=%d/tasks=%d", c.machines, c.teams, c.tasks), func(b *testing.B) {
+			g := newGrown(c.machines, c.teams)
+			view := *g.views[g.names[0]]
+			view.Tasks = busyTasks(c.tasks)
+			body := wire.Encode([]*ledger.View{&view})
+			g.n.mu.Lock()
+			defer g.n.mu.Unlock()
+			for b.Loop() {
+				var views []*ledger.View
+				if err := wire.Decode(body, &views); err != nil {
+					b.Fatal(err)
+				}
+				view.Seq++
+				views[0].Seq = view.Seq
+				g.n.see(views[0], g.now)
+			}
+		})
+	}
+}
+
+// BenchmarkCapacityStep is one step of a controller in which nothing is to be done, by machines and own teams.
+func BenchmarkCapacityStep(b *testing.B) {
+	for _, c := range []struct{ machines, teams int }{{500, 3}, {4000, 3}, {15000, 3}, {1000, 20}, {1000, 100}, {1000, 317}, {1000, 950}} {
+		b.Run(fmt.Sprintf("machines=%d/teams=%d", c.machines, c.teams), func(b *testing.B) {
+			g := newGrown(c.machines, c.teams)
+			g.n.mu.Lock()
+			defer g.n.mu.Unlock()
+			for b.Loop() {
+				g.n.step(g.now)
+			}
+		})
+	}
+}
+
+// BenchmarkCapacityStart is a step that places one waiting task, which takes a copy of every machine with room.
+func BenchmarkCapacityStart(b *testing.B) {
+	for _, machines := range fleetSizes {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			g := newGrown(machines, 3)
+			g.n.mu.Lock()
+			defer g.n.mu.Unlock()
+			for b.Loop() {
+				g.n.mu.Unlock()
+				g.submit(1, 1e-3)
+				g.n.mu.Lock()
+				g.n.place(g.now)
+			}
+		})
+	}
+}
+
+// BenchmarkCapacityFleet is one look of the fleet's owner, twice a second, at machines that all are up.
+func BenchmarkCapacityFleet(b *testing.B) {
+	for _, machines := range fleetSizes {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			g := newGrown(machines, 3)
+			for range 30 {
+				g.submit(100, 8)
+			}
+			g.second(10)
+			r := &rental{started: g.now, list: map[string]wire.Host{}, seen: map[string]time.Time{}, rented: map[string]wire.Rent{}, giving: map[string]bool{}}
+			f := fleet.New("b", fleet.Options{IdleReturn: 24 * time.Hour, SpotShare: 1, Silent: 30 * time.Second, Haste: 2})
+			g.n.mu.Lock()
+			defer g.n.mu.Unlock()
+			for b.Loop() {
+				f.Decide(g.n.types, g.n.fleetView(r, g.now), nil, nil, g.now, g.now)
+			}
+		})
+	}
+}
+
+// BenchmarkCapacityRecord is what a controller does with the control record: ten times a second it looks whether
+// it should change it (proposal), and with each new term it finds the home of every machine (homes).
+func BenchmarkCapacityRecord(b *testing.B) {
+	for _, c := range []struct{ controllers, teams int }{{3, 8}, {3, 100}, {3, 317}, {3, 950}, {9, 950}, {17, 950}, {46, 8}, {46, 950}} {
+		record := (&tenure.Record{Term: 1}).Clone()
+		live := map[string]tenure.Presence{}
+		var items []string
+		for i := range c.controllers {
+			name := fmt.Sprintf("controller-%02d", i)
+			record.Nodes[name], live[name] = 1, tenure.Presence{Incarnation: 1, Version: 1}
+		}
+		for i := range c.teams {
+			items = append(items, fmt.Sprintf("team/team-%03d", i))
+		}
+		for item, owner := range tenure.Placement(items, record.Members()) {
+			record.Items[item] = tenure.Item{Owner: owner, Since: 1, InSync: record.Members()}
+		}
+		name := fmt.Sprintf("controllers=%d/teams=%d", c.controllers, c.teams)
+		b.Run("proposal/"+name, func(b *testing.B) {
+			for b.Loop() {
+				tenure.Repair(record, items, live)
+				tenure.Upkeep(record, "controller-00", nil, true)
+			}
+			b.ReportMetric(float64(len(wire.Encode(record))), "bytes")
+		})
+	}
+	for _, controllers := range []int{3, 9, 17, 46} {
+		record := (&tenure.Record{Term: 1}).Clone()
+		for i := range controllers {
+			record.Nodes[fmt.Sprintf("controller-%02d", i)] = 1
+		}
+		b.Run(fmt.Sprintf("homes/machines=15000/controllers=%d", controllers), func(b *testing.B) {
+			for b.Loop() {
+				for i := range 15000 {
+					record.Home(fmt.Sprintf("n-%06d", i))
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkCapacityStatus is one status line, by the machines homed at its sender: made once and sent to each peer
+// twice a second at least, and taken in by each.
+func BenchmarkCapacityStatus(b *testing.B) {
+	for _, homed := range []int{326, 1000, 2500, 5000} {
+		g := newGrown(homed, 3)
+		for _, name := range g.names {
+			g.n.home.Heard(&wire.Report{Machine: name, Addr: "127.0.0.1:9000", Type: "m32", Zone: "east", Session: 1, Seq: 1, Token: 1}, g.now)
+		}
+		g.n.mu.Lock()
+		s := g.n.status(g.now)
+		line := peer.Line("status", s)
+		b.Run(fmt.Sprintf("send/homed=%d", homed), func(b *testing.B) {
+			for b.Loop() {
+				peer.Line("status", g.n.status(g.now))
+			}
+			b.ReportMetric(float64(len(line)), "bytes")
+		})
+		body := wire.Encode(s)
+		p := g.n.peers["node-b"]
+		if p == nil {
+			p = &peerState{}
+		}
+		b.Run(fmt.Sprintf("take/homed=%d", homed), func(b *testing.B) {
+			for b.Loop() {
+				var got statusMsg
+				if err := wire.Decode(body, &got); err != nil {
+					b.Fatal(err)
+				}
+				g.n.onStatus(p, &got, g.now)
+			}
+		})
+		g.n.mu.Unlock()
+	}
+}
--- a/internal/topaz/topaz_test.go
+++ b/internal/topaz/topaz_test.go
@@ -135,7 +135,7 @@
 	if !strings.Contains(string(out), "topazhollow/internal/tenure\n") {
 		t.Fatal("the list of what the controller links is not to be trusted")
 	}
-	for _, no := range []string{"bbolt", "klauspost", "BurntSushi", "grpc", "prometheus", "topazhollow/internal/keeper", "topazhollow/internal/blob", "topazhollow/internal/snapshot", "fxamacker", "topazhollow/internal/rehearse"} {
+	for _, no := range []string{"bbolt", "klauspost", "BurntSushi", "grpc", "prometheus", "topazhollow/internal/keeper", "topazhollow/internal/blob", "topazhollow/internal/snapshot", "fxamacker", "topazhollow/internal/rehearse", "topazhollow/internal/scale", "gonum"} {
 		if strings.Contains(string(out), no) {
 			t.Errorf("the controller links %s", no)
 		}
