--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -47,6 +47,29 @@
 		Silent int `json:"silent"`
 	} `json:"machines"`
 	Jobs int `json:"active_jobs"`
+
+	Items    int `json:"items_owned"`
+	Unbacked int `json:"items_without_backup"` // whose owner has no backup in sync
+}
+
+// overview is the part of a controller's overview that Seen is made of.
+type overview struct {
+	Seen
+	Items map[string]struct {
+		InSync []string `json:"in_sync"`
+	} `json:"items"`
+}
+
+// seen counts the items.
+func (o *overview) seen() Seen {
+	s := o.Seen
+	s.Items = len(o.Items)
+	for _, item := range o.Items {
+		if len(item.InSync) == 0 {
+			s.Unbacked++
+		}
+	}
+	return s
 }
 
 // Result is what one run measured. Rates are means over the measured time.
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -277,9 +277,9 @@
 		if err != nil {
 			continue
 		}
-		var s Seen
-		if json.NewDecoder(resp.Body).Decode(&s) == nil {
-			all = append(all, s)
+		var o overview
+		if json.NewDecoder(resp.Body).Decode(&o) == nil {
+			all = append(all, o.seen())
 		}
 		_ = resp.Body.Close() // it was read
 	}
