--- a/capacity_bench_test.go
+++ b/capacity_bench_test.go
@@ -99,6 +99,30 @@
 	}
 }
 
+// BenchmarkCapacityBarrier is a view that comes while 17 own items wait at a full barrier for every machine, as after
+// an end of all controllers.
+func BenchmarkCapacityBarrier(b *testing.B) {
+	for _, machines := range fleetSizes {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			g := newGrown(machines, 17)
+			for _, it := range g.n.items {
+				it.phase, it.since, it.await = barrier, 2, map[string]bool{}
+				for _, name := range g.names {
+					it.await[name] = true
+				}
+			}
+			g.n.mu.Lock()
+			defer g.n.mu.Unlock()
+			view := *g.views[g.names[0]]
+			processorTime(b, func() {
+				view.Seq++
+				next := view
+				g.n.see(&next, g.now)
+			})
+		})
+	}
+}
+
 // BenchmarkCapacityStep is one step of a controller in which nothing is to be done, by machines and own teams.
 func BenchmarkCapacityStep(b *testing.B) {
 	for _, c := range []struct{ machines, teams int }{{500, 3}, {4000, 3}, {15000, 3}, {1000, 20}, {1000, 100}, {1000, 317}, {1000, 950}} {
--- a/internal/scale/config.go
+++ b/internal/scale/config.go
@@ -25,6 +25,7 @@
 	StartsPerSecond   float64 `toml:"starts_per_s" json:"starts_per_s"`               // of tasks of arrays, beside them
 	TasksPerJob       int     `toml:"tasks_per_job" json:"tasks_per_job"`             // of an array
 	TaskRun           float64 `toml:"task_run_s" json:"task_run_s"`                   // mean run time of an array's task
+	TeamRoom          float64 `toml:"team_room" json:"team_room"`                     // a team's limit beyond its services, in times of what its arrays take on average
 	UrgentShare       float64 `toml:"urgent_share" json:"urgent_share"`               // of the arrays
 	UrgentWithin      float64 `toml:"urgent_within_s" json:"urgent_within_s"`         // objective for their starts
 	Report            float64 `toml:"report_s" json:"report_s"`                       // period of a worker's reports
@@ -65,7 +66,7 @@
 func Default() *Config {
 	return &Config{
 		Seed: 1, Duration: 30, Settle: 40, Controllers: 3, Workers: 500, WorkersPerProcess: 2500, Zones: 23, Teams: 8,
-		TasksPerWorker: 1, StartsPerSecond: 20, TasksPerJob: 10, TaskRun: 10, UrgentShare: 0.1, UrgentWithin: 3.1,
+		TasksPerWorker: 1, StartsPerSecond: 20, TasksPerJob: 10, TaskRun: 10, TeamRoom: 3, UrgentShare: 0.1, UrgentWithin: 3.1,
 		Report: 5, WorkerLease: 26.5, Cancel: 46.5, CountPeerLines: true,
 		Faults: Faults{Back: 3},
 		Store:  Store{RPS: 6000, WriteRPS: 1200, ValueKB: 64, TxnOps: 48},
@@ -106,6 +107,7 @@
 		in("starts_per_s", c.StartsPerSecond, 0, 20000),
 		in("tasks_per_job", float64(c.TasksPerJob), 1, 1000),
 		in("task_run_s", c.TaskRun, 0.1, 3600),
+		in("team_room", c.TeamRoom, 1, 1000),
 		in("urgent_share", c.UrgentShare, 0, 1),
 		in("urgent_within_s", c.UrgentWithin, 0.1, 600),
 		in("report_s", c.Report, 0.1, 600),
@@ -150,6 +152,6 @@
 
 // teamLimit is a team's limit in cores, of which every task takes one.
 func (c *Config) teamLimit() float64 {
-	spread := max(3*c.passing()/float64(c.Teams), 2*float64(c.TasksPerJob))
+	spread := max(c.TeamRoom*c.passing()/float64(c.Teams), 2*float64(c.TasksPerJob))
 	return float64(c.standing()/c.Teams+1) + spread
 }
--- a/internal/scale/region.go
+++ b/internal/scale/region.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -187,6 +188,13 @@
 	return os.WriteFile(x.config, wire.Encode(s), 0o600)
 }
 
+// child is a command whose process the system kills if this one is killed before it could.
+func child(program string, args ...string) *exec.Cmd {
+	cmd := exec.Command(program, args...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return cmd
+}
+
 // start runs a controller's process.
 func (g *region) start(x *controller) error {
 	log, err := os.OpenFile(x.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -195,7 +203,7 @@
 	}
 	defer log.Close()
 	args := append(slices.Clone(g.o.Controller[1:]), "--config", x.config, "--script", filepath.Join(g.o.Dir, "options.star"))
-	cmd := exec.Command(g.o.Controller[0], args...)
+	cmd := child(g.o.Controller[0], args...)
 	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
 		return err
@@ -268,7 +276,7 @@
 }
 
 func (g *region) startPool(c *PoolConfig) (*poolProcess, *PoolReady, error) {
-	cmd := exec.Command(g.o.Program, PoolCommand)
+	cmd := child(g.o.Program, PoolCommand)
 	cmd.Stderr = os.Stderr
 	in, err1 := cmd.StdinPipe()
 	out, err2 := cmd.StdoutPipe()
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -195,7 +195,7 @@
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	rules := x.g.rules
-	rules.urgent, rules.others, rules.gap, rules.last, x.g.trips = newWaits(), newWaits(), 0, time.Time{}, newTrips()
+	rules.urgent, rules.others, rules.gap, rules.last, x.g.trips = newWaits(), newWaits(), 0, time.Now(), newTrips()
 	x.starts, x.ends, x.began = rules.starts, rules.ends, time.Now()
 }
 
@@ -257,7 +257,7 @@
 	defer g.mu.Unlock()
 	r.Starts, r.Ends = float64(g.rules.starts-x.starts)/r.Measured, float64(g.rules.ends-x.ends)/r.Measured
 	r.UrgentWait, r.UsualWait, r.ReportTrip = quantiles(g.rules.urgent), quantiles(g.rules.others), quantiles(g.trips)
-	r.LongestGap, r.QuotaMost = g.rules.gap.Seconds(), g.rules.most
+	r.LongestGap, r.QuotaMost = max(g.rules.gap, time.Since(g.rules.last)).Seconds(), g.rules.most
 }
 
 // workerTraffic is what workers sent and got, as other messages are counted.
