Two ranked backups for each item, and a control record that fits 950 teams

Need: docs/CAPACITY.md measured that the record is the first thing that binds towards 15,000 workers: with 700 teams its writes are refused and backups silently cease, with 950 nothing runs at all, with 46 controllers it takes 761 KB of the 64 of a transaction, since every peer was a backup of every item and each was named in full.

Change: an item has two backups named by the ranking (the companion's k; with three controllers these are all peers, as before), the wished-for owner among them; surplus ones leave once those are in sync. From 64 items on the record is written packed, members by index; both forms are read.

Measured: 951 items take 30 KB with 3 members and 34 KB with 46.

--- a/internal/arch/arch.go
+++ b/internal/arch/arch.go
@@ -56,6 +56,7 @@
 		"internal/reapi",
 		"internal/snapshot",
 		"internal/drill",
+		"internal/scale",
 		"internal/topaz",
 	}},
 	{"programs", []string{
--- /dev/null
+++ b/internal/tenure/packed.go
@@ -0,0 +1,147 @@
+package tenure
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// The control record is one value of the state service, whose size is bounded. With many items the plain form, which
+// repeats the members' names and the term for each, outgrows it: 950 items and three members take 106 KB of 64. From
+// packedFrom items on the record is written in a packed form, which names members by their index; a record of either form
+// is read. Controllers that know the plain form alone can't read the packed one, so a deployment grows past
+// packedFrom items only once all of its controllers do.
+
+// packedFrom is the number of items from which on the packed form is written.
+const packedFrom = 64
+
+// plainRecord has the record's fields and none of its methods.
+type plainRecord Record
+
+// storedRecord is the record as it is written: with Items, or with Packed in their place.
+type storedRecord struct {
+	*plainRecord
+	Items  map[string]Item       `json:"items,omitempty"`
+	Packed map[string]packedItem `json:"packed,omitempty"`
+}
+
+// packedItem is an item by the indices of its members among the record's, in order.
+type packedItem struct {
+	owner  int
+	age    uint64 // terms since the owner took it
+	blind  bool
+	inSync []int
+}
+
+// nobody is the index of an owner that is no member.
+const nobody = -1
+
+// MarshalJSON gives the plain form, or the packed one if there are many items.
+func (r *Record) MarshalJSON() ([]byte, error) {
+	stored := storedRecord{plainRecord: (*plainRecord)(r), Items: r.Items}
+	if len(r.Items) >= packedFrom {
+		packed, ok := r.pack()
+		if ok {
+			stored.Items, stored.Packed = nil, packed
+		}
+	}
+	return json.Marshal(stored)
+}
+
+// UnmarshalJSON reads either form.
+func (r *Record) UnmarshalJSON(data []byte) error {
+	stored := storedRecord{plainRecord: (*plainRecord)(r)}
+	if err := json.Unmarshal(data, &stored); err != nil {
+		return err
+	}
+	r.Items = stored.Items
+	if stored.Packed == nil {
+		return nil
+	}
+	return r.unpack(stored.Packed)
+}
+
+// pack gives the items in packed form; false if one of them can't be told so.
+func (r *Record) pack() (map[string]packedItem, bool) {
+	members := r.Members()
+	packed := make(map[string]packedItem, len(r.Items))
+	for name, item := range r.Items {
+		if item.Since > r.Term {
+			return nil, false
+		}
+		p := packedItem{owner: slices.Index(members, item.Owner), age: r.Term - item.Since, blind: item.Blind, inSync: []int{}}
+		if p.owner == nobody {
+			return nil, false
+		}
+		for _, node := range item.InSync {
+			index := slices.Index(members, node)
+			if index == nobody {
+				return nil, false
+			}
+			p.inSync = append(p.inSync, index)
+		}
+		packed[name] = p
+	}
+	return packed, true
+}
+
+// unpack takes items in from the packed form.
+func (r *Record) unpack(packed map[string]packedItem) error {
+	members := r.Members()
+	r.Items = make(map[string]Item, len(packed))
+	for _, name := range slices.Sorted(maps.Keys(packed)) {
+		p := packed[name]
+		if p.age > r.Term {
+			return fmt.Errorf("control record: item %q was taken before the first term", name)
+		}
+		item := Item{Since: r.Term - p.age, Blind: p.blind, InSync: []string{}}
+		for _, index := range append([]int{p.owner}, p.inSync...) {
+			if index < 0 || index >= len(members) {
+				return fmt.Errorf("control record: item %q names member %d of %d", name, index, len(members))
+			}
+		}
+		item.Owner = members[p.owner]
+		for _, index := range p.inSync {
+			item.InSync = append(item.InSync, members[index])
+		}
+		r.Items[name] = item
+	}
+	return nil
+}
+
+// barrierMark is the second number of a packed item whose owner has to pass the barrier; others have 0 there.
+const barrierMark = 1
+
+// MarshalJSON gives [owner, barrier, age, backups in sync ...].
+func (p packedItem) MarshalJSON() ([]byte, error) {
+	mark := uint64(0)
+	if p.blind {
+		mark = barrierMark
+	}
+	numbers := []uint64{uint64(p.owner), mark, p.age}
+	for _, index := range p.inSync {
+		numbers = append(numbers, uint64(index))
+	}
+	return json.Marshal(numbers)
+}
+
+// fixedNumbers is how many numbers a packed item has before its backups.
+const fixedNumbers = 3
+
+// UnmarshalJSON reads what MarshalJSON gives.
+func (p *packedItem) UnmarshalJSON(data []byte) error {
+	var numbers []uint64
+	if err := json.Unmarshal(data, &numbers); err != nil {
+		return err
+	}
+	if len(numbers) < fixedNumbers {
+		return fmt.Errorf("control record: packed item of %d numbers, at least %d expected", len(numbers), fixedNumbers)
+	}
+	const most = 1 << 30 // indices beyond are refused by unpack, and fit an int
+	*p = packedItem{owner: int(min(numbers[0], most)), blind: numbers[1] == barrierMark, age: numbers[2], inSync: []int{}}
+	for _, index := range numbers[fixedNumbers:] {
+		p.inSync = append(p.inSync, int(min(index, most)))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tenure/packed_test.go
@@ -0,0 +1,164 @@
+package tenure
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// drawnRecord is a record with so many members and items, whose owners and backups are drawn among the members.
+func drawnRecord(rng *rand.Rand, members, items int) *Record {
+	r := (&Record{Term: 1<<20 + rng.Uint64N(1000), Generation: 1, Store: "store"}).Clone()
+	for i := range members {
+		r.Nodes[fmt.Sprintf("controller-%02d", i)] = rng.Uint64()
+	}
+	names := r.Members()
+	for i := range items {
+		order := rng.Perm(members)
+		item := Item{Owner: names[order[0]], Since: r.Term - rng.Uint64N(r.Term), Blind: rng.IntN(4) == 0, InSync: []string{}}
+		for _, at := range order[1:min(members, 1+rng.IntN(BackupsPerItem+1))] {
+			item.InSync = append(item.InSync, names[at])
+		}
+		r.Items[fmt.Sprintf("team/team-%04d", i)] = item
+	}
+	return r
+}
+
+// TestRecordSurvivesBothForms: what is read is what was written, whatever the number of items and members.
+func TestRecordSurvivesBothForms(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	forms := map[bool]int{}
+	for range 200 {
+		r := drawnRecord(rng, 1+rng.IntN(8), rng.IntN(2*packedFrom))
+		data, err := json.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got Record
+		if err := json.Unmarshal(data, &got); err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(got.Clone(), r.Clone()) {
+			t.Fatalf("read %+v, written %+v", got, r)
+		}
+		packed := strings.Contains(string(data), `"packed"`)
+		forms[packed]++
+		if packed != (len(r.Items) >= packedFrom) {
+			t.Errorf("%d items packed: %v", len(r.Items), packed)
+		}
+	}
+	if forms[true] == 0 || forms[false] == 0 {
+		t.Fatalf("forms met: %v", forms)
+	}
+}
+
+// TestPlainFormIsRead: a record of a process that knows the plain form alone is read, however many items it has.
+func TestPlainFormIsRead(t *testing.T) {
+	r := drawnRecord(rand.New(rand.NewPCG(3, 4)), 3, 2*packedFrom)
+	data, err := json.Marshal((*plainRecord)(r))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got Record
+	if err := json.Unmarshal(data, &got); err != nil || !reflect.DeepEqual(got.Clone(), r.Clone()) {
+		t.Fatalf("%v, read %+v", err, got)
+	}
+}
+
+// TestItemOfNoMemberStaysPlain: an item whose owner is no member can't be told by an index, so the record stays plain.
+func TestItemOfNoMemberStaysPlain(t *testing.T) {
+	r := drawnRecord(rand.New(rand.NewPCG(5, 6)), 3, packedFrom)
+	item := r.Items["team/team-0000"]
+	item.Owner = "gone"
+	r.Items["team/team-0000"] = item
+	data, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got Record
+	if err := json.Unmarshal(data, &got); err != nil || got.Items["team/team-0000"].Owner != "gone" {
+		t.Fatalf("%v, read %+v", err, got.Items["team/team-0000"])
+	}
+}
+
+// TestLargeRecordFits: 950 teams with 3 and with 46 members, with as many backups as an item has, fit a transaction of the state service.
+func TestLargeRecordFits(t *testing.T) {
+	const transaction = 64 << 10
+	for _, members := range []int{3, 46} {
+		r := drawnRecord(rand.New(rand.NewPCG(7, 8)), members, 951)
+		data, err := json.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("951 items, %d members: %d bytes", members, len(data))
+		if len(data) > transaction*3/4 {
+			t.Errorf("951 items, %d members: %d bytes leave no room in a transaction of %d", members, len(data), transaction)
+		}
+	}
+}
+
+// TestBrokenPackedRecordIsRefused: indices of no member, ages before the first term and short items are errors, not owners.
+func TestBrokenPackedRecordIsRefused(t *testing.T) {
+	for _, item := range []string{"[]", "[0,0]", "[5,0,0]", "[0,0,0,7]", "[0,0,99]", "[18446744073709551615,0,0]", `"x"`, "[-1,0,0]"} {
+		var r Record
+		if err := json.Unmarshal([]byte(`{"term":9,"nodes":{"a":1,"b":2},"packed":{"team/x":`+item+`}}`), &r); err == nil {
+			t.Errorf("%s is read as %+v", item, r.Items["team/x"])
+		}
+	}
+}
+
+// TestBackupsOf: the owner is none of them, there are as many as wished for if so many can be reached, the wished-for owner is
+// among them, and they do not depend on who asks.
+func TestBackupsOf(t *testing.T) {
+	rng := rand.New(rand.NewPCG(9, 10))
+	for range 300 {
+		members := 1 + rng.IntN(9)
+		r := drawnRecord(rng, members, 20)
+		down := map[string]bool{}
+		for _, node := range r.Members() {
+			down[node] = rng.IntN(5) == 0
+		}
+		reachable := func(node string) bool { return !down[node] }
+		for name, item := range r.Items {
+			backups := r.BackupsOf(name, item.Owner, reachable)
+			can := 0
+			for _, node := range r.Members() {
+				if node != item.Owner && reachable(node) {
+					can++
+				}
+			}
+			if len(backups) != min(can, BackupsPerItem) || slices.Contains(backups, item.Owner) || slices.ContainsFunc(backups, func(b string) bool { return down[b] }) {
+				t.Fatalf("%s of %s: backups %v of %d reachable", name, item.Owner, backups, can)
+			}
+			if wished := r.Wished()[name]; wished != item.Owner && reachable(wished) && !slices.Contains(backups, wished) {
+				t.Fatalf("%s: the wished-for owner %s is no backup: %v", name, wished, backups)
+			}
+			if again := r.Clone().BackupsOf(name, item.Owner, reachable); !slices.Equal(again, backups) {
+				t.Fatalf("%s: %v, then %v", name, backups, again)
+			}
+		}
+	}
+}
+
+// TestSurplusBackupsLeaveLast: a member in sync that should hold no replica stays a backup until those that should are in sync.
+func TestSurplusBackupsLeaveLast(t *testing.T) {
+	r := (&Record{Term: 5}).Clone()
+	for _, node := range []string{"a", "b", "c", "d"} {
+		r.Nodes[node] = 1
+	}
+	r.Items["team/x"] = Item{Owner: "a", Since: 5, InSync: []string{"d"}}
+	sync := Sync{Ready: true, Whole: map[string]bool{"b": true, "d": true}, Backups: []string{"b", "c"}}
+	next, _ := Upkeep(r, "a", map[string]Sync{"team/x": sync}, false)
+	if next == nil || !slices.Equal(next.Items["team/x"].InSync, []string{"b", "d"}) {
+		t.Fatalf("with one of two in sync: %+v", next)
+	}
+	sync.Whole["c"] = true
+	next, _ = Upkeep(next, "a", map[string]Sync{"team/x": sync}, false)
+	if next == nil || !slices.Equal(next.Items["team/x"].InSync, []string{"b", "c"}) {
+		t.Fatalf("with both in sync: %+v", next)
+	}
+}
--- a/owner.go
+++ b/owner.go
@@ -321,6 +321,14 @@
 	return slices.DeleteFunc(need, func(b string) bool { return b == n.name })
 }
 
+// backupsOf names who should hold an item's replica beside this controller.
+func (n *Node) backupsOf(it *item) []string {
+	return n.record.BackupsOf(it.name, n.name, func(node string) bool {
+		p := n.peers[node]
+		return p != nil && p.up
+	})
+}
+
 // lateAfter is how long a backup may take to acknowledge before it goes out of
 // sync.
 const lateAfter = 1500 * time.Millisecond
@@ -330,10 +338,12 @@
 	out := map[string]tenure.Sync{}
 	for name, it := range n.items {
 		s := tenure.Sync{Ready: it.phase == ready && !it.frozen, Whole: map[string]bool{}, Lagging: map[string]bool{}}
+		s.Backups = n.backupsOf(it)
 		seq := it.team.Replica().Seq
 		for p, ps := range n.peers {
 			a := it.acks[p]
 			switch {
+			case !slices.Contains(s.Backups, p) && !slices.Contains(n.record.Items[name].InSync, p):
 			case ps.up && a != nil && a.known && a.seq >= seq && a.inc == n.record.Nodes[p]:
 				s.Whole[p] = true
 			case now.Sub(it.taken) < lateAfter:
@@ -361,7 +371,12 @@
 	deltas := it.team.TakeDeltas()
 	seq := it.team.Replica().Seq
 	var line []byte
+	backups := append(n.backupsOf(it), n.required(it)...)
 	for p, ps := range n.peers {
+		if !slices.Contains(backups, p) {
+			delete(it.acks, p) // it gets a whole copy when it is a backup again
+			continue
+		}
 		if _, member := n.record.Nodes[p]; !member || !ps.up {
 			continue
 		}
