Taking a blob in steps: known, small in the log, large as a file, moved in

Need: Store.take did five things in 55 lines. No change of behaviour: the same steps, synced in the same order.

Measured: go test of internal/blob passes (28 s), kills at each step among it.

--- a/internal/blob/upload.go
+++ b/internal/blob/upload.go
@@ -310,28 +310,42 @@
 // take makes verified content durable and visible for a tenant. A large blob's file
 // is moved from path.
 func (s *Store) take(ctx context.Context, tenant string, d Digest, file File, path string) error {
-	key := d.key()
+	if s.known(d.key()) {
+		return s.commit(ctx, &record{kind: recTenant, digest: d, tenant: tenant})
+	}
+	if d.Size > s.opt.Inline {
+		return s.takeFile(ctx, tenant, d, file, path)
+	}
+	data := make([]byte, d.Size)
+	if _, err := file.ReadAt(data, 0); err != nil && err != io.EOF {
+		return fmt.Errorf("blob: %w", err)
+	}
+	return s.commit(ctx, smallRecord(tenant, d, data))
+}
+
+// known waits while a blob is being deleted, and says whether it is there and sound.
+func (s *Store) known(key string) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for s.deleting[key] {
 		s.changed.Wait()
 	}
 	e := s.find(key)
-	known := e != nil && !e.rotten
-	s.mu.Unlock()
-	if known {
-		return s.commit(ctx, &record{kind: recTenant, digest: d, tenant: tenant})
-	}
-	if d.Size <= s.opt.Inline {
-		r := &record{kind: recSmall, digest: d, tenant: tenant, data: make([]byte, d.Size)}
-		if _, err := file.ReadAt(r.data, 0); err != nil && err != io.EOF {
-			return fmt.Errorf("blob: %w", err)
-		}
-		if packed := pack(r.data); packed != nil {
-			r.codec, r.data = zstdc, packed
-		}
-		r.stored = int64(len(r.data)) + keySize + 32
-		return s.commit(ctx, r)
+	return e != nil && !e.rotten
+}
+
+// smallRecord is a blob that lies in the log, packed if that pays.
+func smallRecord(tenant string, d Digest, data []byte) *record {
+	r := &record{kind: recSmall, digest: d, tenant: tenant, data: data}
+	if packed := pack(data); packed != nil {
+		r.codec, r.data = zstdc, packed
 	}
+	r.stored = int64(len(r.data)) + keySize + 32
+	return r
+}
+
+// takeFile makes a large blob's file durable, packed if that pays, and moves it to its place.
+func (s *Store) takeFile(ctx context.Context, tenant string, d Digest, file File, path string) error {
 	r := &record{kind: recFile, digest: d, tenant: tenant, stored: d.Size}
 	sample := make([]byte, min(d.Size, packSample))
 	if _, err := file.ReadAt(sample, 0); err != nil && err != io.EOF {
@@ -350,19 +364,24 @@
 			return fmt.Errorf("blob: %w", err)
 		}
 	}
-	to := s.objectPath(d)
-	if err := os.MkdirAll(filepath.Dir(to), 0o700); err != nil {
+	if err := s.moveIn(path, s.objectPath(d)); err != nil {
 		return fmt.Errorf("blob: %w", err)
 	}
+	return s.commit(ctx, r)
+}
+
+// moveIn moves a durable file to its place among the objects, so that it is there after a
+// crash.
+func (s *Store) moveIn(from, to string) error {
+	if err := os.MkdirAll(filepath.Dir(to), 0o700); err != nil {
+		return err
+	}
 	s.opt.Step("rename")
-	if err := os.Rename(path, to); err != nil {
-		return fmt.Errorf("blob: %w", err)
+	if err := os.Rename(from, to); err != nil {
+		return err
 	}
 	s.opt.Step("sync directory")
-	if err := errors.Join(wal.SyncDir(filepath.Dir(to)), wal.SyncDir(filepath.Join(s.opt.Dir, "objects"))); err != nil {
-		return fmt.Errorf("blob: %w", err)
-	}
-	return s.commit(ctx, r)
+	return errors.Join(wal.SyncDir(filepath.Dir(to)), wal.SyncDir(filepath.Join(s.opt.Dir, "objects")))
 }
 
 var encoder = sync.OnceValue(func() *zstd.Encoder {
