--- a/admit.go
+++ b/admit.go
@@ -232,7 +232,7 @@
 // guarantees is what each team is guaranteed, and its limit if it has one.
 func (n *Node) guarantees() map[string]admission.Guarantee {
 	teams := map[string]admission.Guarantee{}
-	for _, t := range n.set.Deployment.Teams {
+	for _, t := range n.teams() {
 		g := admission.Guarantee{CPUs: t.CPUs}
 		if !math.IsInf(t.CPUsMax, 1) {
 			g.Most = t.CPUsMax
--- a/internal/arch/arch.go
+++ b/internal/arch/arch.go
@@ -40,7 +40,9 @@
 		"internal/cloud",
 		"internal/peer",
 		"internal/state",
+		"internal/teamconfig",
 		"internal/frontend",
+		"internal/teamstore",
 	}},
 	{"library", []string{""}},
 	{"tools", []string{
--- a/overview.go
+++ b/overview.go
@@ -32,6 +32,7 @@
 	Waits    map[string]int64        `json:"start_wait_ms"`
 	Served   admission.Status        `json:"admission"`
 	Store    rebuild.Status          `json:"store"`
+	Config   *configOverview         `json:"configuration,omitempty"`
 }
 
 type itemOverview struct {
@@ -73,6 +74,7 @@
 		Told:     n.horizon.Told(),
 		Served:   n.admissionStatus(now),
 		Store:    n.storeStatus(),
+		Config:   n.configStatus(now),
 		Unheard:  n.unheardPeers(now),
 		Still:    n.still.Seconds(),
 		Late:     n.late,
