Keepers: a table of routes, decisions kept in one place, lists read in one place

Need: Server.Handler had 162 lines, and three pieces stood twice (Learn and learnResult, Attempts and Tasks, the end that a request names). Change: routes by who asks, a method for each; keepDecision, whole and endOf. No change of behaviour.

--- a/internal/keeper/client.go
+++ b/internal/keeper/client.go
@@ -178,45 +178,48 @@
 	return a.Sealed, a.Final, nil
 }
 
-// Attempts lists a task's attempts.
+// Attempts lists a task's attempts. With ErrUnsure some may be missing.
 func (r *Reader) Attempts(ctx context.Context, job string, task int) ([]Known, error) {
-	resp, err := r.get(ctx, fmt.Sprintf("/attempts/%s/%d", url.PathEscape(job), task), nil)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
 	var a Answer
-	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
-		return nil, fmt.Errorf("%w: %v", errAnswer, err)
-	}
-	switch {
-	case a.Unsure:
-		return a.List, ErrUnsure
-	case len(a.List) == 0:
-		return nil, ErrUnknown
+	if err := r.decode(ctx, fmt.Sprintf("/attempts/%s/%d", url.PathEscape(job), task), &a); err != nil {
+		return nil, err
 	}
-	return a.List, nil
+	return whole(a.List, a.Unsure)
 }
 
 // Tasks lists the tasks of a job of which something is kept. With ErrUnsure some may be
 // missing.
 func (r *Reader) Tasks(ctx context.Context, job string) ([]int, error) {
-	resp, err := r.get(ctx, "/tasks/"+url.PathEscape(job), nil)
-	if err != nil {
+	var t TaskList
+	if err := r.decode(ctx, "/tasks/"+url.PathEscape(job), &t); err != nil {
 		return nil, err
 	}
+	return whole(t.Tasks, t.Unsure)
+}
+
+// decode reads an answer.
+func (r *Reader) decode(ctx context.Context, path string, to any) error {
+	resp, err := r.get(ctx, path, nil)
+	if err != nil {
+		return err
+	}
 	defer resp.Body.Close()
-	var t TaskList
-	if err := json.NewDecoder(resp.Body).Decode(&t); err != nil {
-		return nil, fmt.Errorf("%w: %v", errAnswer, err)
+	if err := json.NewDecoder(resp.Body).Decode(to); err != nil {
+		return fmt.Errorf("%w: %v", errAnswer, err)
 	}
+	return nil
+}
+
+// whole is a list with ErrUnsure if some of it may be missing, or ErrUnknown if nothing is
+// there.
+func whole[T any](list []T, unsure bool) ([]T, error) {
 	switch {
-	case t.Unsure:
-		return t.Tasks, ErrUnsure
-	case len(t.Tasks) == 0:
+	case unsure:
+		return list, ErrUnsure
+	case len(list) == 0:
 		return nil, ErrUnknown
 	}
-	return t.Tasks, nil
+	return list, nil
 }
 
 // Fetch copies a file of an attempt to a path, which appears only once all of it is
--- a/internal/keeper/register.go
+++ b/internal/keeper/register.go
@@ -230,33 +230,47 @@
 		return err
 	}
 	defer k.enter(at)()
+	err := k.keepDecision(at, "end", value, func() error { return k.keepEnd(ctx, at, value) })
+	if err != nil {
+		return err
+	}
+	return k.close(ctx, at)
+}
+
+// keepDecision keeps what was decided of an attempt or a task, if it is not kept already.
+// Another decision of the same is ErrSplit. The attempt's gate is held.
+func (k *Keeper) keepDecision(at Attempt, what string, value []byte, keep func() error) error {
 	was, there, err := k.decided(at)
 	switch {
 	case err != nil:
 		return err
 	case there && !bytes.Equal(was, value):
-		return fmt.Errorf("%w: end of %s", ErrSplit, at)
-	case !there:
-		m, err := Verify(k.opt.Key, value)
-		if err != nil {
-			return err
-		}
-		keep, err := m.keeps(value)
-		if err != nil {
-			return err
-		}
-		name := sealedName(at)
-		if m.Partial {
-			name = shelvedName(at)
-		}
-		k.opt.Step("learn")
-		if err := k.opt.Blobs.SetRef(ctx, m.Tenant, name, keep...); err != nil {
-			return err
-		}
+		return fmt.Errorf("%w: %s of %s", ErrSplit, what, at)
+	case there:
+		return nil
 	}
-	return k.close(ctx, at)
+	return keep()
 }
 
+// keepEnd makes the end of an attempt durable.
+func (k *Keeper) keepEnd(ctx context.Context, at Attempt, value []byte) error {
+	m, err := Verify(k.opt.Key, value)
+	if err != nil {
+		return err
+	}
+	keep, err := m.keeps(value)
+	if err != nil {
+		return err
+	}
+	name := sealedName(at)
+	if m.Partial {
+		name = shelvedName(at)
+	}
+	k.opt.Step("learn")
+	return k.opt.Blobs.SetRef(ctx, m.Tenant, name, keep...)
+}
+
+// learnResult keeps the result of a task, and settles the attempt that it came from.
 func (k *Keeper) learnResult(ctx context.Context, at Attempt, value []byte, fetch Fetch) error {
 	var r Result
 	if err := json.Unmarshal(value, &r); err != nil {
@@ -270,17 +284,12 @@
 		return err
 	}
 	defer k.enter(at)()
-	was, there, err := k.decided(at)
-	switch {
-	case err != nil:
-		return err
-	case there && !bytes.Equal(was, value):
-		return fmt.Errorf("%w: result of %s", ErrSplit, at)
-	case !there:
+	err = k.keepDecision(at, "result", value, func() error {
 		k.opt.Step("learn")
-		if err := k.opt.Blobs.SetRef(ctx, r.Tenant, finalName(at), d); err != nil {
-			return err
-		}
+		return k.opt.Blobs.SetRef(ctx, r.Tenant, finalName(at), d)
+	})
+	if err != nil {
+		return err
 	}
 	k.mu.Lock()
 	delete(k.votes, at)
--- a/internal/keepers/serve.go
+++ b/internal/keepers/serve.go
@@ -25,11 +25,11 @@
 	Follow time.Duration
 }
 
-// Bounds of a request's body, in bytes: some records, or a piece of a blob; and what one
-// keeper sends another.
+// Bounds of a request's body, in bytes.
 const (
-	maxBody = 4 << 20
-	maxPeer = 32 << 20
+	maxBody     = 4 << 20  // some records, or a piece of a blob
+	maxPeer     = 32 << 20 // what one keeper sends another
+	maxPeerBlob = 1 << 40  // a blob that one keeper sends another
 )
 
 // status maps errors to HTTP.
@@ -63,18 +63,17 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { send(w, 200, keeper.Answer{}) })
-	handle := func(pattern string, most int64, f func(w http.ResponseWriter, r *http.Request, g *keeper.Grant) error) {
-		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
-			r.Body = http.MaxBytesReader(w, r.Body, most)
-			g, err := s.grant(r)
-			if err == nil {
-				err = f(w, r, g)
-			}
-			s.refuse(w, r, err)
-		})
-	}
-	write := func(pattern string, f func(w http.ResponseWriter, r *http.Request, c keeper.Claim) error) {
-		handle(pattern, maxBody, func(w http.ResponseWriter, r *http.Request, g *keeper.Grant) error {
+	s.routeWorkers(mux)
+	s.routeReaders(mux)
+	s.routePeers(mux)
+	s.routeOperators(mux)
+	return mux
+}
+
+// routeWorkers adds what workers send of their attempts.
+func (s *Server) routeWorkers(mux *http.ServeMux) {
+	route := func(pattern string, f func(w http.ResponseWriter, r *http.Request, c keeper.Claim) error) {
+		s.handle(mux, pattern, maxBody, func(w http.ResponseWriter, r *http.Request, g *keeper.Grant) error {
 			c, err := g.Claim()
 			if err != nil {
 				return err
@@ -82,142 +81,206 @@
 			return f(w, r, c)
 		})
 	}
-	write("POST /attempt", func(w http.ResponseWriter, r *http.Request, c keeper.Claim) error {
-		if err := s.Node.Begin(r.Context(), c); err != nil {
-			return err
-		}
-		send(w, 200, keeper.Answer{})
-		return nil
-	})
-	write("POST /streams/{name}", s.append)
-	write("POST /files/{path...}", func(w http.ResponseWriter, r *http.Request, c keeper.Claim) error {
-		d, err := blob.Parse(r.URL.Query().Get("blob"))
-		if err != nil {
-			return err
-		}
-		if err := s.Node.Attach(r.Context(), c, r.PathValue("path"), d); err != nil {
-			return err
-		}
-		send(w, 200, keeper.Answer{})
-		return nil
-	})
-	write("POST /seal", func(w http.ResponseWriter, r *http.Request, c keeper.Claim) error {
-		var end keeper.End
-		if err := decode(r, &end); err != nil {
-			return err
-		}
-		m, final, err := s.Node.Seal(r.Context(), c, end)
-		if err != nil {
-			return err
-		}
-		s.Node.opt.Log.Info("attempt sealed", "job", c.Job, "task", c.Task, "attempt", c.Number, "machine", c.Machine, "completed", m.Exit.Completed, "final", final)
-		s.Node.meters.seals.Inc()
-		send(w, 200, keeper.Answer{Sealed: m, Final: final})
-		return nil
-	})
-	write("POST /uploads", s.begin)
-	write("POST /uploads/{id}", s.piece)
-	read := func(pattern string, f func(w http.ResponseWriter, r *http.Request, job string, task int) error) {
-		handle(pattern, 0, func(w http.ResponseWriter, r *http.Request, g *keeper.Grant) error {
-			job, task := r.PathValue("job"), -1
-			if text := r.PathValue("task"); text != "" {
-				var err error
-				if task, err = strconv.Atoi(text); err != nil || task < 0 {
-					return fmt.Errorf("%w: task %.20q", keeper.ErrName, text)
-				}
-			}
-			if !wire.ValidUID(job) {
-				return fmt.Errorf("%w: job %.40q", keeper.ErrName, job)
-			}
-			if !g.Allows(job, task) {
-				return fmt.Errorf("%w: not for task %d of %.40q", keeper.ErrToken, task, job)
+	route("POST /attempt", s.beginAttempt)
+	route("POST /streams/{name}", s.append)
+	route("POST /files/{path...}", s.attach)
+	route("POST /seal", s.seal)
+	route("POST /uploads", s.begin)
+	route("POST /uploads/{id}", s.piece)
+}
+
+// routeReaders adds what may be read of a job or one of its tasks.
+func (s *Server) routeReaders(mux *http.ServeMux) {
+	route := func(pattern string, f func(w http.ResponseWriter, r *http.Request, job string, task int) error) {
+		s.handle(mux, pattern, 0, func(w http.ResponseWriter, r *http.Request, g *keeper.Grant) error {
+			job, task, err := whatToRead(r, g)
+			if err != nil {
+				return err
 			}
 			return f(w, r, job, task)
 		})
 	}
-	read("GET /attempts/{job}/{task}", func(w http.ResponseWriter, r *http.Request, job string, task int) error {
-		list, sure, err := s.Node.Attempts(r.Context(), job, task)
-		if err != nil {
-			return err
-		}
-		send(w, 200, keeper.Answer{List: list, Unsure: !sure})
+	route("GET /attempts/{job}/{task}", s.attempts)
+	route("GET /tasks/{job}", s.tasks)
+	route("GET /manifest/{job}/{task}", s.manifest)
+	route("GET /logs/{job}/{task}", s.logs)
+	route("GET /files/{job}/{task}/{path...}", s.file)
+}
+
+// routePeers adds what keepers send each other.
+func (s *Server) routePeers(mux *http.ServeMux) {
+	s.handleRight(mux, "POST /peer/call", maxPeer, keeper.Peer, s.peerCall)
+	s.handleRight(mux, "GET /peer/records", 0, keeper.Peer, s.peerRecords)
+	s.handleRight(mux, "GET /peer/blob", 0, keeper.Peer, s.peerBlob)
+	s.handleRight(mux, "PUT /peer/blob", maxPeerBlob, keeper.Peer, s.takePeerBlob)
+}
+
+// routeOperators adds what operators ask.
+func (s *Server) routeOperators(mux *http.ServeMux) {
+	s.handleRight(mux, "GET /status", 0, keeper.Operate, func(w http.ResponseWriter, _ *http.Request) error {
+		send(w, 200, s.Node.Status())
 		return nil
 	})
-	read("GET /tasks/{job}", func(w http.ResponseWriter, r *http.Request, job string, _ int) error {
-		list, sure, err := s.Node.Tasks(r.Context(), job)
-		if err != nil {
-			return err
-		}
-		send(w, 200, keeper.TaskList{Tasks: list, Unsure: !sure})
+	s.handleRight(mux, "GET /metrics", 0, keeper.Operate, func(w http.ResponseWriter, r *http.Request) error {
+		s.Node.meters.handler.ServeHTTP(w, r)
 		return nil
 	})
-	read("GET /manifest/{job}/{task}", func(w http.ResponseWriter, r *http.Request, job string, task int) error {
-		number, err := number(r, "attempt")
-		if err != nil {
-			return err
-		}
-		m, state, err := s.Node.Manifest(r.Context(), job, task, number)
-		if err != nil {
-			return err
+}
+
+// handle adds a route for requests with a token and a body of at most so many bytes.
+func (s *Server) handle(mux *http.ServeMux, pattern string, most int64, f func(w http.ResponseWriter, r *http.Request, g *keeper.Grant) error) {
+	mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, most)
+		g, err := s.grant(r)
+		if err == nil {
+			err = f(w, r, g)
 		}
-		send(w, 200, keeper.Answer{Sealed: m, Final: state == keeper.StateFinal})
-		return nil
+		s.refuse(w, r, err)
 	})
-	read("GET /logs/{job}/{task}", s.logs)
-	read("GET /files/{job}/{task}/{path...}", s.file)
-	among := func(pattern string, most int64, right keeper.Right, f func(w http.ResponseWriter, r *http.Request) error) {
-		handle(pattern, most, func(w http.ResponseWriter, r *http.Request, g *keeper.Grant) error {
-			if g.Right != right {
-				return fmt.Errorf("%w: not for that", keeper.ErrToken)
-			}
-			return f(w, r)
-		})
-	}
-	among("POST /peer/call", maxPeer, keeper.Peer, s.peerCall)
-	among("GET /peer/records", 0, keeper.Peer, s.peerRecords)
-	among("GET /peer/blob", 0, keeper.Peer, func(w http.ResponseWriter, r *http.Request) error {
-		d, err := blob.Parse(r.URL.Query().Get("blob"))
-		if err != nil {
-			return err
-		}
-		offset, err := number(r, "offset")
-		if err != nil {
-			return err
-		}
-		var content *blob.Reader
-		if tenant := r.URL.Query().Get("tenant"); tenant != "" {
-			content, err = s.Node.blobs.Open(tenant, d, int64(offset))
-		} else { // to repair what went bad
-			content, err = s.Node.blobs.OpenAny(d, int64(offset))
-		}
-		if err != nil {
-			return err
+}
+
+// handleRight adds a route for requests whose token has a right.
+func (s *Server) handleRight(mux *http.ServeMux, pattern string, most int64, right keeper.Right, f func(w http.ResponseWriter, r *http.Request) error) {
+	s.handle(mux, pattern, most, func(w http.ResponseWriter, r *http.Request, g *keeper.Grant) error {
+		if g.Right != right {
+			return fmt.Errorf("%w: not for that", keeper.ErrToken)
 		}
-		defer content.Close()
-		w.Header().Set("Content-Length", strconv.FormatInt(d.Size-int64(offset), 10))
-		_, _ = io.Copy(w, content) // the length tells a reader that it was cut short
-		return nil
+		return f(w, r)
 	})
-	among("PUT /peer/blob", 1<<40, keeper.Peer, func(w http.ResponseWriter, r *http.Request) error {
-		d, err := blob.Parse(r.URL.Query().Get("blob"))
-		if err != nil {
-			return err
-		}
-		if err := s.Node.blobs.Take(r.Context(), r.URL.Query().Get("tenant"), d, r.Body); err != nil {
-			return err
+}
+
+// whatToRead is the job and the task that a request names, -1 for all its tasks, if the token
+// is for it.
+func whatToRead(r *http.Request, g *keeper.Grant) (job string, task int, err error) {
+	job, task = r.PathValue("job"), -1
+	if text := r.PathValue("task"); text != "" {
+		if task, err = strconv.Atoi(text); err != nil || task < 0 {
+			return "", 0, fmt.Errorf("%w: task %.20q", keeper.ErrName, text)
 		}
-		send(w, 200, keeper.Answer{Done: true})
-		return nil
-	})
-	among("GET /status", 0, keeper.Operate, func(w http.ResponseWriter, _ *http.Request) error {
-		send(w, 200, s.Node.Status())
-		return nil
-	})
-	among("GET /metrics", 0, keeper.Operate, func(w http.ResponseWriter, r *http.Request) error {
-		s.Node.meters.handler.ServeHTTP(w, r)
-		return nil
-	})
-	return mux
+	}
+	if !wire.ValidUID(job) {
+		return "", 0, fmt.Errorf("%w: job %.40q", keeper.ErrName, job)
+	}
+	if !g.Allows(job, task) {
+		return "", 0, fmt.Errorf("%w: not for task %d of %.40q", keeper.ErrToken, task, job)
+	}
+	return job, task, nil
+}
+
+// beginAttempt opens a worker's attempt.
+func (s *Server) beginAttempt(w http.ResponseWriter, r *http.Request, c keeper.Claim) error {
+	if err := s.Node.Begin(r.Context(), c); err != nil {
+		return err
+	}
+	send(w, 200, keeper.Answer{})
+	return nil
+}
+
+// attach names a blob as a file of an attempt.
+func (s *Server) attach(w http.ResponseWriter, r *http.Request, c keeper.Claim) error {
+	d, err := blob.Parse(r.URL.Query().Get("blob"))
+	if err != nil {
+		return err
+	}
+	if err := s.Node.Attach(r.Context(), c, r.PathValue("path"), d); err != nil {
+		return err
+	}
+	send(w, 200, keeper.Answer{})
+	return nil
+}
+
+// seal ends an attempt.
+func (s *Server) seal(w http.ResponseWriter, r *http.Request, c keeper.Claim) error {
+	var end keeper.End
+	if err := decode(r, &end); err != nil {
+		return err
+	}
+	m, final, err := s.Node.Seal(r.Context(), c, end)
+	if err != nil {
+		return err
+	}
+	s.Node.opt.Log.Info("attempt sealed", "job", c.Job, "task", c.Task, "attempt", c.Number, "machine", c.Machine, "completed", m.Exit.Completed, "final", final)
+	s.Node.meters.seals.Inc()
+	send(w, 200, keeper.Answer{Sealed: m, Final: final})
+	return nil
+}
+
+// attempts lists a task's attempts.
+func (s *Server) attempts(w http.ResponseWriter, r *http.Request, job string, task int) error {
+	list, sure, err := s.Node.Attempts(r.Context(), job, task)
+	if err != nil {
+		return err
+	}
+	send(w, 200, keeper.Answer{List: list, Unsure: !sure})
+	return nil
+}
+
+// tasks lists a job's tasks.
+func (s *Server) tasks(w http.ResponseWriter, r *http.Request, job string, _ int) error {
+	list, sure, err := s.Node.Tasks(r.Context(), job)
+	if err != nil {
+		return err
+	}
+	send(w, 200, keeper.TaskList{Tasks: list, Unsure: !sure})
+	return nil
+}
+
+// endOf finds the end of the attempt that a request asks for, the latest if it names none, and
+// its state.
+func (s *Server) endOf(r *http.Request, job string, task int) (*keeper.Manifest, string, error) {
+	attempt, err := number(r, "attempt")
+	if err != nil {
+		return nil, "", err
+	}
+	return s.Node.Manifest(r.Context(), job, task, attempt)
+}
+
+// manifest shows the end of a task's attempt.
+func (s *Server) manifest(w http.ResponseWriter, r *http.Request, job string, task int) error {
+	m, state, err := s.endOf(r, job, task)
+	if err != nil {
+		return err
+	}
+	send(w, 200, keeper.Answer{Sealed: m, Final: state == keeper.StateFinal})
+	return nil
+}
+
+// peerBlob hands a blob to another keeper.
+func (s *Server) peerBlob(w http.ResponseWriter, r *http.Request) error {
+	d, err := blob.Parse(r.URL.Query().Get("blob"))
+	if err != nil {
+		return err
+	}
+	offset, err := number(r, "offset")
+	if err != nil {
+		return err
+	}
+	var content *blob.Reader
+	if tenant := r.URL.Query().Get("tenant"); tenant != "" {
+		content, err = s.Node.blobs.Open(tenant, d, int64(offset))
+	} else { // to repair what went bad
+		content, err = s.Node.blobs.OpenAny(d, int64(offset))
+	}
+	if err != nil {
+		return err
+	}
+	defer content.Close()
+	w.Header().Set("Content-Length", strconv.FormatInt(d.Size-int64(offset), 10))
+	_, _ = io.Copy(w, content) // the length tells a reader that it was cut short
+	return nil
+}
+
+// takePeerBlob takes a blob from another keeper.
+func (s *Server) takePeerBlob(w http.ResponseWriter, r *http.Request) error {
+	d, err := blob.Parse(r.URL.Query().Get("blob"))
+	if err != nil {
+		return err
+	}
+	if err := s.Node.blobs.Take(r.Context(), r.URL.Query().Get("tenant"), d, r.Body); err != nil {
+		return err
+	}
+	send(w, 200, keeper.Answer{Done: true})
+	return nil
 }
 
 // peerCall answers another keeper, if both go by the same list of keepers.
@@ -471,11 +534,7 @@
 // file answers with a file of an attempt that has ended, with what kind of attempt it is
 // in headers.
 func (s *Server) file(w http.ResponseWriter, r *http.Request, job string, task int) error {
-	attempt, err := number(r, "attempt")
-	if err != nil {
-		return err
-	}
-	m, state, err := s.Node.Manifest(r.Context(), job, task, attempt)
+	m, state, err := s.endOf(r, job, task)
 	if err != nil {
 		return err
 	}
