--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -252,7 +252,13 @@
 	g.cloud.mu.Lock()
 	r.MachinesTaken = g.cloud.returned
 	g.cloud.mu.Unlock()
+	x.sumUpStarts()
 	r.Seen = x.seen()
+}
+
+// sumUpStarts fills in what is known of starts.
+func (x *run) sumUpStarts() {
+	r, g := x.r, x.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r.Starts, r.Ends = float64(g.rules.starts-x.starts)/r.Measured, float64(g.rules.ends-x.ends)/r.Measured
