Floors beyond what is left of the quota block nobody

Cause: each class under its floor was kept from the quota that the others lack. Change: of what is left each class lacks the same part, and one task at least has room.

--- /dev/null
+++ b/internal/ledger/floors_test.go
@@ -0,0 +1,42 @@
+package ledger
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// TestFloorsBeyondQuotaBlockNobody: of several classes under their floors each one's quota was kept from the others, and
+// where less was left than all of them lacked none could go on while the quota stood empty. Now any quota that
+// is enough for each task that waits is asked for, and never more than there is.
+func TestFloorsBeyondQuotaBlockNobody(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		limit := float64(1 + rng.IntN(40))
+		team := NewTeam("t", 0, limit, 0, math.Inf(1), NewReplica(), 1, func(string, ...any) {})
+		floors, largest := map[string]float64{}, 0.0
+		for i := range 1 + rng.IntN(5) {
+			class := fmt.Sprint("c", i)
+			spec := &wire.Submission{UID: fmt.Sprint("job-", i), Class: class, Kind: wire.Batch, Priority: "standard", Tasks: 50, CPUs: float64(1 + rng.IntN(4)), Estimate: 30}
+			team.AddJob(spec, 1, now, nil)
+			floors[class] = spec.CPUs * float64(1+rng.IntN(10))
+			largest = max(largest, spec.CPUs)
+		}
+		team.Keep(floors)
+		asked := 0.0
+		for _, d := range team.Demands(now) {
+			asked += float64(d.Count) * d.Spec.CPUs
+		}
+		if asked > limit+slack {
+			t.Fatalf("seed %d: %g CPUs asked for of %g, floors %v", seed, asked, limit, floors)
+		}
+		if asked == 0 && limit >= largest {
+			t.Fatalf("seed %d: nothing is asked for beside %g CPUs of quota, floors %v", seed, limit, floors)
+		}
+	}
+}
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -854,8 +854,9 @@
 // Keep has the quota leave room to classes that have less than their floors, in CPUs.
 func (t *Team) Keep(floors map[string]float64) { t.floors = floors }
 
-// lacking is how many CPUs classes have less than their floors.
-func (t *Team) lacking() (by map[string]float64, all float64) {
+// lacking is how many CPUs classes have less than their floors. If less than all of that is left of the quota, each
+// class lacks the same part of it, so that none waits for quota that another one lacks.
+func (t *Team) lacking(left float64) (by map[string]float64, all float64) {
 	if len(t.floors) == 0 {
 		return nil, 0
 	}
@@ -867,9 +868,26 @@
 			all += lacks
 		}
 	}
+	if all > left {
+		part := max(left, 0) / all
+		for class := range by {
+			by[class] *= part
+		}
+		all *= part
+	}
 	return by, all
 }
 
+// quotaFor is how many CPUs are left of the quota for a job whose class lacks so much of its floor, while kept is what
+// all classes lack. A class under its floor has room for one task at least, if there is any.
+func (t *Team) quotaFor(j *Job, used, lacks, kept float64) float64 {
+	left := t.MaxCPUs - used
+	if lacks <= 0 {
+		return left - kept
+	}
+	return max(left-(kept-lacks), min(left, max(lacks, j.Spec.CPUs)))
+}
+
 // Demands lists what the team would place if there were room, most urgent first, and for each
 // class what is beyond the quota.
 func (t *Team) Demands(now time.Time) []Demand {
@@ -877,7 +895,7 @@
 	var out, probes []Demand
 	beyond := 0.0 // CPU seconds that the quota has no room for now
 	over := map[string]int{}
-	lacks, kept := t.lacking()
+	lacks, kept := t.lacking(t.MaxCPUs - cpus)
 	for _, j := range t.order {
 		if j.Over || j.Finishing || now.Before(j.notUntil) {
 			continue
@@ -892,7 +910,7 @@
 		}
 		left := t.Unstarted(j)
 		own := lacks[j.Spec.Class]
-		fit := min(left, most(t.MaxCPUs-cpus-(kept-own), j.Spec.CPUs), most(t.MaxGPUs-gpus, j.Spec.GPUs))
+		fit := min(left, most(t.quotaFor(j, cpus, own, kept), j.Spec.CPUs), most(t.MaxGPUs-gpus, j.Spec.GPUs))
 		within := min(fit, most(t.CPUs-cpus, j.Spec.CPUs), most(t.GPUs-gpus, j.Spec.GPUs))
 		cpus += float64(fit) * j.Spec.CPUs
 		gpus += float64(fit) * j.Spec.GPUs
