Quota and room that gangs make no use of are released after a minute

Cause: quota that comes free is held back for gangs that wait, and for the floor of their class, and room in one zone too, without a bound in time. Change: ledger.holdback. After 60 s without any gang of the team placed, nothing is held back for 15 s: gangs are still asked for, and placed where they fit, but less urgent work gets all of the quota and the machines. Then it starts again.

--- a/internal/ledger/gang.go
+++ b/internal/ledger/gang.go
@@ -34,6 +34,7 @@
 		id = AttemptID(t.term, t.counter)
 	}
 	t.start(j, id, spots)
+	t.holdback.placed()
 	return true
 }
 
--- /dev/null
+++ b/internal/ledger/holdback_test.go
@@ -0,0 +1,92 @@
+package ledger
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// crowdedTeam has a quota of ten CPUs, an urgent gang that takes six and an array that takes whatever there is.
+func crowdedTeam(now time.Time) (team *Team, gang *Job, array *wire.Submission) {
+	team = NewTeam("t", 0, 10, 0, math.Inf(1), NewReplica(), 1, func(string, ...any) {})
+	spec := &wire.Submission{UID: "job-000001", Class: "gangs", Kind: wire.Gang, Priority: "high", Tasks: 3, CPUs: 2, Estimate: 30}
+	array = &wire.Submission{UID: "job-000002", Class: "arrays", Kind: wire.Batch, Priority: "standard", Tasks: 50, CPUs: 1, Estimate: 30}
+	team.AddJob(spec, 1, now, nil)
+	team.AddJob(array, 1, now, nil)
+	return team, team.Job(spec.UID), array
+}
+
+// asked is how many tasks of each job the team asks room for.
+func asked(team *Team, now time.Time) map[string]int {
+	counts := map[string]int{}
+	for _, d := range team.Demands(now) {
+		counts[d.Spec.UID] += d.Count
+	}
+	return counts
+}
+
+// TestUnusedHoldbackIsReleased: quota was held back without end for a gang that found no machines, and for the floor of
+// its class, so that arrays waited for minutes beside idle machines. Once it has made no use of it for a while all of the
+// quota is for everybody; the gang is asked for all the same. Later it gets another try.
+func TestUnusedHoldbackIsReleased(t *testing.T) {
+	now := time.Unix(1000, 0)
+	team, gang, array := crowdedTeam(now)
+	team.Keep(map[string]float64{"gangs": 8})
+	team.TurnHoldback(now)
+	if got := asked(team, now); !team.HoldsBack() || got[gang.Spec.UID] != 3 || got[array.UID] > 4 {
+		t.Fatalf("at first %v tasks are asked for", got)
+	}
+	now = now.Add(holdFor)
+	team.TurnHoldback(now)
+	if got := asked(team, now); team.HoldsBack() || got[gang.Spec.UID] != 3 || got[array.UID] != 10 {
+		t.Fatalf("after %v without a start %v tasks are asked for", holdFor, got)
+	}
+	now = now.Add(releaseFor)
+	team.TurnHoldback(now)
+	if got := asked(team, now); !team.HoldsBack() || got[array.UID] > 4 {
+		t.Fatalf("on the second try %v tasks are asked for", got)
+	}
+}
+
+// TestGangBeyondQuotaHoldsBackForAWhile: what is left of the quota was held back without end for a gang that takes more.
+func TestGangBeyondQuotaHoldsBackForAWhile(t *testing.T) {
+	now := time.Unix(1000, 0)
+	team, gang, array := crowdedTeam(now)
+	for i := range 5 {
+		if !team.Place(team.Job(array.UID), i, Spot{"m", "z", 1}) {
+			t.Fatal("the array does not start")
+		}
+	}
+	team.TurnHoldback(now)
+	if got := asked(team, now); got[array.UID] != 1 {
+		t.Fatalf("at first %v tasks are asked for", got)
+	}
+	now = now.Add(holdFor)
+	team.TurnHoldback(now)
+	if got := asked(team, now); got[gang.Spec.UID] != 0 || got[array.UID] != 5 {
+		t.Fatalf("after %v without a start %v tasks are asked for", holdFor, got)
+	}
+}
+
+// TestHoldbackOfUseGoesOn: as long as gangs start one after another, what comes free is held back for the next.
+func TestHoldbackOfUseGoesOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	team, gang, _ := crowdedTeam(now)
+	team.TurnHoldback(now)
+	now = now.Add(holdFor - time.Second)
+	if !team.PlaceGang(gang, 0, map[int]Spot{0: {"m", "z", 1}, 1: {"m", "z", 1}, 2: {"m", "z", 1}}) {
+		t.Fatal("not placed")
+	}
+	next := *gang.Spec
+	next.UID = "job-000003"
+	team.AddJob(&next, 1, now, nil)
+	for range 2 {
+		team.TurnHoldback(now)
+		if !team.HoldsBack() {
+			t.Fatal("released though a gang started")
+		}
+		now = now.Add(holdFor / 2)
+	}
+}
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -128,18 +128,19 @@
 	CPUs    float64 // guaranteed
 	GPUs    float64
 
-	rep     *Replica
-	jobs    map[string]*Job
-	order   []*Job // the same, most urgent first
-	held    map[Key]*attempt
-	on      map[string]map[Key]*attempt // by machine
-	todo    map[*attempt]bool           // those that may need an order: not listed yet, or to be stopped
-	moved   map[string]bool             // machines whose attempts changed since they were last asked for
-	usedCPU float64
-	usedGPU float64
-	orphans orphanAccount
-	floors  map[string]float64 // by class, CPUs of the quota that others leave to it
-	out     []Delta
+	rep      *Replica
+	jobs     map[string]*Job
+	order    []*Job // the same, most urgent first
+	held     map[Key]*attempt
+	on       map[string]map[Key]*attempt // by machine
+	todo     map[*attempt]bool           // those that may need an order: not listed yet, or to be stopped
+	moved    map[string]bool             // machines whose attempts changed since they were last asked for
+	usedCPU  float64
+	usedGPU  float64
+	orphans  orphanAccount
+	floors   map[string]float64 // by class, CPUs of the quota that others leave to it
+	holdback holdback
+	out      []Delta
 
 	term    uint64
 	since   uint64 // the term in which this account began: it made every later attempt of the team
@@ -856,13 +857,17 @@
 
 // lacking is how many CPUs classes have less than their floors. If less than all of that is left of the quota, each
 // class lacks the same part of it, so that none waits for quota that another one lacks.
+// Classes whose gangs made no use of what was held back for them lack nothing for a while.
 func (t *Team) lacking(left float64) (by map[string]float64, all float64) {
 	if len(t.floors) == 0 {
 		return nil, 0
 	}
 	by = map[string]float64{}
-	held := t.HeldBy()
+	held, unused := t.HeldBy(), t.releasedClasses()
 	for class, floor := range t.floors {
+		if unused[class] {
+			continue
+		}
 		if lacks := floor - held[class]; lacks > 0 {
 			by[class] = lacks
 			all += lacks
@@ -896,6 +901,7 @@
 	beyond := 0.0 // CPU seconds that the quota has no room for now
 	over := map[string]int{}
 	lacks, kept := t.lacking(t.MaxCPUs - cpus)
+	idle := quota{cpus, gpus} // of gangs for which nothing is held back
 	for _, j := range t.order {
 		if j.Over || j.Finishing || now.Before(j.notUntil) {
 			continue
@@ -911,10 +917,16 @@
 		left := t.Unstarted(j)
 		own := lacks[j.Spec.Class]
 		fit := min(left, most(t.quotaFor(j, cpus, own, kept), j.Spec.CPUs), most(t.MaxGPUs-gpus, j.Spec.GPUs))
+		released := j.Spec.Kind == wire.Gang && t.holdback.releasing
+		if released {
+			fit = t.wholeGang(j, left, &idle)
+		}
 		within := min(fit, most(t.CPUs-cpus, j.Spec.CPUs), most(t.GPUs-gpus, j.Spec.GPUs))
-		cpus += float64(fit) * j.Spec.CPUs
-		gpus += float64(fit) * j.Spec.GPUs
-		if own > 0 {
+		if !released {
+			cpus += float64(fit) * j.Spec.CPUs
+			gpus += float64(fit) * j.Spec.GPUs
+		}
+		if own > 0 && !released {
 			used := min(own, float64(fit)*j.Spec.CPUs)
 			lacks[j.Spec.Class] -= used
 			kept -= used
--- a/owner.go
+++ b/owner.go
@@ -441,6 +441,7 @@
 	}
 	for _, it := range n.items {
 		it.team.Keep(n.floorsOf(it))
+		it.team.TurnHoldback(now)
 	}
 	n.place(now)
 	seldom := now.Sub(n.looked) > lookEvery
--- a/place.go
+++ b/place.go
@@ -274,10 +274,12 @@
 
 // keepRoom leaves what room there is to gangs that found none for all their tasks, before less urgent work is
 // served: small tasks of an array once took each piece that came free, and gangs of higher
-// priority waited until the array was over.
+// priority waited until the array was over. Nothing is left to gangs that made no use of it for some time.
 func (p *placing) keepRoom() {
 	for _, w := range p.gangs {
-		p.keepFor(w)
+		if w.it.team.HoldsBack() {
+			p.keepFor(w)
+		}
 	}
 	p.gangs = p.gangs[:0]
 }
--- a/placing_test.go
+++ b/placing_test.go
@@ -111,6 +111,42 @@
 	}
 }
 
+// TestUnusedRoomIsReleased: room was kept without end for a gang that could not start, so that an array waited for minutes
+// beside it. After a minute in which no gang started the array gets it.
+func TestUnusedRoomIsReleased(t *testing.T) {
+	g := newGrown(8, 2) // two of them ordinary, in one zone
+	n := g.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	submit := func(uid, team, priority string, kind string, tasks int, cpus float64) {
+		n.learnJob(frontend.Stored{At: g.now.UnixMilli(), Spec: &wire.Submission{UID: uid, Team: team, Kind: kind, Priority: priority, Tasks: tasks, CPUs: cpus,
+			Memory: 1, Image: "img", Estimate: 40, OneZone: kind == wire.Gang}}, 1)
+	}
+	gangs, arrays := n.items[teamItem("team-0")].team, n.items[teamItem("team-1")].team
+	placeAt := func(after time.Duration) int {
+		now := g.now.Add(after)
+		for _, m := range n.machines {
+			m.heard = now
+		}
+		gangs.TurnHoldback(now)
+		n.place(now)
+		return len(arrays.Replica().Holds)
+	}
+	submit("job-000001", "team-0", "high", wire.Service, 1, 8)
+	placeAt(0)
+	submit("job-000002", "team-0", "high", wire.Gang, 8, 8)
+	submit("job-000003", "team-1", "standard", wire.Batch, 40, 1)
+	if got := placeAt(0); got != 0 {
+		t.Fatalf("%d of 40 tasks of the array were placed at once", got)
+	}
+	if got := placeAt(time.Minute); got != 40 {
+		t.Errorf("%d of 40 tasks of the array were placed after a minute", got)
+	}
+	if got := len(gangs.Replica().Holds); got != 1 {
+		t.Errorf("%d tasks of the other team are held, want the service alone", got)
+	}
+}
+
 // TestGangsInTimeGoFirst: gangs wait for room by when they could be complete, so that one that could still
 // start within its goal stood behind those that no longer could.
 func TestGangsInTimeGoFirst(t *testing.T) {
