The quota is released in turn also while gangs start one after another

Change: room is held back as before as long as gangs make use of it; quota for 20 s in every 40 while any waits.

--- a/internal/ledger/holdback.go
+++ b/internal/ledger/holdback.go
@@ -7,32 +7,47 @@
 )
 
 // A gang starts whole or not at all. What comes free of its team's quota, and of the machines, is therefore held back for
-// it from less urgent work until there is enough. If no gang started in that time there is something else that it
-// lacks, and what was held back is released for a while.
-const (
-	holdFor    = 60 * time.Second
-	releaseFor = 15 * time.Second
+// it from less urgent work until there is enough. After some time there is something else that it lacks, and what was held
+// back is released for a while.
+var (
+	quotaTurn = turn{hold: 20 * time.Second, release: 20 * time.Second}
+	roomTurn  = turn{hold: time.Minute, release: 15 * time.Second}
 )
 
-// holdback tells when quota and room are held back for a team's gangs.
+// turn is for how long something is held back, and then released.
+type turn struct{ hold, release time.Duration }
+
+// releases says whether what was held back since a time is released now.
+func (x turn) releases(since, now time.Time) bool {
+	return now.Sub(since)%(x.hold+x.release) >= x.hold
+}
+
+// holdback tells when quota and room are held back for a team's gangs. Room is, as long as gangs make use of it. Quota is
+// released in turn also while gangs start one after another, since the next of them may lack a little of it for minutes.
 type holdback struct {
-	waiting   time.Time // since when gangs have waited with none of them placed; zero while none waits
-	releasing bool
+	waiting  time.Time // since when gangs have waited; zero while none waits
+	unplaced time.Time // the same, or since one of them was last placed
+	quota    bool      // released for the time being
+	room     bool      // the same
 }
 
-// turn takes in whether any gang waits.
-func (h *holdback) turn(waits bool, now time.Time) {
-	switch {
-	case !waits:
-		h.waiting = time.Time{}
-	case h.waiting.IsZero():
+// update takes in whether any gang waits.
+func (h *holdback) update(waits bool, now time.Time) {
+	if !waits {
+		*h = holdback{}
+		return
+	}
+	if h.waiting.IsZero() {
 		h.waiting = now
 	}
-	h.releasing = !h.waiting.IsZero() && now.Sub(h.waiting)%(holdFor+releaseFor) >= holdFor
+	if h.unplaced.IsZero() {
+		h.unplaced = now
+	}
+	h.quota, h.room = quotaTurn.releases(h.waiting, now), roomTurn.releases(h.unplaced, now)
 }
 
-// placed starts the time anew, since what was held back was of use.
-func (h *holdback) placed() { *h = holdback{} }
+// placed starts the time for room anew, since it was of use.
+func (h *holdback) placed() { h.unplaced, h.room = time.Time{}, false }
 
 // TurnHoldback brings up to date whether quota and room are held back for the team's gangs. It is to be called with
 // the time of each step, before Demands.
@@ -44,7 +59,7 @@
 			break
 		}
 	}
-	t.holdback.turn(waits, now)
+	t.holdback.update(waits, now)
 }
 
 // waits says whether a job has tasks that could be placed now if there were room.
@@ -52,8 +67,11 @@
 	return !j.Over && !j.Finishing && !j.faulty && !now.Before(j.notUntil) && t.Unstarted(j) > 0
 }
 
-// HoldsBack says whether quota and room that come free are held back for the team's gangs now.
-func (t *Team) HoldsBack() bool { return !t.holdback.releasing }
+// HoldsRoom says whether room that comes free is held back for the team's gangs now.
+func (t *Team) HoldsRoom() bool { return !t.holdback.room }
+
+// HoldsQuota says the same of the team's quota.
+func (t *Team) HoldsQuota() bool { return !t.holdback.quota }
 
 // quota is an amount of a team's quota.
 type quota struct{ cpus, gpus float64 }
@@ -72,7 +90,7 @@
 
 // releasedClasses are those of the gangs for which nothing is held back now.
 func (t *Team) releasedClasses() map[string]bool {
-	if !t.holdback.releasing {
+	if t.HoldsQuota() {
 		return nil
 	}
 	classes := map[string]bool{}
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -917,7 +917,7 @@
 		left := t.Unstarted(j)
 		own := lacks[j.Spec.Class]
 		fit := min(left, most(t.quotaFor(j, cpus, own, kept), j.Spec.CPUs), most(t.MaxGPUs-gpus, j.Spec.GPUs))
-		released := j.Spec.Kind == wire.Gang && t.holdback.releasing
+		released := j.Spec.Kind == wire.Gang && !t.HoldsQuota()
 		if released {
 			fit = t.wholeGang(j, left, &idle)
 		}
--- a/place.go
+++ b/place.go
@@ -277,7 +277,7 @@
 // priority waited until the array was over. Nothing is left to gangs that made no use of it for some time.
 func (p *placing) keepRoom() {
 	for _, w := range p.gangs {
-		if w.it.team.HoldsBack() {
+		if w.it.team.HoldsRoom() {
 			p.keepFor(w)
 		}
 	}
