A gang stops less urgent tasks of its team where nothing else makes room

Cause: a gang started only in what came free by itself, so that it waited for minutes behind arrays of lower priority of its own team, and the quota released in turn went to those. Change: internal/gangroom picks the stops of least loss so that the whole gang has room in one zone and within the quota; one gang of a team at a time, after 3 s, and classes keep their floors. Beyond the guarantee only tasks of the gang's own team are stopped.

--- /dev/null
+++ b/gangplace.go
@@ -0,0 +1,142 @@
+package topazhollow
+
+import (
+	"topazhollow/internal/gangroom"
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/placement"
+	"topazhollow/internal/tenure"
+	"topazhollow/internal/wire"
+)
+
+// What connects internal/gangroom, which decides which tasks to stop for a gang, to the controller.
+
+// preemptForGangs has tasks of lower priority stopped for the most urgent waiting gang of each own team, one gang at a time. A
+// gang beyond its team's guarantee stops tasks of its own team only.
+func (n *Node) preemptForGangs(p *placing) {
+	for _, it := range n.items {
+		if it.phase != ready || it.frozen || it.name == tenure.Fleet || !it.team.HoldsRoom() || !it.team.HoldsQuota() {
+			continue
+		}
+		if w := p.firstGang(it); w != nil && p.now.Sub(w.submitted) > patience && wire.Rank(w.spec.Priority) > 0 && !w.spec.Spread {
+			n.makeGangRoom(p, w)
+		}
+	}
+}
+
+// firstGang is the most urgent gang of a team that found no room, or else the first that waits for quota; nil if there is none.
+func (p *placing) firstGang(it *item) *wish {
+	for i := range p.short {
+		if w := &p.short[i]; w.it == it && w.spec.Kind == wire.Gang && !w.probe {
+			return w
+		}
+	}
+	var first *wish
+	it.team.Jobs(func(job *ledger.Job) {
+		if first != nil || job.Spec.Kind != wire.Gang || !it.team.Waits(job, p.now) {
+			return
+		}
+		if j := p.n.jobs[job.Spec.UID]; j != nil && j.active {
+			first = &wish{claim: claim{it, job}, spec: job.Spec, borrowed: true, submitted: j.at}
+		}
+	})
+	return first
+}
+
+// makeGangRoom asks for the stops that make room for a gang, unless some are under way already.
+func (n *Node) makeGangRoom(p *placing, w *wish) {
+	missing, _ := w.it.team.Gang(w.own)
+	if len(missing) == 0 || len(n.gangSlots(w.spec.UID)) > 0 {
+		return
+	}
+	ownOnly := w.borrowed || w.count < len(missing)
+	look := p.gangLook(w, ownOnly)
+	cpus, gpus := w.it.team.QuotaLeft()
+	each := gangroom.Amount{CPUs: w.spec.CPUs, GPUs: w.spec.GPUs, Memory: w.spec.Memory}
+	stops, ok := gangroom.Make(gangroom.Gang{Tasks: len(missing), Each: each, OneZone: w.spec.OneZone,
+		Quota: gangroom.Amount{CPUs: cpus, GPUs: gpus}}, look.machines)
+	if !ok {
+		return
+	}
+	for _, stop := range stops {
+		for _, v := range stop.Victims {
+			ref := look.tasks[v.ID].ref
+			n.evicting[ref] = eviction{job: w.spec.UID, at: p.now, machine: look.hosts[stop.Machine].Name, slots: stop.Slots}
+			n.evict(evictMsg{Ref: ref, For: w.spec.UID})
+		}
+	}
+}
+
+// gangLook is what a gang may use and stop.
+type gangLook struct {
+	machines []gangroom.Machine
+	hosts    []*placement.Host // of the machines
+	tasks    []victim          // by the victims' ids
+}
+
+// gangLook lists the machines that a gang may use, with what may be stopped there for it.
+func (p *placing) gangLook(w *wish, ownOnly bool) *gangLook {
+	n := p.n
+	n.ending(p.now) // counts what runs, for the floors
+	ask, rule, spare := n.ask(w.spec), n.zoneRule(*w), map[string]float64{}
+	search := n.newLook(n.besides(p.hosts, p.now), p.now)
+	look := &gangLook{}
+	for _, h := range search.hosts {
+		if !ask.Allows(h) || w.own.Avoids(h.Name, p.now) || !rule.allows(h) {
+			continue
+		}
+		kept := float64(p.kept[keptRoom{w.spec.UID, h.Name}])
+		m := gangroom.Machine{Zone: h.Zone, Free: gangroom.Amount{CPUs: h.CPUs + kept*ask.CPUs, GPUs: h.GPUs + kept*ask.GPUs, Memory: h.Memory + kept*ask.Memory}}
+		for _, v := range search.on(h) {
+			own := v.spec.Team == w.spec.Team
+			if wire.Rank(v.spec.Priority) >= wire.Rank(w.spec.Priority) || ownOnly && !own || !n.spares(v.spec, spare) {
+				continue
+			}
+			m.Victims = append(m.Victims, gangroom.Victim{ID: len(look.tasks), Loss: v.lost, Own: own,
+				Size: gangroom.Amount{CPUs: v.spec.CPUs, GPUs: v.spec.GPUs, Memory: v.spec.Memory}})
+			look.tasks = append(look.tasks, v)
+		}
+		look.machines, look.hosts = append(look.machines, m), append(look.hosts, h)
+	}
+	return look
+}
+
+// spares says whether a task's class keeps its floor without it and without those that were counted before.
+func (n *Node) spares(s *wire.Submission, counted map[string]float64) bool {
+	floor := n.admit.known.Acts().Floor(keyOf(s))
+	if floor <= 0 {
+		return true
+	}
+	name := s.Team + "/" + s.Class
+	if n.admit.runs[keyOf(s)]-counted[name]-s.CPUs < floor {
+		return false
+	}
+	counted[name] += s.CPUs
+	return true
+}
+
+// gangSlots is where tasks are being stopped for a gang, and how many of its tasks are to run there.
+func (n *Node) gangSlots(uid string) map[string]int {
+	slots := map[string]int{}
+	for _, e := range n.evicting {
+		if e.job == uid && e.machine != "" {
+			slots[e.machine] = e.slots
+		}
+	}
+	return slots
+}
+
+// keptRoom names the room that is kept for a job on a machine.
+type keptRoom struct{ job, machine string }
+
+// keepCleared keeps the room that is being cleared for a gang, also what is too little for one of its tasks so far. It says
+// how many tasks that is for.
+func (p *placing) keepCleared(w *wish, ask *placement.Ask) (tasks int) {
+	cleared := p.n.gangSlots(w.spec.UID)
+	for _, h := range p.hosts {
+		for range cleared[h.Name] {
+			h.CPUs, h.GPUs, h.Memory = max(0, h.CPUs-ask.CPUs), max(0, h.GPUs-ask.GPUs), max(0, h.Memory-ask.Memory)
+			tasks++
+		}
+	}
+	return tasks
+}
--- a/internal/arch/arch.go
+++ b/internal/arch/arch.go
@@ -30,6 +30,7 @@
 		"internal/blame",
 		"internal/horizon",
 		"internal/placement",
+		"internal/gangroom",
 		"internal/tenure",
 		"internal/rebuild",
 		"internal/fleet",
--- /dev/null
+++ b/internal/gangroom/gangroom_test.go
@@ -0,0 +1,101 @@
+package gangroom
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// TestMakeModel compares with trying every set of victims: what is chosen makes room for the whole gang in one zone and within
+// the quota, there is an answer whenever stopping all would do, and no victim is chosen twice.
+func TestMakeModel(t *testing.T) {
+	answers := 0
+	for seed := range uint64(2000) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		g := Gang{Tasks: 1 + rng.IntN(5), Each: Amount{CPUs: float64(1 + rng.IntN(4)), Memory: 1}, OneZone: rng.IntN(2) == 0, Quota: Amount{CPUs: float64(rng.IntN(12)), GPUs: 1}}
+		machines := make([]Machine, 1+rng.IntN(5))
+		id := 0
+		for i := range machines {
+			machines[i] = Machine{Zone: rng.IntN(2), Free: Amount{CPUs: float64(rng.IntN(4)), Memory: float64(rng.IntN(6))}}
+			for range rng.IntN(5) {
+				id++
+				machines[i].Victims = append(machines[i].Victims, Victim{ID: id, Size: Amount{CPUs: 1, Memory: 1}, Loss: float64(rng.IntN(50)), Own: rng.IntN(3) > 0})
+			}
+		}
+		stops, ok := Make(g, machines)
+		all := make([]Stop, len(machines))
+		for i := range machines {
+			all[i] = Stop{Machine: i, Victims: machines[i].Victims}
+		}
+		if possible := enough(g, machines, all); ok != possible {
+			t.Fatalf("seed %d: found %v, plainly %v", seed, ok, possible)
+		}
+		if !ok {
+			continue
+		}
+		answers++
+		if !enough(g, machines, stops) {
+			t.Fatalf("seed %d: %+v make no room for %+v on %+v", seed, stops, g, machines)
+		}
+		seen, slots := map[int]bool{}, 0
+		for _, s := range stops {
+			slots += s.Slots
+			for _, v := range s.Victims {
+				if seen[v.ID] {
+					t.Fatalf("seed %d: %d is stopped twice", seed, v.ID)
+				}
+				seen[v.ID] = true
+			}
+		}
+		if slots != g.Tasks {
+			t.Fatalf("seed %d: %d slots for %d tasks", seed, slots, g.Tasks)
+		}
+	}
+	if answers < 100 {
+		t.Fatalf("only %d gangs had room", answers)
+	}
+}
+
+// enough says plainly whether a gang has room in one of its zones, and quota, once these are stopped.
+func enough(g Gang, machines []Machine, stops []Stop) bool {
+	free := make([]Amount, len(machines))
+	for i := range machines {
+		free[i] = machines[i].Free
+	}
+	quota := g.Quota.CPUs
+	for _, s := range stops {
+		for _, v := range s.Victims {
+			free[s.Machine] = free[s.Machine].plus(v.Size)
+			if v.Own {
+				quota += v.Size.CPUs
+			}
+		}
+	}
+	room := map[int]int{}
+	for i := range machines {
+		zone := machines[i].Zone
+		if !g.OneZone {
+			zone = anyZone
+		}
+		room[zone] += int(math.Min(free[i].CPUs/g.Each.CPUs, free[i].Memory/g.Each.Memory) + slack)
+	}
+	most := 0
+	for _, n := range room {
+		most = max(most, n)
+	}
+	return most >= g.Tasks && quota+slack >= float64(g.Tasks)*g.Each.CPUs
+}
+
+// TestLeastLoss: of two zones that in which less is lost is chosen.
+func TestLeastLoss(t *testing.T) {
+	size := Amount{CPUs: 4, Memory: 1}
+	machines := []Machine{
+		{Zone: 0, Victims: []Victim{{ID: 1, Size: size, Loss: 90, Own: true}}},
+		{Zone: 1, Victims: []Victim{{ID: 2, Size: size, Loss: 20, Own: true}}},
+		{Zone: 1, Free: size},
+	}
+	stops, ok := Make(Gang{Tasks: 2, Each: size, OneZone: true, Quota: Amount{CPUs: 4}}, machines)
+	if !ok || len(stops) != 2 || len(stops[0].Victims) != 1 || stops[0].Victims[0].ID != 2 || stops[1].Slots != 1 {
+		t.Fatalf("%+v, %v", stops, ok)
+	}
+}
--- a/internal/ledger/holdback.go
+++ b/internal/ledger/holdback.go
@@ -54,7 +54,7 @@
 func (t *Team) TurnHoldback(now time.Time) {
 	waits := false
 	for _, j := range t.order {
-		if j.Spec.Kind == wire.Gang && t.waits(j, now) {
+		if j.Spec.Kind == wire.Gang && t.Waits(j, now) {
 			waits = true
 			break
 		}
@@ -62,8 +62,8 @@
 	t.holdback.update(waits, now)
 }
 
-// waits says whether a job has tasks that could be placed now if there were room.
-func (t *Team) waits(j *Job, now time.Time) bool {
+// Waits says whether a job has tasks that could be placed now if there were room.
+func (t *Team) Waits(j *Job, now time.Time) bool {
 	return !j.Over && !j.Finishing && !j.faulty && !now.Before(j.notUntil) && t.Unstarted(j) > 0
 }
 
@@ -101,3 +101,15 @@
 	}
 	return classes
 }
+
+// heldBack is how many CPUs of the quota a gang that lacks so many tasks has for itself while quota is held back: all that is
+// left, even if it is too little for one of its tasks. Else smaller tasks take each piece that comes free.
+func heldBack(j *Job, lacks int, left float64) float64 {
+	return max(0, min(left, float64(lacks)*j.Spec.CPUs))
+}
+
+// QuotaLeft is what is left of the team's quota.
+func (t *Team) QuotaLeft() (cpus, gpus float64) {
+	cpus, gpus = t.charged()
+	return t.MaxCPUs - cpus, t.MaxGPUs - gpus
+}
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -922,7 +922,12 @@
 			fit = t.wholeGang(j, left, &idle)
 		}
 		within := min(fit, most(t.CPUs-cpus, j.Spec.CPUs), most(t.GPUs-gpus, j.Spec.GPUs))
-		if !released {
+		switch {
+		case released:
+		case j.Spec.Kind == wire.Gang && fit < left:
+			cpus += heldBack(j, left, t.quotaFor(j, cpus, own, kept))
+			gpus += float64(fit) * j.Spec.GPUs
+		default:
 			cpus += float64(fit) * j.Spec.CPUs
 			gpus += float64(fit) * j.Spec.GPUs
 		}
--- a/place.go
+++ b/place.go
@@ -81,11 +81,11 @@
 // urgent tasks will take is left to them.
 func (n *Node) place(now time.Time) {
 	list := n.wishes(now)
-	if len(list) == 0 {
-		return
+	p := &placing{n: n, now: now, kept: map[keptRoom]int{}}
+	if len(list) > 0 {
+		arrange(list)
+		p.hosts = n.hosts(now, smallest(list))
 	}
-	arrange(list)
-	p := &placing{n: n, now: now, hosts: n.hosts(now, smallest(list))}
 	for i := range list {
 		w := &list[i]
 		if i > 0 && list[i-1].class(w) != 0 {
@@ -98,9 +98,10 @@
 	}
 	if now.Sub(n.preempted) >= preemptEvery {
 		n.preempted = now
+		n.preemptForGangs(p)
 		n.preempt(p.short, p.hosts, now)
 	}
-	if len(p.short) > 0 || n.told {
+	if len(list) > 0 && (len(p.short) > 0 || n.told) {
 		n.told = len(p.short) > 0
 		n.tellNow()
 	}
@@ -131,6 +132,7 @@
 	full  []*placement.Ask // what fits no host any more
 	short []wish           // what found no room
 	gangs []*wish          // of the class that is served: those that found no room for all their tasks
+	kept  map[keptRoom]int // tasks that room is kept for
 }
 
 // choose finds a host that is not to be skipped.
@@ -290,8 +292,9 @@
 	n := p.n
 	ask, rule := n.ask(w.spec), n.zoneRule(*w)
 	missing, _ := w.it.team.Gang(w.own)
-	if !w.it.team.Fits(w.own, len(missing)) {
-		return // it waits for its team's quota, not for room
+	cleared := p.keepCleared(w, ask)
+	if cleared > 0 || !w.it.team.Fits(w.own, len(missing)) {
+		return // its room is being cleared, or it waits for its team's quota, not for room
 	}
 	takes := func(h *placement.Host) bool {
 		return ask.Allows(h) && !w.own.Avoids(h.Name, p.now) && rule.allows(h)
@@ -327,6 +330,7 @@
 		for ; left > 0 && place(h) == best && ask.Fits(h) && takes(h); left-- {
 			h.Take(ask)
 			rule.take(h)
+			p.kept[keptRoom{w.spec.UID, h.Name}]++
 		}
 	}
 }
@@ -336,6 +340,9 @@
 	job   string
 	tasks int // of the job that the room will take
 	at    time.Time
+	// For a gang: where, and how many of its tasks are to run there once all that was asked to make room there has.
+	machine string
+	slots   int
 }
 
 // evictionLife is how long an eviction may take before its room is sought again.
--- a/placing_test.go
+++ b/placing_test.go
@@ -147,6 +147,44 @@
 	}
 }
 
+// TestGangStopsLessUrgentWork: gangs of high priority waited for minutes until arrays of their team were over. Beyond its
+// guarantee a gang stops tasks of its own team, as many as it takes, and none of others; one of low priority stops nothing.
+func TestGangStopsLessUrgentWork(t *testing.T) {
+	for _, priority := range []string{"high", "low"} {
+		g := newGrown(8, 2) // two of them ordinary, of 32 CPUs and in one zone
+		n := g.n
+		n.items[teamItem("team-0")].team.CPUs, n.items[teamItem("team-0")].team.MaxCPUs = 0, 44
+		submit := func(uid, team, priority, kind string, tasks int, cpus float64) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.learnJob(frontend.Stored{At: g.now.UnixMilli(), Spec: &wire.Submission{UID: uid, Team: team, Kind: kind, Priority: priority, Tasks: tasks, CPUs: cpus,
+				Memory: 1, Image: "img", Estimate: 600, OneZone: kind == wire.Gang}}, 1)
+		}
+		submit("job-000001", "team-1", "standard", wire.Batch, 16, 1)
+		submit("job-000002", "team-0", "standard", wire.Batch, 60, 1)
+		for range 3 {
+			g.second(2)
+		}
+		submit("job-000003", "team-0", priority, wire.Gang, 5, 8)
+		for range 6 {
+			g.second(2)
+		}
+		n.mu.Lock()
+		stopped := 0
+		for ref := range n.evicting {
+			if ref.Job != "job-000002" {
+				t.Errorf("%s: %v was asked to make room", priority, ref)
+			}
+			stopped++
+		}
+		// 44 of the 64 CPUs are all that the team may use, and the array has them: 40 of them are for the gang.
+		if want := map[string]int{"high": 40, "low": 0}[priority]; stopped != want {
+			t.Errorf("%s: %d tasks were asked to make room, want %d", priority, stopped, want)
+		}
+		n.mu.Unlock()
+	}
+}
+
 // TestGangsInTimeGoFirst: gangs wait for room by when they could be complete, so that one that could still
 // start within its goal stood behind those that no longer could.
 func TestGangsInTimeGoFirst(t *testing.T) {
