--- a/gangplace.go
+++ b/gangpreemption.go
@@ -17,33 +17,33 @@
 		if it.phase != ready || it.frozen || it.name == tenure.Fleet || !it.team.HoldsRoom() || !it.team.HoldsQuota() {
 			continue
 		}
-		if w := p.firstGang(it); w != nil && p.now.Sub(w.submitted) > patience && wire.Rank(w.spec.Priority) > 0 && !w.spec.Spread {
+		if w := p.firstGang(it); w != nil && p.now.Sub(w.submitted) > preemptionDelay && wire.Rank(w.spec.Priority) > 0 && !w.spec.Spread {
 			n.makeGangRoom(p, w)
 		}
 	}
 }
 
 // firstGang is the most urgent gang of a team that found no room, or else the first that waits for quota; nil if there is none.
-func (p *placing) firstGang(it *item) *wish {
+func (p *placing) firstGang(it *item) *waitingTasks {
 	for i := range p.short {
 		if w := &p.short[i]; w.it == it && w.spec.Kind == wire.Gang && !w.probe {
 			return w
 		}
 	}
-	var first *wish
+	var first *waitingTasks
 	it.team.Jobs(func(job *ledger.Job) {
 		if first != nil || job.Spec.Kind != wire.Gang || !it.team.Waits(job, p.now) {
 			return
 		}
 		if j := p.n.jobs[job.Spec.UID]; j != nil && j.active {
-			first = &wish{claim: claim{it, job}, spec: job.Spec, borrowed: true, submitted: j.at}
+			first = &waitingTasks{claim: claim{it, job}, spec: job.Spec, borrowed: true, submitted: j.at}
 		}
 	})
 	return first
 }
 
 // makeGangRoom asks for the stops that make room for a gang, unless some are under way already.
-func (n *Node) makeGangRoom(p *placing, w *wish) {
+func (n *Node) makeGangRoom(p *placing, w *waitingTasks) {
 	missing, _ := w.it.team.Gang(w.own)
 	if len(missing) == 0 || len(n.gangSlots(w.spec.UID)) > 0 {
 		return
@@ -74,11 +74,11 @@
 }
 
 // gangLook lists the machines that a gang may use, with what may be stopped there for it.
-func (p *placing) gangLook(w *wish, ownOnly bool) *gangLook {
+func (p *placing) gangLook(w *waitingTasks, ownOnly bool) *gangLook {
 	n := p.n
 	n.ending(p.now) // counts what runs, for the floors
-	ask, rule, spare := n.ask(w.spec), n.zoneRule(*w), map[string]float64{}
-	search := n.newLook(n.besides(p.hosts, p.now), p.now)
+	ask, rule, spare := n.ask(w.spec), n.zoneRule(w), map[string]float64{}
+	search := n.newVictimSearch(n.besides(p.hosts, p.now), p.now)
 	look := &gangLook{}
 	for _, h := range search.hosts {
 		if !ask.Allows(h) || w.own.Avoids(h.Name, p.now) || !rule.allows(h) {
@@ -130,7 +130,7 @@
 
 // keepCleared keeps the room that is being cleared for a gang, also what is too little for one of its tasks so far. It says
 // how many tasks that is for.
-func (p *placing) keepCleared(w *wish, ask *placement.Ask) (tasks int) {
+func (p *placing) keepCleared(w *waitingTasks, ask *placement.Ask) (tasks int) {
 	cleared := p.n.gangSlots(w.spec.UID)
 	for _, h := range p.hosts {
 		for range cleared[h.Name] {
--- a/internal/ledger/holdback.go
+++ b/internal/ledger/holdback.go
@@ -73,21 +73,6 @@
 // HoldsQuota says the same of the team's quota.
 func (t *Team) HoldsQuota() bool { return !t.holdback.quota }
 
-// quota is an amount of a team's quota.
-type quota struct{ cpus, gpus float64 }
-
-// wholeGang is how many tasks of a gang fit into the quota while nothing is held back for it: all that it lacks, or none.
-// used is what is held and what such gangs would take; it does not count against less urgent work.
-func (t *Team) wholeGang(j *Job, lacks int, used *quota) int {
-	cpus, gpus := float64(lacks)*j.Spec.CPUs, float64(lacks)*j.Spec.GPUs
-	if used.cpus+cpus > t.MaxCPUs+slack || used.gpus+gpus > t.MaxGPUs+slack {
-		return 0
-	}
-	used.cpus += cpus
-	used.gpus += gpus
-	return lacks
-}
-
 // releasedClasses are those of the gangs for which nothing is held back now.
 func (t *Team) releasedClasses() map[string]bool {
 	if t.HoldsQuota() {
@@ -102,12 +87,6 @@
 	return classes
 }
 
-// heldBack is how many CPUs of the quota a gang that lacks so many tasks has for itself while quota is held back: all that is
-// left, even if it is too little for one of its tasks. Else smaller tasks take each piece that comes free.
-func heldBack(j *Job, lacks int, left float64) float64 {
-	return max(0, min(left, float64(lacks)*j.Spec.CPUs))
-}
-
 // QuotaLeft is what is left of the team's quota.
 func (t *Team) QuotaLeft() (cpus, gpus float64) {
 	cpus, gpus = t.charged()
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -856,8 +856,8 @@
 func (t *Team) Keep(floors map[string]float64) { t.floors = floors }
 
 // lacking is how many CPUs classes have less than their floors. If less than all of that is left of the quota, each
-// class lacks the same part of it, so that none waits for quota that another one lacks.
-// Classes whose gangs made no use of what was held back for them lack nothing for a while.
+// class lacks the same part of it, so that none waits for quota that another one lacks. Classes whose gangs made no use of what was
+// held back for them lack nothing for a while.
 func (t *Team) lacking(left float64) (by map[string]float64, all float64) {
 	if len(t.floors) == 0 {
 		return nil, 0
@@ -873,7 +873,7 @@
 			all += lacks
 		}
 	}
-	if all > left {
+	if all > 0 && all > left {
 		part := max(left, 0) / all
 		for class := range by {
 			by[class] *= part
@@ -883,6 +883,34 @@
 	return by, all
 }
 
+// startsAtOnce is how many of a job's unstarted tasks need quota at the same time for it to begin; 0 once it has begun.
+func (j *Job) startsAtOnce(left int) int {
+	switch {
+	case len(j.holds) > 0:
+		return 0
+	case j.Spec.Kind == wire.Gang:
+		return left
+	default:
+		return min(left, 1)
+	}
+}
+
+// quota is a part of a team's quota, in CPUs and GPUs.
+type quota struct{ cpus, gpus float64 }
+
+// add takes what so many tasks of a job need.
+func (q *quota) add(s *wire.Submission, tasks int) {
+	q.cpus += float64(tasks) * s.CPUs
+	q.gpus += float64(tasks) * s.GPUs
+}
+
+// reserve takes what so many tasks of a job need, or as much of it as the limits leave. Else less urgent jobs with smaller
+// tasks would take each piece that comes free, and the job would never have enough at once.
+func (q *quota) reserve(s *wire.Submission, tasks int, mostCPUs, mostGPUs float64) {
+	q.cpus = min(q.cpus+float64(tasks)*s.CPUs, max(q.cpus, mostCPUs))
+	q.gpus = min(q.gpus+float64(tasks)*s.GPUs, max(q.gpus, mostGPUs))
+}
+
 // quotaFor is how many CPUs are left of the quota for a job whose class lacks so much of its floor, while kept is what
 // all classes lack. A class under its floor has room for one task at least, if there is any.
 func (t *Team) quotaFor(j *Job, used, lacks, kept float64) float64 {
@@ -894,14 +922,16 @@
 }
 
 // Demands lists what the team would place if there were room, most urgent first, and for each
-// class what is beyond the quota.
+// class what is beyond the quota. Of the jobs that wait to begin at once, gangs among them, only the most urgent one
+// reserves quota: gangs may wait for machines for minutes, and all of them together would keep it from everybody.
 func (t *Team) Demands(now time.Time) []Demand {
 	cpus, gpus := t.charged()
 	var out, probes []Demand
 	beyond := 0.0 // CPU seconds that the quota has no room for now
 	over := map[string]int{}
 	lacks, kept := t.lacking(t.MaxCPUs - cpus)
-	idle := quota{cpus, gpus} // of gangs for which nothing is held back
+	taken := quota{cpus, gpus} // what more urgent jobs leave nothing of
+	reserved := false          // part of it is reserved for a job that can't begin
 	for _, j := range t.order {
 		if j.Over || j.Finishing || now.Before(j.notUntil) {
 			continue
@@ -916,22 +946,20 @@
 		}
 		left := t.Unstarted(j)
 		own := lacks[j.Spec.Class]
-		fit := min(left, most(t.quotaFor(j, cpus, own, kept), j.Spec.CPUs), most(t.MaxGPUs-gpus, j.Spec.GPUs))
-		released := j.Spec.Kind == wire.Gang && !t.HoldsQuota()
-		if released {
-			fit = t.wholeGang(j, left, &idle)
-		}
+		fit := min(left, most(t.quotaFor(j, taken.cpus, own, kept), j.Spec.CPUs), most(t.MaxGPUs-taken.gpus, j.Spec.GPUs))
 		within := min(fit, most(t.CPUs-cpus, j.Spec.CPUs), most(t.GPUs-gpus, j.Spec.GPUs))
-		switch {
-		case released:
-		case j.Spec.Kind == wire.Gang && fit < left:
-			cpus += heldBack(j, left, t.quotaFor(j, cpus, own, kept))
-			gpus += float64(fit) * j.Spec.GPUs
-		default:
-			cpus += float64(fit) * j.Spec.CPUs
-			gpus += float64(fit) * j.Spec.GPUs
+		cpus += float64(fit) * j.Spec.CPUs
+		gpus += float64(fit) * j.Spec.GPUs
+		if atOnce := j.startsAtOnce(left); fit >= atOnce && (atOnce == 0 || j.Spec.Kind != wire.Gang) {
+			taken.add(j.Spec, fit)
+		} else if !reserved {
+			reserved = true
+			if j.Spec.Kind == wire.Gang && !t.HoldsQuota() {
+				atOnce = 0 // it made no use of it
+			}
+			taken.reserve(j.Spec, atOnce, t.MaxCPUs-(kept-own), t.MaxGPUs)
 		}
-		if own > 0 && !released {
+		if own > 0 {
 			used := min(own, float64(fit)*j.Spec.CPUs)
 			lacks[j.Spec.Class] -= used
 			kept -= used
--- a/rebuild.go
+++ b/rebuild.go
@@ -19,6 +19,7 @@
 	"topazhollow/internal/rebuild"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/state"
+	"topazhollow/internal/teamstore"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
 )
@@ -185,14 +186,14 @@
 // inspect asks a machine that is on no list whether it is there. Two reports are no proof: copies of
 // what a machine sent that was returned long ago may come one after the other to a process that never knew it.
 func (n *Node) inspect(name, addr string, m *machine) {
-	if m.inspected.After(m.unlisted) && time.Since(m.inspected) < knockTimeout {
+	if m.inspected.After(m.unlisted) && time.Since(m.inspected) < probeTimeout {
 		return
 	}
 	m.inspected = time.Now()
 	n.group.Go(func() error {
 		link := httpx.NewLink(addr, 1<<20)
 		defer link.Close()
-		resp, _, err := link.Do(n.ctx, "GET", wire.PathInspect, nil, knockTimeout)
+		resp, _, err := link.Do(n.ctx, "GET", wire.PathInspect, nil, probeTimeout)
 		var r wire.Report
 		there := err == nil && resp.Status == 200 && wire.Decode(resp.Body, &r) == nil && r.Machine == name
 		n.mu.Lock()
@@ -301,6 +302,7 @@
 	for key, version := range n.roster.Versions() {
 		w[key] = version
 	}
+	n.configWitnesses(w)
 	some := 8
 	for uid, j := range n.jobs {
 		if some == 0 {
@@ -328,6 +330,8 @@
 		return 0
 	case strings.HasPrefix(key, machineKey):
 		return n.roster.Versions()[key]
+	case strings.HasPrefix(key, teamstore.Prefix):
+		return n.configVersion(key)
 	}
 	return 0
 }
@@ -526,6 +530,7 @@
 			}
 		}
 		n.roster = newRoster(n.set)
+		n.configEntered()
 		n.version, n.unsure, n.live, n.missing = 0, 0, map[string]tenure.Presence{}, time.Time{}
 		n.store.markers, n.store.suspect = map[string]uint64{}, map[string]uint64{}
 	}
--- a/talk.go
+++ b/talk.go
@@ -10,6 +10,7 @@
 	"topazhollow/internal/ledger"
 	"topazhollow/internal/peer"
 	"topazhollow/internal/rebuild"
+	"topazhollow/internal/teamconfig"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
 )
@@ -43,21 +44,23 @@
 		Term     uint64            `json:"term"`
 		Entitled bool              `json:"entitled"`
 		Leased   bool              `json:"leased,omitempty"`
-		At       int64             `json:"at"`                // the sender's steady clock, ms
-		Heard    map[string]echo   `json:"heard,omitempty"`   // the last At of each peer
-		Promise  bool              `json:"promise,omitempty"` // to raise no term for promiseLife
-		Alive    map[string]int64  `json:"alive,omitempty"`   // homed machines: ms since their last report
-		Stray    []string          `json:"stray,omitempty"`   // machines of other homes that reported here since the last status
+		At       int64             `json:"at"`                  // the sender's steady clock, ms
+		Heard    map[string]echo   `json:"heard,omitempty"`     // the last At of each peer
+		Promise  bool              `json:"promise,omitempty"`   // to raise no term for promiseLife
+		Alive    map[string]int64  `json:"alive,omitempty"`     // homed machines: ms since their last report
+		InFlight map[string]int64  `json:"in_flight,omitempty"` // of these, by starts that may still arrive: ms since all withdrawals known at the sending were confirmed
+		Stray    []string          `json:"stray,omitempty"`     // machines of other homes that reported here since the last status
 		Demands  []demand          `json:"demands,omitempty"`
 		Progress map[string][2]int `json:"progress,omitempty"` // of own teams' jobs, in one status a second; nil: as it was
 		Drain    []string          `json:"drain,omitempty"`
 		Awaits   []string          `json:"awaits,omitempty"` // machines that a barrier waits for
-		Mute     []string          `json:"mute,omitempty"`   // machines that did not answer a knock
+		Mute     []string          `json:"mute,omitempty"`   // machines that did not answer a probe
 		Writes   *float64          `json:"writes,omitempty"` // changes of the state service wanted a second
 		Store    rebuild.Word      `json:"store"`            // what the sender holds of the state service
 		Version  *uint64           `json:"version"`          // of the control record that it knows; a promise counts for that one and later ones
 		Told     *uint64           `json:"told"`             // withdrawals that this process confirmed to users so far
 		Plan     admission.Word    `json:"plan"`             // what it knows of plans of who gets how much
+		Config   *teamconfig.Word  `json:"config,omitempty"` // what it knows of the teams' configuration
 	}
 )
 
@@ -76,6 +79,7 @@
 	Behind   int64   `json:"behind,omitempty"`   // ms that the team's quota takes for what waits beyond it
 	Beyond   float64 `json:"beyond,omitempty"`   // CPUs that the job's class asks for beyond the quota; then Count is 0
 	First    int     `json:"first,omitempty"`    // of the tasks, that go before what is more urgent
+	Zone     string  `json:"zone,omitempty"`     // the only one for the tasks, since the others of the job are there
 }
 
 // evictMsg asks the owner of a task to stop it, to give its room to a job that
@@ -134,9 +138,11 @@
 		if err = wire.Decode(body, &s); err == nil {
 			n.onStatus(p, &s, now)
 			n.onHorizon(node, &s, now)
+			n.onHomeWord(node, &s, now)
 			n.teach(node, &s, now)
 			n.store.watch.Heard(node, s.Store, now)
 			n.onPlan(node, incarnation, p, &s.Plan)
+			n.onConfigWord(node, incarnation, s.Config, now)
 			if n.record != nil && s.Store.Generation == n.record.Generation && s.Store.Term > n.record.Term {
 				n.store.ahead = max(n.store.ahead, s.Store.Term)
 			}
@@ -155,16 +161,21 @@
 		if err = wire.Decode(body, &o); err == nil {
 			n.onOrders(&o, now)
 		}
-	case "knock":
-		var k knockMsg
-		if err = wire.Decode(body, &k); err == nil {
-			n.onKnock(k.Addrs, now)
+	case probeKind:
+		var m probeMsg
+		if err = wire.Decode(body, &m); err == nil {
+			n.onProbe(m.Addrs, now)
 		}
 	case "record":
 		var m recordMsg
 		if err = wire.Decode(body, &m); err == nil {
 			n.onRecord(&m)
 		}
+	case "config":
+		var m configMsg
+		if err = wire.Decode(body, &m); err == nil {
+			n.onConfig(&m)
+		}
 	case "evict":
 		var e evictMsg
 		if err = wire.Decode(body, &e); err == nil {
@@ -411,18 +422,27 @@
 	}
 	for name, m := range n.home.All() {
 		s.Alive[name] = now.Sub(m.Heard).Milliseconds()
+		if known := m.InFlight(anyJob); !known.IsZero() {
+			if s.InFlight == nil {
+				s.InFlight = map[string]int64{}
+			}
+			s.InFlight[name] = now.Sub(known).Milliseconds() + 1 // rounded up
+		}
 	}
 	s.Stray = slices.Sorted(maps.Keys(n.stray))
 	clear(n.stray)
 	s.Demands = n.demands(now)
-	s.Progress, s.Plan = n.progress(now), n.planWord()
-	s.Awaits, s.Mute = n.awaits(), n.mute()
+	s.Progress, s.Plan, s.Config = n.progress(now), n.planWord(), n.configWord(now)
+	s.Awaits, s.Mute = n.awaits(), n.unanswered()
 	if n.items[tenure.Fleet] != nil {
 		s.Drain = slices.Sorted(maps.Keys(n.drain))
 	}
 	return s
 }
 
+// anyJob counts the starts of all jobs.
+func anyJob(string) bool { return true }
+
 // progressEvery is how often jobs' progress is told: users may be told of it a few seconds
 // late, and it is the longest part of a status.
 const progressEvery = 900 * time.Millisecond
@@ -478,13 +498,26 @@
 		first := n.goFirst(it, list, now)
 		for i, d := range list {
 			if !d.Probe {
-				out = append(out, demand{Job: d.Spec.UID, Count: d.Count, Borrowed: d.Borrowed, Behind: d.Behind.Milliseconds(), First: first[i], Beyond: d.Beyond})
+				out = append(out, demand{Job: d.Spec.UID, Count: d.Count, Borrowed: d.Borrowed, Behind: d.Behind.Milliseconds(), First: first[i], Beyond: d.Beyond, Zone: boundZone(it.team, d.Spec)})
 			}
 		}
 	}
 	return out
 }
 
+// boundZone is the zone that tasks of an array or service have to be in because others of the job are; "" if none.
+// A gang's missing tasks are asked for as a whole.
+func boundZone(team *ledger.Team, spec *wire.Submission) string {
+	job := team.Job(spec.UID)
+	if job == nil || !spec.OneZone || spec.Kind == wire.Gang {
+		return ""
+	}
+	for zone := range team.Zones(job) {
+		return zone
+	}
+	return ""
+}
+
 // draining is the machines that no task should go to.
 func (n *Node) draining() map[string]bool {
 	if n.items[tenure.Fleet] != nil {
