--- a/gangpreemption.go
+++ b/gangpreemption.go
@@ -24,9 +24,10 @@
 }
 
 // firstGang is the most urgent gang of a team that found no room, or else the first that waits for quota; nil if there is none.
+// One that can reach no goal any more stops nobody: what is stopped for it might still have reached its own.
 func (p *placing) firstGang(it *item) *waitingTasks {
 	for i := range p.short {
-		if w := &p.short[i]; w.it == it && w.spec.Kind == wire.Gang && !w.probe {
+		if w := &p.short[i]; w.it == it && w.spec.Kind == wire.Gang && !w.probe && !p.missed(w.spec.UID) {
 			return w
 		}
 	}
@@ -35,13 +36,23 @@
 		if first != nil || job.Spec.Kind != wire.Gang || !it.team.Waits(job, p.now) {
 			return
 		}
-		if j := p.n.jobs[job.Spec.UID]; j != nil && j.active {
+		if j := p.n.jobs[job.Spec.UID]; j != nil && j.active && !p.missed(job.Spec.UID) {
 			first = &waitingTasks{claim: claim{it, job}, spec: job.Spec, borrowed: true, submitted: j.at}
 		}
 	})
 	return first
 }
 
+// missed says whether a job can reach none of its goals any more.
+func (p *placing) missed(uid string) bool {
+	j := p.n.jobs[uid]
+	if j == nil {
+		return true
+	}
+	_, late := p.n.goal(j, p.now)
+	return late
+}
+
 // makeGangRoom asks for the stops that make room for a gang, unless some are under way already.
 func (n *Node) makeGangRoom(p *placing, w *waitingTasks) {
 	missing, _ := w.it.team.Gang(w.own)
--- a/placing_test.go
+++ b/placing_test.go
@@ -148,9 +148,15 @@
 }
 
 // TestGangStopsLessUrgentWork: gangs of high priority waited for minutes until arrays of their team were over. Beyond its
-// guarantee a gang stops tasks of its own team, as many as it takes, and none of others; one of low priority stops nothing.
+// guarantee a gang stops tasks of its own team, as many as it takes, and none of others; one of low priority stops nothing, nor
+// does one that can reach no goal any more.
 func TestGangStopsLessUrgentWork(t *testing.T) {
-	for _, priority := range []string{"high", "low"} {
+	for _, c := range []struct {
+		priority string
+		deadline float64
+		stops    int
+	}{{"high", 1000, 40}, {"low", 1000, 0}, {"high", 100, 0}} {
+		priority := c.priority
 		g := newGrown(8, 2) // two of them ordinary, of 32 CPUs and in one zone
 		n := g.n
 		n.items[teamItem("team-0")].team.CPUs, n.items[teamItem("team-0")].team.MaxCPUs = 0, 44
@@ -158,7 +164,7 @@
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.learnJob(frontend.Stored{At: g.now.UnixMilli(), Spec: &wire.Submission{UID: uid, Team: team, Kind: kind, Priority: priority, Tasks: tasks, CPUs: cpus,
-				Memory: 1, Image: "img", Estimate: 600, OneZone: kind == wire.Gang}}, 1)
+				Memory: 1, Image: "img", Estimate: 600, OneZone: kind == wire.Gang, Deadline: &c.deadline}}, 1)
 		}
 		submit("job-000001", "team-1", "standard", wire.Batch, 16, 1)
 		submit("job-000002", "team-0", "standard", wire.Batch, 60, 1)
@@ -178,8 +184,8 @@
 			stopped++
 		}
 		// 44 of the 64 CPUs are all that the team may use, and the array has them: 40 of them are for the gang.
-		if want := map[string]int{"high": 40, "low": 0}[priority]; stopped != want {
-			t.Errorf("%s: %d tasks were asked to make room, want %d", priority, stopped, want)
+		if stopped != c.stops {
+			t.Errorf("%+v: %d tasks were asked to make room", c, stopped)
 		}
 		n.mu.Unlock()
 	}
