--- a/gangpreemption.go
+++ b/gangpreemption.go
@@ -1,6 +1,7 @@
 package topazhollow
 
 import (
+	"topazhollow/internal/admission"
 	"topazhollow/internal/gangroom"
 	"topazhollow/internal/ledger"
 	"topazhollow/internal/placement"
@@ -88,18 +89,17 @@
 func (p *placing) gangLook(w *waitingTasks, ownOnly bool) *gangLook {
 	n := p.n
 	n.ending(p.now) // counts what runs, for the floors
-	ask, rule, spare := n.ask(w.spec), n.zoneRule(w), map[string]float64{}
+	ask, rule, counted := n.ask(w.spec), n.zoneRule(w), map[admission.Key]float64{}
 	search := n.newVictimSearch(n.besides(p.hosts, p.now), p.now)
 	look := &gangLook{}
 	for _, h := range search.hosts {
 		if !ask.Allows(h) || w.own.Avoids(h.Name, p.now) || !rule.allows(h) {
 			continue
 		}
-		kept := float64(p.kept[keptRoom{w.spec.UID, h.Name}])
-		m := gangroom.Machine{Zone: h.Zone, Free: gangroom.Amount{CPUs: h.CPUs + kept*ask.CPUs, GPUs: h.GPUs + kept*ask.GPUs, Memory: h.Memory + kept*ask.Memory}}
+		m := gangroom.Machine{Zone: h.Zone, Free: p.freeFor(w, h, ask)}
 		for _, v := range search.on(h) {
 			own := v.spec.Team == w.spec.Team
-			if wire.Rank(v.spec.Priority) >= wire.Rank(w.spec.Priority) || ownOnly && !own || !n.spares(v.spec, spare) {
+			if wire.Rank(v.spec.Priority) >= wire.Rank(w.spec.Priority) || ownOnly && !own || !n.spares(v.spec, counted) {
 				continue
 			}
 			m.Victims = append(m.Victims, gangroom.Victim{ID: len(look.tasks), Loss: v.lost, Own: own,
@@ -111,17 +111,23 @@
 	return look
 }
 
-// spares says whether a task's class keeps its floor without it and without those that were counted before.
-func (n *Node) spares(s *wire.Submission, counted map[string]float64) bool {
+// freeFor is the free room on a host, with what this step keeps for the gang itself.
+func (p *placing) freeFor(w *waitingTasks, h *placement.Host, ask *placement.Ask) gangroom.Amount {
+	kept := float64(p.kept[keptRoom{w.spec.UID, h.Name}])
+	return gangroom.Amount{CPUs: h.CPUs + kept*ask.CPUs, GPUs: h.GPUs + kept*ask.GPUs, Memory: h.Memory + kept*ask.Memory}
+}
+
+// spares counts a task as stopped and says whether its class keeps its floor without it and without those that were counted before.
+func (n *Node) spares(s *wire.Submission, counted map[admission.Key]float64) bool {
 	floor := n.admit.known.Acts().Floor(keyOf(s))
 	if floor <= 0 {
 		return true
 	}
-	name := s.Team + "/" + s.Class
-	if n.admit.runs[keyOf(s)]-counted[name]-s.CPUs < floor {
+	key := keyOf(s)
+	if n.admit.runs[key]-counted[key]-s.CPUs < floor {
 		return false
 	}
-	counted[name] += s.CPUs
+	counted[key] += s.CPUs
 	return true
 }
 
