--- a/gangs.go
+++ b/gangs.go
@@ -76,10 +76,13 @@
 
 // reserveForGangs leaves what room there is to gangs that found none for all their tasks,
 // before less urgent work is placed. Else small tasks of an array would take each piece that
-// comes free, and gangs of higher priority would wait until the array is over.
+// comes free, and gangs of higher priority would wait until the array is over. Nothing is
+// left to gangs that made no use of it for some time.
 func (p *placing) reserveForGangs() {
 	for _, w := range p.gangs {
-		p.reserveForGang(w)
+		if w.it.team.HoldsRoom() {
+			p.reserveForGang(w)
+		}
 	}
 	p.gangs = p.gangs[:0]
 }
@@ -98,8 +101,8 @@
 func (p *placing) reserveForGang(w *waitingTasks) {
 	r := &gangReservation{p: p, w: w, ask: p.n.ask(w.spec), rule: p.n.zoneRule(w)}
 	missing, _ := w.it.team.Gang(w.own)
-	if !w.it.team.Fits(w.own, len(missing)) {
-		return // it waits for its team's quota, not for room
+	if p.keepCleared(w, r.ask) > 0 || !w.it.team.Fits(w.own, len(missing)) {
+		return // its room is being cleared, or it waits for its team's quota, not for room
 	}
 	best, found := r.bestZone(len(missing))
 	if !found {
@@ -110,6 +113,7 @@
 		for ; left > 0 && r.zoneOf(h) == best && r.ask.Fits(h) && r.accepts(h); left-- {
 			h.Take(r.ask)
 			r.rule.take(h)
+			p.kept[keptRoom{w.spec.UID, h.Name}]++
 		}
 	}
 }
