Model: a late start across an end (red until workers.Home.Take is mended)

The known hole: a stop of an unknown attempt of an earlier term bars it though an earlier home may have sent its start.

--- a/internal/leasegrant/meet_test.go
+++ b/internal/leasegrant/meet_test.go
@@ -237,6 +237,7 @@
 	{"late reads", false, 6, []string{"b reads, its answer is late", "c withdraws", "b withdraws", "outage", "b's late answer", "b ends", "outage ends"},
 		[]mutant{"an acceptance after the end"}, 0},
 	{"found by another", true, 4, []string{"c writes the withdrawal and ends", "a confirms it", "b confirms it", "a refused", "outage", "only a is reached", "machine hangs"}, nil, 0},
+	{"a late start across an end", false, 5, []string{"next start is late", "late start arrives", "a ends", "machine deaf", "b moves the task"}, nil, step},
 	{"machines", true, 4, []string{"machine cut off", "path heals", "machine hangs", "machine wakes", "a withdraws", "a ends", "outage"}, nil, 0},
 }
 
