--- a/home.go
+++ b/home.go
@@ -414,7 +414,7 @@
 				n.observe(it, v)
 			}
 		} else if it.phase == barrier && it.await[v.Machine] {
-			n.passBarrier(it)
+			n.settleAwaited(it, v)
 		}
 	}
 	n.endStrays(v)
@@ -484,18 +484,28 @@
 		return
 	}
 	var views []*ledger.View
+	tasks := 0
 	for _, name := range slices.Sorted(maps.Keys(n.fresh)) {
-		if v := n.home.View(name); v != nil {
-			views = append(views, v)
+		v := n.home.View(name)
+		if v == nil {
+			continue
+		}
+		views = append(views, v)
+		if tasks += 1 + len(v.Tasks); tasks >= viewsPerLine {
+			n.tellAll("views", views)
+			views, tasks = nil, 0
 		}
 	}
 	n.fresh = map[string]bool{}
-	if len(views) == 0 {
-		return
+	if len(views) > 0 {
+		n.tellAll("views", views)
 	}
-	n.tellAll("views", views)
 }
 
+// viewsPerLine bounds the machines and tasks that one line tells of: about 300 KB. A link refuses lines of more than 4 MiB, which
+// all homed machines of a large fleet took when a peer came back: the link was dropped and sent the same line again.
+const viewsPerLine = 4000
+
 // stir wakes the machine's doer, making one if need be.
 func (n *Node) stir(name string) {
 	d := n.doers[name]
--- a/owner.go
+++ b/owner.go
@@ -241,6 +241,18 @@
 	}
 }
 
+// settleAwaited takes a machine that was heard off those that a barrier waits for. The others are looked at once a
+// step: to walk them for each machine costs the square of their number.
+func (n *Node) settleAwaited(it *item, v *ledger.View) {
+	if v.Token < it.since {
+		return
+	}
+	delete(it.await, v.Machine)
+	if len(it.await) == 0 {
+		n.passBarrier(it)
+	}
+}
+
 // dropUnregistered ends holds on machines that were struck off the roster before
 // this controller followed it. No start goes to a machine that is not registered,
 // and none is struck off before the cloud confirmed its end. The roster must be
--- /dev/null
+++ b/views_test.go
@@ -0,0 +1,58 @@
+package topazhollow
+
+import (
+	"testing"
+
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/wire"
+)
+
+// TestBarrierSettlesTheMachineThatWasHeard: a machine heard under the item's term is waited for no longer, one heard
+// under an earlier term still is, and the last one ends the barrier.
+func TestBarrierSettlesTheMachineThatWasHeard(t *testing.T) {
+	g := newGrown(3, 1)
+	n := g.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	it := n.items[teamItem("team-0")]
+	it.phase, it.since, it.await = barrier, n.record.Term, map[string]bool{}
+	var names []string
+	for name := range n.machines {
+		names = append(names, name)
+		it.await[name] = true
+	}
+	hear := func(name string, token uint64) {
+		v := *n.machines[name].view
+		v.Seq++
+		v.Token = token
+		n.see(&v, g.now)
+	}
+	hear(names[0], it.since-1)
+	if len(it.await) != len(names) || it.phase != barrier {
+		t.Fatalf("%d of %d are waited for after a report of an earlier term", len(it.await), len(names))
+	}
+	for i, name := range names {
+		if it.phase != barrier {
+			t.Fatalf("the barrier ended after %d of %d machines", i, len(names))
+		}
+		hear(name, it.since)
+	}
+	if it.phase != ready {
+		t.Fatalf("the barrier waits for %v though all were heard", it.await)
+	}
+}
+
+// TestViewsAreToldInBoundedLines: however many machines a home tells of at once, no line comes near what a link takes.
+func TestViewsAreToldInBoundedLines(t *testing.T) {
+	view := &ledger.View{Machine: "n-000001", Addr: "10.1.0.232:9000", Type: "mtatsminda-32", Zone: "batumi-coast", Session: 1 << 20, Seq: 1 << 40, Rev: 1 << 30, Token: 1 << 40, Term: 1 << 40}
+	const tasks = 30
+	for i := range tasks {
+		view.Tasks = append(view.Tasks, ledger.TaskView{Key: ledger.Key{Job: "job-000001", Index: 1<<16 + i}, Attempt: ledger.AttemptID(1<<28, 1<<20), State: wire.Running})
+	}
+	machines := viewsPerLine/(1+tasks) + 1
+	line := wire.Encode(view)
+	const linkTakes = 4 << 20
+	if size := machines * (len(line) + 1); size > linkTakes/4 {
+		t.Errorf("%d machines of %d tasks take %d bytes in one line", machines, tasks, size)
+	}
+}
