--- a/config_test.go
+++ b/config_test.go
@@ -135,6 +135,15 @@
 	c.allDone([]*wire.Submission{late})
 }
 
+// linked waits until all controllers hear each other. One that dials another in the moment in which that one ends in this process may
+// be left with a connection that nobody reads and nobody closes, which has nothing to do with the configuration.
+func (c *configured) linked() {
+	c.until("all hear each other", func() bool {
+		all := c.overviews()
+		return len(all) == 3 && !slices.ContainsFunc(all, func(o overview) bool { return len(o.Unheard) > 0 || len(o.Members) < 3 })
+	})
+}
+
 // TestConfigurationInTrouble: a quota is lowered while one thing after the other goes wrong. What is said to be in force is never
 // exceeded, and in the end the change is in force and the work is done.
 func TestConfigurationInTrouble(t *testing.T) {
@@ -175,6 +184,7 @@
 				number = c.set("red", limit(cpus))
 				c.crash(i)
 				c.start(i)
+				c.linked()
 			}
 			return number
 		},
@@ -239,11 +249,13 @@
 			number := trouble(c)
 			c.inForce("red", number)
 			c.check.SetLimit("red", 4)
+			more := array(732, 20, "red") // the first one may be over by now
+			c.submit(more)
 			c.until("the team is at work within the lowered quota", func() bool { used := c.check.UsedBy("red"); return used > 0 && used <= 4 })
 			number = c.set("red", limit(24))
 			c.check.SetLimit("red", 24)
 			c.inForce("red", number)
-			c.allDone([]*wire.Submission{job})
+			c.allDone([]*wire.Submission{job, more})
 		})
 	}
 }
--- a/internal/arch/arch.go
+++ b/internal/arch/arch.go
@@ -30,6 +30,7 @@
 		"internal/blame",
 		"internal/horizon",
 		"internal/placement",
+		"internal/gangroom",
 		"internal/tenure",
 		"internal/rebuild",
 		"internal/fleet",
@@ -56,6 +57,7 @@
 		"internal/reapi",
 		"internal/snapshot",
 		"internal/drill",
+		"internal/scale",
 		"internal/topaz",
 	}},
 	{"programs", []string{
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -128,18 +128,19 @@
 	CPUs    float64 // guaranteed
 	GPUs    float64
 
-	rep     *Replica
-	jobs    map[string]*Job
-	order   []*Job // the same, most urgent first
-	held    map[Key]*attempt
-	on      map[string]map[Key]*attempt // by machine
-	todo    map[*attempt]bool           // those that may need an order: not listed yet, or to be stopped
-	moved   map[string]bool             // machines whose attempts changed since they were last asked for
-	usedCPU float64
-	usedGPU float64
-	orphans orphanAccount
-	floors  map[string]float64 // by class, CPUs of the quota that others leave to it
-	out     []Delta
+	rep      *Replica
+	jobs     map[string]*Job
+	order    []*Job // the same, most urgent first
+	held     map[Key]*attempt
+	on       map[string]map[Key]*attempt // by machine
+	todo     map[*attempt]bool           // those that may need an order: not listed yet, or to be stopped
+	moved    map[string]bool             // machines whose attempts changed since they were last asked for
+	usedCPU  float64
+	usedGPU  float64
+	orphans  orphanAccount
+	floors   map[string]float64 // by class, CPUs of the quota that others leave to it
+	holdback holdback
+	out      []Delta
 
 	term    uint64
 	since   uint64 // the term in which this account began: it made every later attempt of the team
@@ -855,14 +856,18 @@
 func (t *Team) Keep(floors map[string]float64) { t.floors = floors }
 
 // lacking is how many CPUs classes have less than their floors. If less than all of that is left of the quota, each
-// class lacks the same part of it, so that none waits for quota that another one lacks.
+// class lacks the same part of it, so that none waits for quota that another one lacks. Classes whose gangs made no use of what was
+// held back for them lack nothing for a while.
 func (t *Team) lacking(left float64) (by map[string]float64, all float64) {
 	if len(t.floors) == 0 {
 		return nil, 0
 	}
 	by = map[string]float64{}
-	held := t.HeldBy()
+	held, unused := t.HeldBy(), t.releasedClasses()
 	for class, floor := range t.floors {
+		if unused[class] {
+			continue
+		}
 		if lacks := floor - held[class]; lacks > 0 {
 			by[class] = lacks
 			all += lacks
@@ -955,6 +960,9 @@
 		case atOnce > 0 && j.Spec.Kind == wire.Gang:
 			if !reserved {
 				reserved = true
+				if !t.HoldsQuota() {
+					atOnce = 0 // it made no use of it
+				}
 				taken.reserve(j.Spec, atOnce, t.MaxCPUs-(kept-own), t.MaxGPUs)
 			}
 		case fit < atOnce && blocked == nil:
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -37,12 +37,15 @@
 	After      uint64 `json:"after,omitempty"`  // version of the record that this one replaced
 	Census     bool   `json:"census,omitempty"` // the roster may lack machines
 	Lost       bool   `json:"lost,omitempty"`   // jobs may be lost that nobody remembers
+
+	wished map[string]string // Wished, once it was asked for
 }
 
 // Clone is a deep copy.
 func (r *Record) Clone() *Record {
 	c := new(Record)
 	*c = *r
+	c.wished = nil
 	c.Nodes, c.Items, c.Deaf = maps.Clone(r.Nodes), maps.Clone(r.Items), slices.Clone(r.Deaf)
 	for name, it := range c.Items {
 		it.InSync = slices.Clone(it.InSync)
@@ -227,6 +230,7 @@
 	Ready   bool            // past its barrier
 	Whole   map[string]bool // backups that acknowledged everything
 	Lagging map[string]bool // backups that are late or unreachable
+	Backups []string        // who should hold the replica, by BackupsOf; nil: any member may
 }
 
 // Upkeep is an owner's own change of the record: backups come in sync or go out
@@ -236,9 +240,8 @@
 func Upkeep(r *Record, self string, syncs map[string]Sync, rebalance bool) (next *Record, handed []string) {
 	next = r.Clone()
 	changed := false
-	items := slices.Sorted(maps.Keys(r.Items))
-	wish := Placement(items, r.Members())
-	for _, name := range items {
+	wish := r.Wished()
+	for _, name := range slices.Sorted(maps.Keys(r.Items)) {
 		it := next.Items[name]
 		s, mine := syncs[name]
 		if it.Owner != self || !mine || !s.Ready {
@@ -255,6 +258,7 @@
 		}
 		before := len(it.InSync)
 		it.InSync = slices.DeleteFunc(it.InSync, func(n string) bool { return s.Lagging[n] })
+		it.InSync = withoutSurplus(it.InSync, s.Backups)
 		changed = changed || len(it.InSync) != before
 		slices.Sort(it.InSync)
 		if to := wish[name]; rebalance && to != self && slices.Contains(it.InSync, to) && s.Whole[to] {
--- a/placing.go
+++ b/placing.go
@@ -20,17 +20,18 @@
 	full  []*placement.Ask // what fits no host any more
 	short []waitingTasks   // what found no room
 	gangs []*waitingTasks  // of the class that is placed: those that found no room for all their tasks
+	kept  map[keptRoom]int // tasks that room is kept for
 }
 
 // place starts what can be started, most urgent first. Room that a peer's more urgent tasks
 // will take is left to them.
 func (n *Node) place(now time.Time) {
 	list := n.allWaiting(now)
-	if len(list) == 0 {
-		return
+	p := &placing{n: n, now: now, kept: map[keptRoom]int{}}
+	if len(list) > 0 {
+		arrange(list)
+		p.hosts = n.hosts(now, smallest(list))
 	}
-	arrange(list)
-	p := &placing{n: n, now: now, hosts: n.hosts(now, smallest(list))}
 	for i := range list {
 		w := &list[i]
 		if i > 0 && list[i-1].compareClass(w) != 0 {
@@ -43,9 +44,10 @@
 	}
 	if now.Sub(n.preempted) >= preemptEvery {
 		n.preempted = now
+		n.preemptForGangs(p)
 		n.preempt(p.short, p.hosts, now)
 	}
-	if len(p.short) > 0 || n.told {
+	if len(list) > 0 && (len(p.short) > 0 || n.told) {
 		n.told = len(p.short) > 0
 		n.tellNow()
 	}
--- a/preemption.go
+++ b/preemption.go
@@ -38,6 +38,9 @@
 	job   string
 	tasks int // of the job that the room will take
 	at    time.Time
+	// For a gang: where, and how many of its tasks are to run there once all that was asked to make room there has.
+	machine string
+	slots   int
 }
 
 // preemption is one look for tasks to stop.
