--- /dev/null
+++ b/hosts.go
@@ -0,0 +1,148 @@
+package topazhollow
+
+import (
+	"iter"
+	"maps"
+	"slices"
+	"time"
+
+	"topazhollow/internal/ledger"
+	"topazhollow/internal/placement"
+	"topazhollow/internal/wire"
+)
+
+// Machines as placement sees them: the room that each has as far as known here.
+
+func (n *Node) ask(s *wire.Submission) *placement.Ask {
+	a := &placement.Ask{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.Memory, Zone: -1, Spot: s.Spot, Image: s.Image, ImageGB: s.ImageGB, Run: s.Estimate, Class: s.Class}
+	if s.Kind == wire.Service {
+		a.Run = 1e6
+	}
+	if s.Zone != nil {
+		a.Zone = n.zoneIndex(*s.Zone)
+	}
+	if s.Types != nil {
+		a.Types = []int{}
+		for i := range n.types {
+			if slices.Contains(s.Types, n.types[i].Name) {
+				a.Types = append(a.Types, i)
+			}
+		}
+	}
+	return a
+}
+
+// zoneIndex is a zone's dense index; an unknown one matches no machine.
+func (n *Node) zoneIndex(zone string) int {
+	if i := slices.Index(n.set.Deployment.Zones, zone); i >= 0 {
+		return i
+	}
+	return 1 << 20
+}
+
+// hosts lists the machines that may take tasks, with their free room as far as
+// this controller knows; those only that have room for least, if that is not nil. A stale
+// guess costs a refusal at the machine's home. Only machines where something changed are
+// counted anew. A machine whose home has not heard it since the term was raised takes no
+// orders yet.
+func (n *Node) hosts(now time.Time, least *placement.Ask) []*placement.Host {
+	n.recountMoved()
+	fresh := 2*time.Duration(n.set.Deployment.Workers.Report*float64(time.Second)) + 3*time.Second
+	drain := n.draining()
+	away := map[string]bool{} // homes that no order reaches
+	for name, p := range n.peers {
+		away[name] = !p.up || !p.near(now)
+	}
+	plan := n.admit.known.Acts()
+	scratch := &n.scratch
+	if least == nil {
+		scratch = &n.scratchAll
+	}
+	*scratch = (*scratch)[:0]
+	for _, m := range n.board {
+		v := m.view
+		if m.gone || v.Term != n.record.Term || !n.count(m) || least != nil && !least.Fits(&m.host) {
+			continue
+		}
+		if v.Notice || n.undescribed(v) || now.Sub(m.heard) > fresh || away[n.homeFor(m, v.Machine)] || n.blame.Bad(v.Machine, now) || n.slow(m, now) {
+			continue
+		}
+		if !drain[v.Machine] && n.roster.Has(v.Machine) {
+			*scratch = append(*scratch, m.host)
+			(*scratch)[len(*scratch)-1].Held = plan.For(v.Machine)
+		}
+	}
+	hosts := make([]*placement.Host, len(*scratch))
+	for i := range *scratch {
+		hosts[i] = &(*scratch)[i]
+	}
+	return hosts
+}
+
+// recountMoved marks the machines where own teams' attempts came or went.
+func (n *Node) recountMoved() {
+	for _, it := range n.items {
+		n.recount(maps.Keys(it.team.TakeMoved()))
+	}
+}
+
+func (n *Node) recount(names iter.Seq[string]) {
+	for name := range names {
+		if m := n.machines[name]; m != nil {
+			m.counted = false
+		}
+	}
+}
+
+// count brings a machine's entry for placement up to date; false if its type is
+// unknown.
+func (n *Node) count(m *machine) bool {
+	if m.counted {
+		return true
+	}
+	v := m.view
+	t := slices.IndexFunc(n.types, func(t wire.MachineType) bool { return t.Name == v.Type })
+	if t < 0 {
+		return false
+	}
+	h := placement.Host{Name: v.Machine, Type: t, Zone: n.zoneIndex(v.Zone), Spot: v.Spot, Session: v.Session, Fetch: n.types[t].FetchRate, Images: m.images}
+	if h.Price = n.types[t].Price; v.Spot {
+		h.Price = n.types[t].SpotPrice
+	}
+	h.CPUs, h.GPUs, h.Memory = n.free(m)
+	pulls := map[string]bool{}
+	for _, t := range v.Tasks {
+		if j := n.jobs[t.Job]; j != nil && t.State == wire.Pulling {
+			pulls[j.spec.Image] = true
+		}
+	}
+	h.Pulls = len(pulls)
+	m.host, m.counted = h, true
+	return true
+}
+
+// slow says whether a machine was found slow of late.
+func (n *Node) slow(m *machine, now time.Time) bool {
+	return !m.slow.IsZero() && now.Sub(m.slow) < time.Minute
+}
+
+// free is a machine's room beside what it lists and what own teams hold there.
+func (n *Node) free(m *machine) (cpus, gpus, memory float64) {
+	cpus, gpus, memory, _ = n.capacity(m.view.Type)
+	listed := map[ledger.Ref]bool{}
+	for _, t := range m.view.Tasks {
+		listed[t.Ref()] = true
+		if t.State != wire.Exited {
+			c, g, r := n.size(t.Job)
+			cpus, gpus, memory = cpus-c, gpus-g, memory-r
+		}
+	}
+	for _, it := range n.items {
+		it.team.On(m.view.Machine, func(h ledger.Hold) {
+			if !listed[h.Ref()] {
+				cpus, gpus, memory = cpus-h.CPUs, gpus-h.GPUs, memory-h.Memory
+			}
+		})
+	}
+	return cpus, gpus, memory
+}
--- /dev/null
+++ b/internal/ledger/demand.go
@@ -0,0 +1,197 @@
+package ledger
+
+import (
+	"math"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// What an account would place if there were room, within its quota.
+
+// Fits says whether the quota has room for so many more tasks of a job.
+func (t *Team) Fits(j *Job, tasks int) bool {
+	n := float64(tasks)
+	cpus, gpus := t.charged()
+	return cpus+n*j.Spec.CPUs <= t.MaxCPUs+slack && gpus+n*j.Spec.GPUs <= t.MaxGPUs+slack
+}
+
+// HeldBy sums up the CPUs that attempts of active jobs hold, by class.
+func (t *Team) HeldBy() map[string]float64 {
+	sum := map[string]float64{}
+	for _, j := range t.order {
+		if len(j.holds) > 0 {
+			sum[j.Spec.Class] += float64(len(j.holds)) * j.Spec.CPUs
+		}
+	}
+	return sum
+}
+
+// Demand is the room that pending tasks of a job ask for now, within the quota.
+type Demand struct {
+	Spec     *wire.Submission
+	Count    int
+	Borrowed bool          // beyond the team's guarantee
+	Probe    bool          // to see whether a faulty job still fails
+	Beyond   float64       // CPUs that the job's class asks for beyond the quota; then Count is 0
+	Behind   time.Duration // that the whole quota takes for what waits beyond it
+}
+
+// most is how many tasks that take so much each find room.
+func most(room, each float64) int {
+	if each <= 0 || math.IsInf(room, 1) {
+		if room < -slack {
+			return 0
+		}
+		return math.MaxInt
+	}
+	return max(0, int(math.Floor((room+slack)/each)))
+}
+
+// Keep has the quota leave room to classes that have less than their floors, in CPUs.
+func (t *Team) Keep(floors map[string]float64) { t.floors = floors }
+
+// lacking is how many CPUs classes have less than their floors. If less than all of that is left of the quota, each
+// class lacks the same part of it, so that none waits for quota that another one lacks. Classes whose gangs made no use of what was
+// held back for them lack nothing for a while.
+func (t *Team) lacking(left float64) (by map[string]float64, all float64) {
+	if len(t.floors) == 0 {
+		return nil, 0
+	}
+	by = map[string]float64{}
+	held, unused := t.HeldBy(), t.releasedClasses()
+	for class, floor := range t.floors {
+		if unused[class] {
+			continue
+		}
+		if lacks := floor - held[class]; lacks > 0 {
+			by[class] = lacks
+			all += lacks
+		}
+	}
+	if all > 0 && all > left {
+		part := max(left, 0) / all
+		for class := range by {
+			by[class] *= part
+		}
+		all *= part
+	}
+	return by, all
+}
+
+// startsAtOnce is how many of a job's unstarted tasks need quota at the same time for it to begin; 0 once it has begun.
+func (j *Job) startsAtOnce(left int) int {
+	switch {
+	case len(j.holds) > 0:
+		return 0
+	case j.Spec.Kind == wire.Gang:
+		return left
+	default:
+		return min(left, 1)
+	}
+}
+
+// quota is a part of a team's quota, in CPUs and GPUs.
+type quota struct{ cpus, gpus float64 }
+
+// add takes what so many tasks of a job need.
+func (q *quota) add(s *wire.Submission, tasks int) {
+	q.cpus += float64(tasks) * s.CPUs
+	q.gpus += float64(tasks) * s.GPUs
+}
+
+// reserve takes what so many tasks of a job need, or as much of it as the limits leave. Else less urgent jobs with smaller
+// tasks would take each piece that comes free, and the job would never have enough at once.
+func (q *quota) reserve(s *wire.Submission, tasks int, mostCPUs, mostGPUs float64) {
+	q.cpus = min(q.cpus+float64(tasks)*s.CPUs, max(q.cpus, mostCPUs))
+	q.gpus = min(q.gpus+float64(tasks)*s.GPUs, max(q.gpus, mostGPUs))
+}
+
+// quotaFor is how many CPUs are left of the quota for a job whose class lacks so much of its floor, while kept is what
+// all classes lack. A class under its floor has room for one task at least, if there is any.
+func (t *Team) quotaFor(j *Job, used, lacks, kept float64) float64 {
+	left := t.MaxCPUs - used
+	if lacks <= 0 {
+		return left - kept
+	}
+	return max(left-(kept-lacks), min(left, max(lacks, j.Spec.CPUs)))
+}
+
+// Demands lists what the team would place if there were room, most urgent first, and for each
+// class what is beyond the quota. Of the gangs that wait to begin only the most urgent one reserves quota: they may
+// wait for machines for minutes, and all of them together would keep it from everybody. An array that can't begin
+// reserves it from lower priorities alone, since jobs of its own priority that fit would otherwise wait beside free quota.
+func (t *Team) Demands(now time.Time) []Demand {
+	cpus, gpus := t.charged()
+	var out, probes []Demand
+	beyond := 0.0 // CPU seconds that the quota has no room for now
+	over := map[string]int{}
+	lacks, kept := t.lacking(t.MaxCPUs - cpus)
+	taken := quota{cpus, gpus} // what more urgent jobs leave nothing of
+	reserved := false          // part of it is reserved for a job that can't begin
+	var blocked *Job           // an array that can't begin: less urgent priorities wait for it
+	for _, j := range t.order {
+		if j.Over || j.Finishing || now.Before(j.notUntil) {
+			continue
+		}
+		if blocked != nil && !reserved && wire.Rank(j.Spec.Priority) < wire.Rank(blocked.Spec.Priority) {
+			reserved = true
+			taken.reserve(blocked.Spec, 1, t.MaxCPUs-(kept-lacks[blocked.Spec.Class]), t.MaxGPUs)
+		}
+		d := Demand{Spec: j.Spec}
+		if j.faulty {
+			if len(j.holds) == 0 && t.Unstarted(j) > 0 {
+				d.Probe, d.Borrowed, d.Count = true, true, 1
+				probes = append(probes, d)
+			}
+			continue
+		}
+		left := t.Unstarted(j)
+		own := lacks[j.Spec.Class]
+		fit := min(left, most(t.quotaFor(j, taken.cpus, own, kept), j.Spec.CPUs), most(t.MaxGPUs-taken.gpus, j.Spec.GPUs))
+		within := min(fit, most(t.CPUs-cpus, j.Spec.CPUs), most(t.GPUs-gpus, j.Spec.GPUs))
+		cpus += float64(fit) * j.Spec.CPUs
+		gpus += float64(fit) * j.Spec.GPUs
+		switch atOnce := j.startsAtOnce(left); {
+		case atOnce > 0 && j.Spec.Kind == wire.Gang:
+			if !reserved {
+				reserved = true
+				if !t.HoldsQuota() {
+					atOnce = 0 // it made no use of it
+				}
+				taken.reserve(j.Spec, atOnce, t.MaxCPUs-(kept-own), t.MaxGPUs)
+			}
+		case fit < atOnce && blocked == nil:
+			blocked = j
+		default:
+			taken.add(j.Spec, fit)
+		}
+		if own > 0 {
+			used := min(own, float64(fit)*j.Spec.CPUs)
+			lacks[j.Spec.Class] -= used
+			kept -= used
+		}
+		beyond += float64(left-fit) * j.Spec.CPUs * j.Spec.Estimate
+		if left > fit {
+			i, ok := over[j.Spec.Class]
+			if !ok {
+				i = len(probes)
+				over[j.Spec.Class] = i
+				probes = append(probes, Demand{Spec: j.Spec})
+			}
+			probes[i].Beyond += float64(left-fit) * j.Spec.CPUs
+		}
+		if within > 0 {
+			d.Count = within
+			out = append(out, d)
+		}
+		d.Borrowed, d.Count = true, fit-within
+		if d.Count > 0 {
+			out = append(out, d)
+		}
+	}
+	for i := range out {
+		out[i].Behind = time.Duration(beyond / t.MaxCPUs * float64(time.Second))
+	}
+	return append(out, probes...)
+}
--- /dev/null
+++ b/internal/ledger/observe.go
@@ -0,0 +1,200 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// What an account learns from machines: views, ends, and which attempts are proven off.
+
+// off releases an attempt that is proven to be on no machine.
+func (t *Team) off(a *attempt, why string) {
+	if t.held[a.Key] != a {
+		return
+	}
+	j := t.jobs[a.Job]
+	if j != nil {
+		j.lost(a, why)
+	}
+	t.setState(a, "")
+	delete(t.held, a.Key)
+	delete(t.on[a.Machine], a.Key)
+	if len(t.on[a.Machine]) == 0 {
+		delete(t.on, a.Machine)
+	}
+	delete(t.todo, a)
+	t.moved[a.Machine] = true
+	t.usedCPU -= a.CPUs
+	t.usedGPU -= a.GPUs
+	if len(t.held) == 0 {
+		t.usedCPU, t.usedGPU = 0, 0
+	}
+	delete(t.rep.Holds, a.Key)
+	t.emit(Delta{Off: []Key{a.Key}})
+	if j != nil {
+		delete(j.holds, a.Index)
+		j.next = min(j.next, a.Index)
+	}
+	t.log("attempt off", "task", a.Job, "index", a.Index, "attempt", a.Attempt, "machine", a.Machine, "why", why)
+}
+
+func (t *Team) setState(a *attempt, state string) {
+	j := t.jobs[a.Job]
+	if j != nil && a.state == wire.Running {
+		j.running--
+	}
+	a.state = state
+	if j != nil && a.state == wire.Running {
+		j.running++
+	}
+}
+
+// Observe takes in a machine's view and gives the orders that follow from it. Whatever the view lists and this
+// account may have to answer for counts against the team's limit from then on, until it is proven off.
+func (t *Team) Observe(v *View, now time.Time, known Knowledge) []Order {
+	var orders []Order
+	seen := map[Key]bool{}
+	var left orphanCount
+	for i := range v.Tasks {
+		x := &v.Tasks[i]
+		if t.listed(v, x, now) {
+			seen[x.Key] = true
+			if x.State != wire.Exited {
+				continue
+			}
+		}
+		if x.State == Ordered {
+			continue
+		}
+		job := known.Job(x.Job)
+		if job.Known && !job.Mine {
+			continue
+		}
+		if !job.Known {
+			t.countUnknown(&left, x)
+			continue
+		}
+		order := Order{Key: x.Key, Attempt: x.Attempt, Session: v.Session}
+		switch {
+		case x.State == wire.Exited:
+			if x.Why == wire.WhyDone && job.Active && x.Index < job.Spec.Tasks {
+				t.done(x.Key)
+				if j := t.jobs[x.Job]; j == nil || !j.saved.Test(uint(x.Index)) {
+					continue // forgotten only once the state service knows
+				}
+			}
+			order.Op = wire.Forget
+			orders = append(orders, order)
+		case job.Active && t.held[x.Key] == nil && !t.isDone(x.Key) && x.Index < job.Spec.Tasks:
+			t.adopt(v, x, job.Spec, now)
+			seen[x.Key] = true
+		default:
+			if t.holdOrphan(&left, v, x, job.Spec, now) {
+				seen[x.Key] = true
+			}
+			order.Op = wire.Stop
+			orders = append(orders, order)
+		}
+	}
+	t.orphans.observe(v, left, known)
+	t.releaseProven(v, seen)
+	return orders
+}
+
+// listed takes in what a view says of an attempt that this account holds there; false if it holds none.
+func (t *Team) listed(v *View, x *TaskView, now time.Time) bool {
+	a := t.held[x.Key]
+	if a == nil || a.Machine != v.Machine || a.Attempt != x.Attempt || a.Session != v.Session {
+		return false
+	}
+	switch x.State {
+	case Ordered:
+	case wire.Exited:
+		t.exited(a, x, now)
+	default:
+		if a.listed.IsZero() {
+			a.listed = now
+		}
+		t.setState(a, x.State)
+	}
+	return true
+}
+
+// releaseProven ends the holds on a machine that its view proves to be off.
+func (t *Team) releaseProven(v *View, seen map[Key]bool) {
+	for _, a := range t.sortedOn(v.Machine) {
+		switch {
+		case v.Session < a.Session || seen[a.Key]:
+		case v.Session > a.Session:
+			t.off(a, "newer session")
+		case slices.Contains(v.Barred, a.Ref()):
+			t.off(a, "never sent")
+		case v.Token > TermOf(a.Attempt):
+			// The worker knows a later term and does not list the attempt: its start
+			// can no longer arrive.
+			t.off(a, "later term")
+		}
+	}
+}
+
+func (t *Team) sortedOn(machine string) []*attempt {
+	list := make([]*attempt, 0, len(t.on[machine]))
+	for _, a := range t.on[machine] {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b *attempt) int {
+		return a.compare(b.Key)
+	})
+	return list
+}
+
+// adopt takes up an attempt found on a machine that the account did not hold,
+// as after a full barrier.
+func (t *Team) adopt(v *View, x *TaskView, spec *wire.Submission, now time.Time) *attempt {
+	a := &attempt{Hold: Hold{Key: x.Key, Attempt: x.Attempt, Machine: v.Machine, Zone: v.Zone, Session: v.Session,
+		CPUs: spec.CPUs, GPUs: spec.GPUs, Memory: spec.Memory}, listed: now}
+	t.hold(a)
+	t.rep.Holds[a.Key] = a.Hold
+	a.seq = t.emit(Delta{Place: []Hold{a.Hold}})
+	t.setState(a, x.State)
+	t.log("attempt adopted", "task", a.Job, "index", a.Index, "attempt", a.Attempt, "machine", a.Machine)
+	return a
+}
+
+// exited books the end of an attempt.
+func (t *Team) exited(a *attempt, x *TaskView, now time.Time) {
+	if x.Why == wire.WhyDone {
+		t.done(a.Key)
+	}
+	j := t.jobs[a.Job]
+	t.off(a, x.Why)
+	if j == nil {
+		return
+	}
+	switch x.Why {
+	case wire.WhyError:
+		if !j.faulty {
+			j.avoid[a.Machine] = now.Add(10 * time.Minute)
+		} else if !now.Before(j.notUntil) {
+			j.probes++
+			j.notUntil = now.Add(min(time.Minute, time.Second<<min(j.probes, 6)))
+		}
+		t.log("task failed", "task", a.Job, "index", a.Index, "machine", a.Machine)
+	case wire.WhyFull:
+		j.avoid[a.Machine] = now.Add(1500 * time.Millisecond)
+	case wire.WhyIncomplete:
+		j.notUntil = now.Add(2 * time.Second)
+	case wire.WhyInUse, wire.WhyNoSuch:
+		j.retry[a.Index] = now.Add(3 * time.Second)
+	}
+}
+
+// Gone books that the cloud confirmed the end of a machine.
+func (t *Team) Gone(machine string) {
+	for _, a := range t.sortedOn(machine) {
+		t.off(a, "machine returned")
+	}
+	t.orphans.gone(machine)
+}
--- /dev/null
+++ b/internal/ledger/orders.go
@@ -0,0 +1,89 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// Which starts and stops an account has given, and which are to be given now.
+
+// resend is how long an order may take before it is given again.
+const resend = 1500 * time.Millisecond
+
+// Due gives the starts and stops to send now. acked is the sequence number that
+// every backup in sync acknowledged; ready says whether a machine's home and
+// registration allow a start under the term. Only attempts made in this term
+// are started: older ones wait until they are listed or proven off.
+func (t *Team) Due(acked uint64, now time.Time, ready func(machine string, session uint64) bool) map[string][]Order {
+	due := map[string][]Order{}
+	t.breakGangs()
+	for a := range t.todo {
+		if now.Sub(a.ordered) < resend {
+			continue
+		}
+		order := Order{Key: a.Key, Attempt: a.Attempt, Session: a.Session, CPUs: a.CPUs, GPUs: a.GPUs, Memory: a.Memory}
+		j := t.jobs[a.Job]
+		switch {
+		case j == nil || a.stop:
+			order.Op, order.Grace = wire.Stop, a.grace
+			if a.asked.IsZero() {
+				a.asked = now
+			}
+		case a.state != "":
+			delete(t.todo, a)
+			continue
+		case a.seq <= acked && TermOf(a.Attempt) == t.term && ready(a.Machine, a.Session):
+			order.Op = wire.Start
+			a.starts++
+		default:
+			continue
+		}
+		a.ordered = now
+		due[a.Machine] = append(due[a.Machine], order)
+	}
+	for _, orders := range due {
+		slices.SortFunc(orders, func(a, b Order) int { return cmp.Compare(a.Attempt, b.Attempt) })
+	}
+	return due
+}
+
+// Unsent takes back orders that surely went nowhere, as when there is no connection
+// to the machine's home. An attempt whose start never left is on no machine, and
+// its task is free to be placed elsewhere.
+func (t *Team) Unsent(orders []Order) {
+	for _, o := range orders {
+		a := t.held[o.Key]
+		if a == nil || a.Attempt != o.Attempt || o.Op != wire.Start {
+			continue
+		}
+		if a.starts--; a.starts == 0 && a.state == "" {
+			t.off(a, "never sent")
+		}
+	}
+}
+
+// Held counts the attempts that may be on machines, and those of them that no
+// report has listed yet.
+func (t *Team) Held() (held, unlisted int) {
+	for _, a := range t.held {
+		if a.state == "" {
+			unlisted++
+		}
+	}
+	return len(t.held), unlisted
+}
+
+// Unproven counts attempts of this term whose stop was ordered long ago and
+// that are still in no list: only a later term can prove them off.
+func (t *Team) Unproven(now time.Time, after time.Duration) int {
+	n := 0
+	for a := range t.todo {
+		if a.state == "" && !a.asked.IsZero() && now.Sub(a.asked) > after && TermOf(a.Attempt) == t.term {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/ledger/view.go
@@ -0,0 +1,78 @@
+package ledger
+
+// What machines' homes tell owners, and the orders that go back.
+
+// termShift parts an attempt number into the term that made it and a counter.
+// Terms stay below 2^29, so that attempts stay below 2^53.
+const termShift = 24
+
+// AttemptID is an attempt number that no other owner or term can make.
+func AttemptID(term, counter uint64) uint64 { return term<<termShift | counter&(1<<termShift-1) }
+
+// TermOf is the term under which an attempt's start was sent.
+func TermOf(attempt uint64) uint64 { return attempt >> termShift }
+
+// Ordered is the state of a start that a machine's home has taken and that the
+// worker has not listed yet.
+const Ordered = "ordered"
+
+// TaskView is a task as a machine's home sees it.
+type TaskView struct {
+	Key
+	Attempt uint64 `json:"a"`
+	State   string `json:"e"`
+	Why     string `json:"w,omitempty"`
+	Saved   bool   `json:"k,omitempty"`
+}
+
+// View is what a machine's home knows of it; later (Session, Seq, Rev) is newer.
+type View struct {
+	Machine string     `json:"m"`
+	Addr    string     `json:"addr"`
+	Type    string     `json:"type"`
+	Zone    string     `json:"zone"`
+	Spot    bool       `json:"spot,omitempty"`
+	Session uint64     `json:"s"`
+	Seq     uint64     `json:"q"`
+	Rev     uint64     `json:"v"` // the home's own count of changes
+	Token   uint64     `json:"t"` // highest term the worker has seen
+	Term    uint64     `json:"h"` // the home's term
+	Notice  bool       `json:"n,omitempty"`
+	Tasks   []TaskView `json:"x,omitempty"`
+	Barred  []Ref      `json:"b,omitempty"` // attempts that the home will never send
+}
+
+// Newer says whether v replaces old.
+func (v *View) Newer(old *View) bool {
+	if v.Session != old.Session {
+		return v.Session > old.Session
+	}
+	if v.Term != old.Term {
+		return v.Term > old.Term
+	}
+	if v.Seq != old.Seq {
+		return v.Seq > old.Seq
+	}
+	return v.Rev > old.Rev
+}
+
+// Order is a command for a machine, given by an owner and carried by its home.
+type Order struct {
+	Op string `json:"o"`
+	Key
+	Attempt uint64  `json:"a"`
+	Session uint64  `json:"s"`
+	CPUs    float64 `json:"c,omitempty"`
+	GPUs    float64 `json:"g,omitempty"`
+	Memory  float64 `json:"r,omitempty"`
+	Grace   float64 `json:"z,omitempty"`
+}
+
+// Ref is the attempt that the hold is for.
+func (h Hold) Ref() Ref { return Ref{h.Key, h.Attempt} }
+
+// Ref is the attempt that the task is listed with.
+func (x TaskView) Ref() Ref { return Ref{x.Key, x.Attempt} }
+
+// Ref is the attempt that the order is for.
+func (o *Order) Ref() Ref { return Ref{o.Key, o.Attempt} }
--- a/owner.go
+++ b/owner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -13,8 +12,6 @@
 
 	"topazhollow/internal/frontend"
 	"topazhollow/internal/ledger"
-	"topazhollow/internal/peer"
-	"topazhollow/internal/placement"
 	"topazhollow/internal/state"
 	"topazhollow/internal/tenure"
 	"topazhollow/internal/wire"
@@ -47,23 +44,6 @@
 	started  bool // a start was given to a home
 }
 
-// ack is what a backup acknowledged.
-type ack struct {
-	inc    uint64
-	copied bool   // a copy was sent on the present connection
-	seq    uint64 // acknowledged
-	known  bool   // acknowledged anything at all
-	since  time.Time
-	sent   uint64
-	retry  time.Time
-}
-
-// backup is a team's progress kept for its owner.
-type backup struct {
-	since uint64
-	rep   *ledger.Replica
-}
-
 func teamItem(team string) string { return "team/" + team }
 
 func teamOf(name string) (string, bool) { return strings.CutPrefix(name, "team/") }
@@ -309,65 +289,6 @@
 	n.noteView(name)
 }
 
-// acked is the sequence number that every backup in sync acknowledged.
-func (n *Node) acked(it *item) uint64 {
-	low := it.team.Replica().Seq
-	for _, b := range n.required(it) {
-		a := it.acks[b]
-		if a == nil || !a.known || a.inc != n.record.Nodes[b] {
-			return 0
-		}
-		low = min(low, a.seq)
-	}
-	return low
-}
-
-// required lists the backups whose acknowledgement a start needs.
-func (n *Node) required(it *item) []string {
-	need := slices.Clone(n.record.Items[it.name].InSync)
-	for _, b := range it.adding {
-		if !slices.Contains(need, b) {
-			need = append(need, b)
-		}
-	}
-	return slices.DeleteFunc(need, func(b string) bool { return b == n.name })
-}
-
-// backupsOf names who should hold an item's replica beside this controller.
-func (n *Node) backupsOf(it *item) []string {
-	return n.record.BackupsOf(it.name, n.name, func(node string) bool {
-		p := n.peers[node]
-		return p != nil && p.up
-	})
-}
-
-// lateAfter is how long a backup may take to acknowledge before it goes out of
-// sync.
-const lateAfter = 1500 * time.Millisecond
-
-// syncs sums up the backups of each owned item.
-func (n *Node) syncs(now time.Time) map[string]tenure.Sync {
-	out := map[string]tenure.Sync{}
-	for name, it := range n.items {
-		s := tenure.Sync{Ready: it.phase == ready && !it.frozen, Whole: map[string]bool{}, Lagging: map[string]bool{}}
-		s.Backups = n.backupsOf(it)
-		seq := it.team.Replica().Seq
-		for p, ps := range n.peers {
-			a := it.acks[p]
-			switch {
-			case !slices.Contains(s.Backups, p) && !slices.Contains(n.record.Items[name].InSync, p):
-			case ps.up && a != nil && a.known && a.seq >= seq && a.inc == n.record.Nodes[p]:
-				s.Whole[p] = true
-			case now.Sub(it.taken) < lateAfter:
-			case !ps.up || a == nil || (!a.since.IsZero() && now.Sub(a.since) > lateAfter):
-				s.Lagging[p] = true
-			}
-		}
-		out[name] = s
-	}
-	return out
-}
-
 // needTerm says whether only a raised term can move something on.
 func (n *Node) needTerm(now time.Time) bool {
 	for _, it := range n.items {
@@ -378,43 +299,6 @@
 	return false
 }
 
-// replicate sends changes of an item to its backups.
-func (n *Node) replicate(it *item, now time.Time) {
-	deltas := it.team.TakeDeltas()
-	seq := it.team.Replica().Seq
-	var line []byte
-	backups := append(n.backupsOf(it), n.required(it)...)
-	for p, ps := range n.peers {
-		if !slices.Contains(backups, p) {
-			delete(it.acks, p) // it gets a whole copy when it is a backup again
-			continue
-		}
-		if _, member := n.record.Nodes[p]; !member || !ps.up {
-			continue
-		}
-		a := it.acks[p]
-		if a == nil {
-			a = &ack{}
-			it.acks[p] = a
-		}
-		switch {
-		case !a.copied:
-			a.copied = n.links.Send(p, "copy", copyMsg{Item: it.name, Since: it.since, Copy: it.team.Replica().Copy()})
-		case len(deltas) == 0:
-			continue
-		default: // whole already, so the deltas are the next ones; older ones are ignored
-			if line == nil {
-				line = peer.Line("deltas", deltasMsg{Item: it.name, Since: it.since, Deltas: deltas})
-			}
-			n.links.SendLine(p, line)
-		}
-		a.sent = seq
-		if a.since.IsZero() {
-			a.since = now
-		}
-	}
-}
-
 // minPause and maxShare bound how often and for how much of the time a step is
 // taken: what happens meanwhile is looked at together.
 const (
@@ -514,114 +398,6 @@
 // lookEvery is how often running tasks are looked over for those to be moved.
 const lookEvery = 500 * time.Millisecond
 
-func (n *Node) ask(s *wire.Submission) *placement.Ask {
-	a := &placement.Ask{CPUs: s.CPUs, GPUs: s.GPUs, Memory: s.Memory, Zone: -1, Spot: s.Spot, Image: s.Image, ImageGB: s.ImageGB, Run: s.Estimate, Class: s.Class}
-	if s.Kind == wire.Service {
-		a.Run = 1e6
-	}
-	if s.Zone != nil {
-		a.Zone = n.zoneIndex(*s.Zone)
-	}
-	if s.Types != nil {
-		a.Types = []int{}
-		for i := range n.types {
-			if slices.Contains(s.Types, n.types[i].Name) {
-				a.Types = append(a.Types, i)
-			}
-		}
-	}
-	return a
-}
-
-// zoneIndex is a zone's dense index; an unknown one matches no machine.
-func (n *Node) zoneIndex(zone string) int {
-	if i := slices.Index(n.set.Deployment.Zones, zone); i >= 0 {
-		return i
-	}
-	return 1 << 20
-}
-
-// hosts lists the machines that may take tasks, with their free room as far as
-// this controller knows; those only that have room for least, if that is not nil. A stale
-// guess costs a refusal at the machine's home. Only machines where something changed are
-// counted anew. A machine whose home has not heard it since the term was raised takes no
-// orders yet.
-func (n *Node) hosts(now time.Time, least *placement.Ask) []*placement.Host {
-	n.recountMoved()
-	fresh := 2*time.Duration(n.set.Deployment.Workers.Report*float64(time.Second)) + 3*time.Second
-	drain := n.draining()
-	away := map[string]bool{} // homes that no order reaches
-	for name, p := range n.peers {
-		away[name] = !p.up || !p.near(now)
-	}
-	plan := n.admit.known.Acts()
-	scratch := &n.scratch
-	if least == nil {
-		scratch = &n.scratchAll
-	}
-	*scratch = (*scratch)[:0]
-	for _, m := range n.board {
-		v := m.view
-		if m.gone || v.Term != n.record.Term || !n.count(m) || least != nil && !least.Fits(&m.host) {
-			continue
-		}
-		if v.Notice || n.undescribed(v) || now.Sub(m.heard) > fresh || away[n.homeFor(m, v.Machine)] || n.blame.Bad(v.Machine, now) || n.slow(m, now) {
-			continue
-		}
-		if !drain[v.Machine] && n.roster.Has(v.Machine) {
-			*scratch = append(*scratch, m.host)
-			(*scratch)[len(*scratch)-1].Held = plan.For(v.Machine)
-		}
-	}
-	hosts := make([]*placement.Host, len(*scratch))
-	for i := range *scratch {
-		hosts[i] = &(*scratch)[i]
-	}
-	return hosts
-}
-
-// recountMoved marks the machines where own teams' attempts came or went.
-func (n *Node) recountMoved() {
-	for _, it := range n.items {
-		n.recount(maps.Keys(it.team.TakeMoved()))
-	}
-}
-
-func (n *Node) recount(names iter.Seq[string]) {
-	for name := range names {
-		if m := n.machines[name]; m != nil {
-			m.counted = false
-		}
-	}
-}
-
-// count brings a machine's entry for placement up to date; false if its type is
-// unknown.
-func (n *Node) count(m *machine) bool {
-	if m.counted {
-		return true
-	}
-	v := m.view
-	t := slices.IndexFunc(n.types, func(t wire.MachineType) bool { return t.Name == v.Type })
-	if t < 0 {
-		return false
-	}
-	h := placement.Host{Name: v.Machine, Type: t, Zone: n.zoneIndex(v.Zone), Spot: v.Spot, Session: v.Session, Fetch: n.types[t].FetchRate, Images: m.images}
-	if h.Price = n.types[t].Price; v.Spot {
-		h.Price = n.types[t].SpotPrice
-	}
-	h.CPUs, h.GPUs, h.Memory = n.free(m)
-	pulls := map[string]bool{}
-	for _, t := range v.Tasks {
-		if j := n.jobs[t.Job]; j != nil && t.State == wire.Pulling {
-			pulls[j.spec.Image] = true
-		}
-	}
-	h.Pulls = len(pulls)
-	m.host, m.counted = h, true
-	return true
-}
-
 // moveSlow stops tasks that take far longer than their kin took, to start them
 // anew elsewhere once they are proven off: as when a machine is faulty.
 func (n *Node) moveSlow(it *item, now time.Time) {
@@ -667,32 +443,6 @@
 	}
 }
 
-// slow says whether a machine was found slow of late.
-func (n *Node) slow(m *machine, now time.Time) bool {
-	return !m.slow.IsZero() && now.Sub(m.slow) < time.Minute
-}
-
-// free is a machine's room beside what it lists and what own teams hold there.
-func (n *Node) free(m *machine) (cpus, gpus, memory float64) {
-	cpus, gpus, memory, _ = n.capacity(m.view.Type)
-	listed := map[ledger.Ref]bool{}
-	for _, t := range m.view.Tasks {
-		listed[t.Ref()] = true
-		if t.State != wire.Exited {
-			c, g, r := n.size(t.Job)
-			cpus, gpus, memory = cpus-c, gpus-g, memory-r
-		}
-	}
-	for _, it := range n.items {
-		it.team.On(m.view.Machine, func(h ledger.Hold) {
-			if !listed[h.Ref()] {
-				cpus, gpus, memory = cpus-h.CPUs, gpus-h.GPUs, memory-h.Memory
-			}
-		})
-	}
-	return cpus, gpus, memory
-}
-
 // finish commits the end of jobs whose tasks are all done.
 func (n *Node) finish(it *item) {
 	it.team.Jobs(func(j *ledger.Job) {
