Teams at their limit: quota goes to what can be in time, and each class has a floor

Change: internal/ledger/quotaorder.go orders what waits beyond the limit (begun, can be in time, late, without goals; gangs keep their order); floors within a team's limit, which hold no machines. Tests of both.

--- a/goals.go
+++ b/goals.go
@@ -4,17 +4,18 @@
 	"slices"
 	"time"
 
+	"topazhollow/internal/ledger"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/wire"
 )
 
 // goals lists when a job should be complete, by its deadline and the objectives
 // for its class, in order of time; none if nobody said.
-func (n *Node) goals(j *job) []time.Time {
+func (n *Node) goals(j *job) ledger.Goals {
 	if j.goals != nil {
 		return j.goals
 	}
-	j.goals = []time.Time{}
+	j.goals = ledger.Goals{}
 	add := func(seconds float64) { j.goals = append(j.goals, j.at.Add(settings.Seconds(seconds))) }
 	if j.spec.Deadline != nil {
 		add(*j.spec.Deadline)
@@ -38,19 +39,13 @@
 // far is the goal of a job of which nobody said when it should be complete.
 const far = 24 * time.Hour
 
-// goal is the next of a job's goals that it can still reach if all that is left
-// of it started now; late if there is none. Estimates are often wrong by half.
+// goal is the next of a job's goals that it can still reach; late if there is none.
 func (n *Node) goal(j *job, now time.Time) (goal time.Time, late bool) {
 	goals := n.goals(j)
 	if len(goals) == 0 {
 		return j.at.Add(far), false
 	}
-	for _, g := range goals {
-		if !now.Add(run(j.spec) / 2).After(g) {
-			return g, false
-		}
-	}
-	return goals[len(goals)-1], true
+	return goals.Next(now, run(j.spec))
 }
 
 // startBy is when tasks of a job's class should have started; false if nobody said,
--- a/internal/admission/divide.go
+++ b/internal/admission/divide.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -137,56 +138,81 @@
 // floor's part can be served: it goes on, without taking much from those who can be.
 const crumb = 0.1
 
-// Group is a class of all teams, or a team with all its classes: what is to be served.
+// Group is what is to be served: a class of all teams, a team with all its classes, or a class of one team at its limit.
 type Group struct {
-	Key           // of a class without a team, or of a team without a class
+	Key           // of a class without a team, of a team without a class, or both
 	Held  float64 // CPUs
 	Floor float64 // that it is not to be kept under
 	Waits bool
 }
 
+// withinLimit says whether the group is a class of one team, which has a floor within that team's limit.
+func (g *Group) withinLimit() bool { return g.Team != "" && g.Class != "" }
+
 // Floors gives what each class and each team is not to be kept under: enough to serve the
 // floor's part of what comes, for as many as that is possible for, those first that need
-// least for it. One for which it is not possible, as one that floods, is left a crumb.
+// least for it. One for which it is not possible, as one that floods, is left a crumb. Of a team that asks for more than
+// its limit, each class has such a floor within the limit.
 func Floors(cpus float64, needs []Need, teams map[string]Guarantee, w *Weights) []Group {
 	due := Divide(cpus, needs, teams, w)
-	var groups []Group
-	for _, of := range []func(Key) Key{
-		func(k Key) Key { return Key{Class: k.Class} },
-		func(k Key) Key { return Key{Team: k.Team} },
-	} {
-		sums := map[Key]*Need{}
-		share := map[Key]float64{}
-		var keys []Key
-		for _, n := range needs {
-			g := of(n.Key)
-			if sums[g] == nil {
-				sums[g] = &Need{Key: g}
-				keys = append(keys, g)
-			}
-			x := sums[g]
-			x.Held, x.Waiting, x.Rate = x.Held+n.Held, x.Waiting+n.Waiting, x.Rate+min(n.Rate, n.all())
-			share[g] += due[n.Key]
+	groups := groupFloors(cpus, needs, due, teams, w, func(k Key) Key { return Key{Class: k.Class} })
+	groups = append(groups, groupFloors(cpus, needs, due, teams, w, func(k Key) Key { return Key{Team: k.Team} })...)
+	for _, of := range teamsAtLimit(needs, teams) {
+		groups = append(groups, groupFloors(teams[of[0].Team].Most, of, due, teams, w, func(k Key) Key { return k })...)
+	}
+	return groups
+}
+
+// teamsAtLimit gives the needs of each team that asks for more than its limit.
+func teamsAtLimit(needs []Need, teams map[string]Guarantee) [][]Need {
+	byTeam, asked := map[string][]Need{}, map[string]float64{}
+	for _, n := range needs {
+		byTeam[n.Team] = append(byTeam[n.Team], n)
+		asked[n.Team] += n.all()
+	}
+	var over [][]Need
+	for _, team := range slices.Sorted(maps.Keys(byTeam)) {
+		if most := teams[team].Most; most > 0 && asked[team] > most {
+			over = append(over, byTeam[team])
 		}
-		want := func(g Key) float64 {
-			x := sums[g]
-			most := math.Inf(1)
-			if t := teams[g.Team]; g.Team != "" && t.Most > 0 {
-				most = t.Most
-			}
-			return w.Floor * min(x.Rate, x.all(), most)
+	}
+	return over
+}
+
+// groupFloors divides so many CPUs into floors for the groups that needs belong to.
+func groupFloors(cpus float64, needs []Need, due map[Key]float64, teams map[string]Guarantee, w *Weights, of func(Key) Key) []Group {
+	sums := map[Key]*Need{}
+	share := map[Key]float64{}
+	var keys []Key
+	for _, n := range needs {
+		g := of(n.Key)
+		if sums[g] == nil {
+			sums[g] = &Need{Key: g}
+			keys = append(keys, g)
+		}
+		x := sums[g]
+		x.Held, x.Waiting, x.Rate = x.Held+n.Held, x.Waiting+n.Waiting, x.Rate+min(n.Rate, n.all())
+		share[g] += due[n.Key]
+	}
+	want := func(g Key) float64 {
+		x := sums[g]
+		most := math.Inf(1)
+		if t := teams[g.Team]; g.Team != "" && t.Most > 0 {
+			most = t.Most
 		}
-		weighed := func(g Key) float64 { return want(g) / weight(w.Team, g.Team) / weight(w.Class, g.Class) }
-		slices.SortFunc(keys, func(a, b Key) int { return cmp.Or(cmp.Compare(weighed(a), weighed(b)), a.Compare(b)) })
-		left := cpus
-		for _, g := range keys {
-			floor := want(g)
-			if floor > left {
-				floor = min(floor, crumb*share[g], max(left, 0))
-			}
-			left -= floor
-			groups = append(groups, Group{g, sums[g].Held, floor, sums[g].Waiting > 0})
+		return w.Floor * min(x.Rate, x.all(), most)
+	}
+	weighed := func(g Key) float64 { return want(g) / weight(w.Team, g.Team) / weight(w.Class, g.Class) }
+	slices.SortFunc(keys, func(a, b Key) int { return cmp.Or(cmp.Compare(weighed(a), weighed(b)), a.Compare(b)) })
+	left := cpus
+	var groups []Group
+	for _, g := range keys {
+		floor := want(g)
+		if floor > left {
+			floor = min(floor, crumb*share[g], max(left, 0))
 		}
+		left -= floor
+		groups = append(groups, Group{g, sums[g].Held, floor, sums[g].Waiting > 0})
 	}
 	return groups
 }
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -24,7 +24,8 @@
 // Floor is what a key is to have of the machines before others get more, in CPUs.
 type Floor struct {
 	Key
-	CPUs float64 `json:"cpus"`
+	CPUs        float64 `json:"cpus"`
+	WithinLimit bool    `json:"within_limit,omitempty"` // it orders what waits for the team's limit; machines are not kept for it
 }
 
 // Plan is what all controllers keep to while something is short.
@@ -34,12 +35,12 @@
 	Reserved map[string]string `json:"reserved,omitempty"` // machine -> the only class that starts there
 }
 
-// Floor is a key's floor, 0 for none.
+// Floor is a key's floor on machines, 0 for none. Floors within a team's limit are none.
 func (p *Plan) Floor(k Key) float64 {
 	if p == nil {
 		return 0
 	}
-	if i, ok := slices.BinarySearchFunc(p.Floors, k, func(f Floor, k Key) int { return f.Key.Compare(k) }); ok {
+	if i, ok := slices.BinarySearchFunc(p.Floors, k, func(f Floor, k Key) int { return f.Key.Compare(k) }); ok && !p.Floors[i].WithinLimit {
 		return p.Floors[i].CPUs
 	}
 	return 0
@@ -162,8 +163,12 @@
 	}
 	m.next = &Plan{ID: ID{Since: since, Number: 1}, Floors: last.Floors, Reserved: last.Reserved}
 	for _, f := range last.Floors { // who was short has waited long enough already
-		m.under[Key{Class: f.Class}] = time.Unix(1, 0)
-		m.had[Key{Class: f.Class}] += f.CPUs
+		group := Key{Class: f.Class}
+		if f.WithinLimit {
+			group = f.Key
+		}
+		m.under[group] = time.Unix(1, 0)
+		m.had[group] += f.CPUs
 	}
 	return m
 }
@@ -208,7 +213,7 @@
 	for _, x := range in.Machines {
 		cpus += x.CPUs
 	}
-	floors := map[Key]float64{}
+	floors, limited := map[Key]float64{}, map[Key]float64{}
 	known := map[Key]bool{}
 	for _, g := range Floors(cpus, in.Needs, in.Teams, in.Weights) {
 		known[g.Key] = true
@@ -229,6 +234,10 @@
 			continue
 		}
 		m.had[g.Key] = g.Floor
+		if g.withinLimit() {
+			limited[g.Key] = g.Floor
+			continue
+		}
 		m.part(g, in, floors)
 	}
 	maps.DeleteFunc(m.under, func(k Key, _ time.Time) bool { return !known[k] })
@@ -238,18 +247,19 @@
 	short := map[string][]Need{} // by class: keys with a floor
 	sums := map[string]float64{}
 	for _, n := range in.Needs {
-		if n.Waiting > 0 {
-			waits[n.Class] = true
-			least = min(least, n.Each)
-		}
-		floor := floors[n.Key]
-		if n.Each > 0 { // whole tasks, one at least
-			floor = max(1, math.Round(floor/n.Each)) * n.Each
+		if n.Waiting <= 0 {
+			continue
 		}
-		if floors[n.Key] > 0 && n.Waiting > 0 {
-			p.Floors = append(p.Floors, Floor{n.Key, floor})
+		waits[n.Class] = true
+		least = min(least, n.Each)
+		switch {
+		case floors[n.Key] > 0:
+			floor := n.wholeTasks(floors[n.Key])
+			p.Floors = append(p.Floors, Floor{Key: n.Key, CPUs: floor})
 			short[n.Class] = append(short[n.Class], n)
 			sums[n.Class] += floor
+		case limited[n.Key] > 0:
+			p.Floors = append(p.Floors, Floor{Key: n.Key, CPUs: n.wholeTasks(limited[n.Key]), WithinLimit: true})
 		}
 	}
 	slices.SortFunc(p.Floors, func(a, b Floor) int { return a.Key.Compare(b.Key) })
@@ -257,6 +267,14 @@
 	return p
 }
 
+// wholeTasks rounds a floor to tasks of the need, one at least.
+func (n *Need) wholeTasks(floor float64) float64 {
+	if n.Each <= 0 {
+		return floor
+	}
+	return max(1, math.Round(floor/n.Each)) * n.Each
+}
+
 // part divides a group's floor among its keys: that of a class among the teams by weight, that
 // of a team among its classes as they are urgent.
 func (m *Maker) part(g Group, in *Inputs, floors map[Key]float64) {
--- a/internal/ledger/demand.go
+++ b/internal/ledger/demand.go
@@ -130,23 +130,20 @@
 	taken := quota{cpus, gpus} // what more urgent jobs leave nothing of
 	reserved := false          // part of it is reserved for a job that can't begin
 	var blocked *Job           // an array that can't begin: less urgent priorities wait for it
-	for _, j := range t.order {
-		if j.Over || j.Finishing || now.Before(j.notUntil) {
-			continue
-		}
+	for _, waiting := range t.waitingJobs(now) {
+		j, left := waiting.Job, waiting.left
 		if blocked != nil && !reserved && wire.Rank(j.Spec.Priority) < wire.Rank(blocked.Spec.Priority) {
 			reserved = true
 			taken.reserve(blocked.Spec, 1, t.MaxCPUs-(kept-lacks[blocked.Spec.Class]), t.MaxGPUs)
 		}
 		d := Demand{Spec: j.Spec}
 		if j.faulty {
-			if len(j.holds) == 0 && t.Unstarted(j) > 0 {
+			if len(j.holds) == 0 {
 				d.Probe, d.Borrowed, d.Count = true, true, 1
 				probes = append(probes, d)
 			}
 			continue
 		}
-		left := t.Unstarted(j)
 		own := lacks[j.Spec.Class]
 		fit := min(left, most(t.quotaFor(j, taken.cpus, own, kept), j.Spec.CPUs), most(t.MaxGPUs-taken.gpus, j.Spec.GPUs))
 		within := min(fit, most(t.CPUs-cpus, j.Spec.CPUs), most(t.GPUs-gpus, j.Spec.GPUs))
--- /dev/null
+++ b/internal/ledger/quotaorder.go
@@ -0,0 +1,90 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// Which of a team's jobs get its quota first while it does not suffice for all that wait.
+//
+// By due time alone nearly all jobs of a team that asks for more than its limit would be late: each job that can't be in
+// time any more would go before those that can, and a job of long tasks, which is due late, would not begin for minutes.
+// So jobs that have begun are completed, then those go first that must start soonest to reach a goal, and what can reach
+// none comes after them. Gangs start whole and wait long for it; they keep their order, whatever they have missed.
+
+// standing is the part of a priority's order that a job is in.
+type standing int
+
+const (
+	begun    standing = iota // some of its tasks run or are done
+	reaching                 // it can still reach a goal
+	missed                   // it can reach none
+	aimless                  // it has none
+)
+
+// waitingJob is a job with tasks that neither run nor are done, or one that is held to be faulty.
+type waitingJob struct {
+	*Job
+	left     int // such tasks
+	standing standing
+	latest   time.Time // when they must start to reach the goal that counts
+}
+
+// waitingJobs lists the jobs that wait for quota, in the order in which they get it.
+func (t *Team) waitingJobs(now time.Time) []waitingJob {
+	cpus, gpus := t.charged()
+	list := make([]waitingJob, 0, len(t.order))
+	for _, j := range t.order {
+		if j.Over || j.Finishing || now.Before(j.notUntil) {
+			continue
+		}
+		left := t.Unstarted(j)
+		if left == 0 {
+			continue
+		}
+		list = append(list, waitingJob{Job: j, left: left})
+		if !j.faulty {
+			cpus += float64(left) * j.Spec.CPUs
+			gpus += float64(left) * j.Spec.GPUs
+		}
+	}
+	if cpus <= t.MaxCPUs+slack && gpus <= t.MaxGPUs+slack {
+		return list
+	}
+	for i := range list {
+		t.rank(&list[i], now)
+	}
+	slices.SortStableFunc(list, compareForQuota)
+	return list
+}
+
+// rank sets where a job stands.
+func (t *Team) rank(w *waitingJob, now time.Time) {
+	estimate := time.Duration(w.Spec.Estimate * float64(time.Second))
+	if len(w.goals) == 0 {
+		w.standing = aimless
+		return
+	}
+	if w.Spec.Kind == wire.Gang {
+		w.standing, w.latest = reaching, w.goals[len(w.goals)-1].Add(-estimate)
+		return
+	}
+	goal, late := w.goals.Next(now, estimate)
+	w.latest = goal.Add(-estimate)
+	switch {
+	case w.left < w.Spec.Tasks:
+		w.standing = begun
+	case late:
+		w.standing, w.latest = missed, w.Submitted
+	default:
+		w.standing = reaching
+	}
+}
+
+// compareForQuota orders ranked jobs. Those that compare equal stay in order of urgency.
+func compareForQuota(a, b waitingJob) int {
+	return cmp.Or(cmp.Compare(wire.Rank(b.Spec.Priority), wire.Rank(a.Spec.Priority)), cmp.Compare(a.standing, b.standing), a.latest.Compare(b.latest))
+}
--- /dev/null
+++ b/internal/ledger/quotaorder_test.go
@@ -0,0 +1,173 @@
+package ledger
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// askedOf gives the jobs that ask for quota, in the order in which they do.
+func askedOf(team *Team, now time.Time) []string {
+	var asked []string
+	for _, d := range team.Demands(now) {
+		if d.Count > 0 && !slices.Contains(asked, d.Spec.UID) {
+			asked = append(asked, d.Spec.UID)
+		}
+	}
+	return asked
+}
+
+// TestQuotaGoesToWhatCanBeInTime: of what a team asks for beyond its limit, begun jobs come first, then those that can still
+// reach a goal, soonest start first, then what is late, then what has no goal. Priority stands above all of it.
+func TestQuotaGoesToWhatCanBeInTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	team := NewTeam("team", 0, 5, 0, math.Inf(1), NewReplica(), 1, func(string, ...any) {})
+	add := func(uid, priority string, due time.Duration, estimate float64) {
+		team.AddJob(&wire.Submission{UID: uid, Kind: wire.Batch, Priority: priority, Tasks: 2, CPUs: 1, Estimate: estimate}, 1, now, nil)
+		if due != 0 {
+			team.SetGoals(uid, Goals{now.Add(due)})
+		}
+	}
+	add("job-aimless", "standard", 0, 10)
+	add("job-late", "standard", -time.Minute, 10)
+	add("job-begun", "standard", -time.Hour, 10)
+	placeOne := team.Job("job-begun")
+	if !team.Place(placeOne, 0, Spot{Machine: "m", Zone: "z", Session: 1}) {
+		t.Fatal("not placed")
+	}
+	add("job-long", "standard", 5*time.Minute, 270) // due later, but it must start sooner
+	add("job-short", "standard", 2*time.Minute, 10)
+	if asked := askedOf(team, now); !slices.Equal(asked, []string{"job-begun", "job-long", "job-short"}) {
+		t.Fatalf("%v ask for 4 CPUs of quota", asked)
+	}
+	add("job-urgent", "high", 0, 10)
+	if asked := askedOf(team, now); !slices.Equal(asked, []string{"job-urgent", "job-begun", "job-long"}) {
+		t.Errorf("%v ask for 4 CPUs of quota beside an urgent job", asked)
+	}
+	team.SetLimits(0, 100, 0, math.Inf(1))
+	if asked := askedOf(team, now); len(asked) != 6 {
+		t.Errorf("%v ask for quota that suffices for all", asked)
+	}
+}
+
+// TestGangsKeepTheirOrder: a gang that has missed its goals still goes before a later one, or it would never have enough
+// quota at once.
+func TestGangsKeepTheirOrder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	team := NewTeam("team", 0, 4, 0, math.Inf(1), NewReplica(), 1, func(string, ...any) {})
+	for i, uid := range []string{"job-000001", "job-000002"} {
+		team.AddJob(&wire.Submission{UID: uid, Kind: wire.Gang, Priority: "high", Tasks: 4, CPUs: 1, Estimate: 10}, 1, now, nil)
+		team.SetGoals(uid, Goals{now.Add(time.Duration(i-1) * time.Minute)})
+	}
+	if asked := askedOf(team, now); len(asked) == 0 || asked[0] != "job-000001" {
+		t.Errorf("%v ask for quota", asked)
+	}
+}
+
+// servedAtLimit plays arrays of drawn sizes against a limit of less than they ask for, and gives the parts that were done by
+// their deadline, and of the longest eighth that had all tasks started within four minutes.
+func servedAtLimit(seed uint64, withGoals bool) (inTime, longBegan float64) {
+	const (
+		jobs  = 96
+		limit = 120
+		end   = 900 * time.Second
+	)
+	type array struct {
+		spec    *wire.Submission
+		at, due time.Duration
+		run     time.Duration
+		started int
+		all     time.Duration
+		ended   int
+		done    time.Duration
+	}
+	rng := rand.New(rand.NewPCG(seed, 11))
+	start := time.Unix(1000, 0)
+	team := NewTeam("team", 0, limit, 0, math.Inf(1), NewReplica(), 1, func(string, ...any) {})
+	var arrays []*array
+	for i := range jobs {
+		run := time.Duration(20+rng.IntN(40)) * time.Second
+		if i%8 == 0 {
+			run *= 4
+		}
+		due := run*5/2 + 10*time.Second
+		estimate := run.Seconds() * (0.7 + 0.6*rng.Float64())
+		deadline := due.Seconds()
+		spec := &wire.Submission{UID: fmt.Sprintf("job-%06d", i), Kind: wire.Batch, Priority: "standard", Tasks: 10 + rng.IntN(30), CPUs: 1, Estimate: estimate, Deadline: &deadline}
+		at := time.Duration(rng.IntN(600)) * time.Second
+		arrays = append(arrays, &array{spec: spec, at: at, due: at + due, run: run, all: end, done: end})
+	}
+	running := map[time.Duration][]*attempt{}
+	for now := time.Duration(0); now < end; now += time.Second {
+		for _, a := range arrays {
+			if a.at == now {
+				team.AddJob(a.spec, 1, start.Add(now), nil)
+				if withGoals {
+					team.SetGoals(a.spec.UID, Goals{start.Add(a.due)})
+				}
+			}
+		}
+		for _, held := range running[now] {
+			team.exited(held, &TaskView{Key: held.Key, Attempt: held.Attempt, State: wire.Exited, Why: wire.WhyDone}, start.Add(now))
+		}
+		before := map[Key]bool{}
+		for k := range team.held {
+			before[k] = true
+		}
+		placeDemanded(team, start.Add(now))
+		for _, a := range arrays {
+			job := team.Job(a.spec.UID)
+			if job == nil {
+				continue
+			}
+			for _, held := range job.holds {
+				if !before[held.Key] {
+					a.started++
+					running[now+a.run] = append(running[now+a.run], held)
+				}
+			}
+			if a.started == a.spec.Tasks {
+				a.all = min(a.all, now)
+			}
+			if team.Complete(job) {
+				a.done = now
+				team.EndJob(a.spec.UID)
+			}
+		}
+	}
+	long := 0
+	for i, a := range arrays {
+		if a.done <= a.due {
+			inTime++
+		}
+		if i%8 == 0 {
+			long++
+			if a.all-a.at <= 4*time.Minute {
+				longBegan++
+			}
+		}
+	}
+	return inTime / jobs, longBegan / float64(long)
+}
+
+// TestServedAtALimit: beside a limit that is too low, more jobs are in time than by due time alone, and more of the long ones
+// have begun within four minutes.
+func TestServedAtALimit(t *testing.T) {
+	var inTime, longBegan, inTimeByDue, longBeganByDue float64
+	const seeds = 12
+	for seed := range uint64(seeds) {
+		a, b := servedAtLimit(seed, true)
+		inTime, longBegan = inTime+a/seeds, longBegan+b/seeds
+		a, b = servedAtLimit(seed, false)
+		inTimeByDue, longBeganByDue = inTimeByDue+a/seeds, longBeganByDue+b/seeds
+	}
+	t.Logf("in time %.2f, by due time %.2f; long ones begun %.2f, by due time %.2f", inTime, inTimeByDue, longBegan, longBeganByDue)
+	if inTime <= inTimeByDue || longBegan <= longBeganByDue {
+		t.Fail()
+	}
+}
--- a/internal/ledger/team.go
+++ b/internal/ledger/team.go
@@ -21,6 +21,7 @@
 
 	avoid    map[string]time.Time // machines that failed it
 	notUntil time.Time
+	goals    Goals
 	faulty   bool // held to fail everywhere: tried one task at a time, ever more rarely
 	probes   int
 	running  int
--- a/node.go
+++ b/node.go
@@ -133,7 +133,7 @@
 	active  bool
 	ended   time.Time
 	late    bool          // counted as not served in time
-	goals   []time.Time   // cached
+	goals   ledger.Goals  // cached
 	longest time.Duration // of its tasks that ran to completion as far as seen here
 	runs    int
 }
@@ -533,8 +533,7 @@
 	}
 	j.version = max(j.version, version)
 	if it := n.items[teamItem(s.Spec.Team)]; it != nil && it.phase != loading && it.team.Job(s.Spec.UID) == nil {
-		it.team.AddJob(j.spec, j.version, j.at, nil)
-		it.team.Doubt(j.spec.UID, n.blame.Faulty(j.spec.UID))
+		n.addJob(it, j, nil)
 		if d := n.store.done[s.Spec.UID]; d != nil {
 			it.team.Merge(s.Spec.UID, d)
 		}
--- a/owner.go
+++ b/owner.go
@@ -157,8 +157,7 @@
 	team, _ := teamOf(it.name)
 	for _, j := range n.jobs {
 		if j.active && j.spec.Team == team {
-			it.team.AddJob(j.spec, j.version, j.at, done[j.spec.UID])
-			it.team.Doubt(j.spec.UID, n.blame.Faulty(j.spec.UID))
+			n.addJob(it, j, done[j.spec.UID])
 		}
 	}
 	it.phase = barrier
@@ -176,6 +175,13 @@
 	n.wake()
 }
 
+// addJob has an own team take up an active job; done are the finished tasks that the state service has.
+func (n *Node) addJob(it *item, j *job, done *bitset.BitSet) {
+	it.team.AddJob(j.spec, j.version, j.at, done)
+	it.team.SetGoals(j.spec.UID, n.goals(j))
+	it.team.Doubt(j.spec.UID, n.blame.Faulty(j.spec.UID))
+}
+
 // booked takes in the pages of finished tasks, after which they can be written.
 func (n *Node) booked(it *item, pages []wire.Entry) {
 	if n.items[it.name] != it {
