Half-open links between controllers are replaced; small classes have three quarters within a limit

Cause: a connection that its receiver lost without a word (a machine's end, a path that forgot it) stayed up for the sender until the operating system gave it up, minutes later; the tests of configuration met one such.

Change: peer.Delivery notices from the peer's own statuses that nothing arrives while the peer is heard, for as long as the receiver's own limit, and the link is dialled anew. Classes that ask for less than an equal part of their team's limit have a floor of three quarters.

--- a/internal/admission/divide.go
+++ b/internal/admission/divide.go
@@ -152,17 +152,40 @@
 // Floors gives what each class and each team is not to be kept under: enough to serve the
 // floor's part of what comes, for as many as that is possible for, those first that need
 // least for it. One for which it is not possible, as one that floods, is left a crumb. Of a team that asks for more than
-// its limit, each class has such a floor within the limit.
+// its limit, each class has such a floor within the limit, and one that asks for little a higher one.
 func Floors(cpus float64, needs []Need, teams map[string]Guarantee, w *Weights) []Group {
 	due := Divide(cpus, needs, teams, w)
 	groups := groupFloors(cpus, needs, due, teams, w, func(k Key) Key { return Key{Class: k.Class} })
 	groups = append(groups, groupFloors(cpus, needs, due, teams, w, func(k Key) Key { return Key{Team: k.Team} })...)
 	for _, of := range teamsAtLimit(needs, teams) {
-		groups = append(groups, groupFloors(teams[of[0].Team].Most, of, due, teams, w, func(k Key) Key { return k })...)
+		most := teams[of[0].Team].Most
+		within := groupFloors(most, of, due, teams, w, func(k Key) Key { return k })
+		raiseSmallFloors(within, most, w)
+		groups = append(groups, within...)
 	}
 	return groups
 }
 
+// raiseSmallFloors raises the floors of classes that ask for less than an equal part of their team's limit: of what waits
+// for its floor, users cancel some, and part of what came is gone before the floor holds.
+func raiseSmallFloors(within []Group, most float64, w *Weights) {
+	if w.Floor <= 0 {
+		return
+	}
+	raise := (1 + w.Floor) / 2 / w.Floor
+	left := most
+	for i := range within {
+		left -= within[i].Floor
+	}
+	for i := range within {
+		g := &within[i]
+		if extra := g.Floor * (raise - 1); g.Floor/w.Floor < most/float64(len(within)) && extra <= left {
+			g.Floor += extra
+			left -= extra
+		}
+	}
+}
+
 // teamsAtLimit gives the needs of each team that asks for more than its limit.
 func teamsAtLimit(needs []Need, teams map[string]Guarantee) [][]Need {
 	byTeam, asked := map[string][]Need{}, map[string]float64{}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -113,9 +113,7 @@
 		return false
 	}
 	if s.queued+len(line) > maxQueued {
-		s.up = false
-		s.queue, s.queued = nil, 0
-		s.wake()
+		s.abort()
 		return false
 	}
 	s.queue = append(s.queue, line)
@@ -221,7 +219,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.up {
-		return nil, errors.New("too much unsent")
+		return nil, errors.New("reset, or too much unsent")
 	}
 	lines := s.queue
 	s.queue, s.queued = nil, 0
--- a/node.go
+++ b/node.go
@@ -177,6 +177,7 @@
 	mute     []string
 	writes   float64      // changes of the state service that it wants a second; negative if unknown
 	plan     admission.ID // the latest plan that it has heard of
+	delivery peer.Delivery
 }
 
 // unheardAfter is after what silence a peer counts as not heard: four of its
--- a/talk.go
+++ b/talk.go
@@ -97,6 +97,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.peers[node].up = true
+	n.peers[node].delivery.Up(time.Now())
 	for _, it := range n.items {
 		delete(it.acks, node)
 	}
@@ -137,6 +138,7 @@
 		var s statusMsg
 		if err = wire.Decode(body, &s); err == nil {
 			n.onStatus(p, &s, now)
+			n.resetIfHalfOpen(node, &s, now)
 			n.onHorizon(node, &s, now)
 			n.onHomeWord(node, &s, now)
 			n.teach(node, &s, now)
@@ -222,6 +224,18 @@
 	}
 }
 
+// resetIfHalfOpen has the connection to a peer dialled anew if the peer, which is heard, does not get what is sent on it.
+func (n *Node) resetIfHalfOpen(node string, s *statusMsg, now time.Time) {
+	received := uint64(0)
+	if e := s.Heard[n.name]; e.Incarnation == n.inc && e.At > 0 {
+		received = uint64(e.At)
+	}
+	if p := n.peers[node]; p.up && p.delivery.Heard(now, received) {
+		n.log.Info("peer link is half-open", "peer", node)
+		n.links.Reset(node)
+	}
+}
+
 func (n *Node) onStatus(p *peerState, s *statusMsg, now time.Time) {
 	p.leased, p.at = s.Leased, s.At
 	if e, ok := s.Heard[n.name]; ok && s.Promise && s.Version != nil && e.Incarnation == n.inc && n.sentBy(e.At, now) {
