Replicas too large for one line go to their backups in parts

Change: ledger.Transfer sends a replica in parts of 1 MiB while it goes on changing, each after the one before was acknowledged, with deltas in order between them; the backup keeps the replica that it had until the new one is whole. What concerns replicas moved from talk.go to replication.go.

--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -50,29 +50,38 @@
 	Drop  string `json:"drop,omitempty"` // a job that is over
 }
 
+// DoneTasks are finished tasks by job.
+type DoneTasks map[string]*bitset.BitSet
+
 // Copy is a whole replica on the wire.
 type Copy struct {
-	Seq   uint64                    `json:"seq"`
-	Holds []Hold                    `json:"holds"`
-	Done  map[string]*bitset.BitSet `json:"done"`
+	Seq   uint64    `json:"seq"`
+	Holds []Hold    `json:"holds"`
+	Done  DoneTasks `json:"done"`
 }
 
 // Replica is a team's progress as owner and backups hold it.
 type Replica struct {
 	Seq   uint64
 	Holds map[Key]Hold
-	Done  map[string]*bitset.BitSet
+	Done  DoneTasks
 }
 
 // NewReplica is an empty replica.
 func NewReplica() *Replica {
-	return &Replica{Holds: map[Key]Hold{}, Done: map[string]*bitset.BitSet{}}
+	return &Replica{Holds: map[Key]Hold{}, Done: DoneTasks{}}
 }
 
 // FromCopy makes a replica of a received copy.
 func FromCopy(c Copy) *Replica {
 	r := NewReplica()
 	r.Seq = c.Seq
+	r.add(c)
+	return r
+}
+
+// add takes in what a copy holds.
+func (r *Replica) add(c Copy) {
 	for _, h := range c.Holds {
 		r.Holds[h.Key] = h
 	}
@@ -81,7 +90,6 @@
 			r.Done[job] = done
 		}
 	}
-	return r
 }
 
 // Copy is the replica as sent to a backup.
--- /dev/null
+++ b/internal/ledger/transfer_test.go
@@ -0,0 +1,239 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// partBytesForTests has a replica of some dozen tasks go in several parts.
+const partBytesForTests = 600
+
+// transferModel is an owner and a backup with an ordered connection that may be lost.
+type transferModel struct {
+	t        *testing.T
+	rng      *rand.Rand
+	owner    *Replica
+	transfer *Transfer
+	line     []any // Part or Delta, in order
+	kept     *Replica
+	incoming *Incoming
+	whole    int // replicas received whole
+}
+
+// change draws a change of the owner's replica.
+func (m *transferModel) change() {
+	key := Key{fmt.Sprint("job-", m.rng.IntN(5)), m.rng.IntN(12)}
+	d := Delta{Seq: m.owner.Seq + 1}
+	switch m.rng.IntN(5) {
+	case 0, 1:
+		d.Place = []Hold{{Key: key, Attempt: m.rng.Uint64N(1000), Machine: fmt.Sprint("m-", m.rng.IntN(9)), CPUs: 1}}
+	case 2:
+		d.Off = []Key{key}
+	case 3:
+		d.Done, d.Off = []Key{key}, []Key{key}
+	default:
+		if m.rng.IntN(4) == 0 {
+			d.Drop = key.Job
+		}
+	}
+	if err := m.owner.Apply(d); err != nil {
+		m.t.Fatal(err)
+	}
+	if m.transfer != nil {
+		m.line = append(m.line, d)
+	}
+}
+
+// send makes the next part, with a transfer begun if none is.
+func (m *transferModel) send() {
+	if m.transfer == nil {
+		m.transfer = NewTransfer(m.owner)
+		m.transfer.most = partBytesForTests
+	}
+	if !m.transfer.Ended() {
+		p := m.transfer.Next(m.owner)
+		done := DoneTasks{}
+		for job, set := range p.Done { // as encoded
+			done[job] = set.Clone()
+		}
+		p.Done = done
+		m.line = append(m.line, p)
+	}
+}
+
+// receive takes the next line.
+func (m *transferModel) receive() {
+	if len(m.line) == 0 {
+		return
+	}
+	next := m.line[0]
+	m.line = m.line[1:]
+	var err error
+	switch x := next.(type) {
+	case Part:
+		if x.Number == 0 {
+			m.incoming = NewIncoming()
+		}
+		var whole *Replica
+		if whole, err = m.incoming.Take(x); whole != nil {
+			m.kept, m.incoming = whole, nil
+			m.whole++
+		}
+	case Delta:
+		if m.incoming != nil {
+			err = m.incoming.Apply(x)
+		} else {
+			err = m.kept.Apply(x)
+		}
+	}
+	if err != nil {
+		m.t.Fatalf("on an ordered connection: %v", err)
+	}
+}
+
+// lose ends the connection with all that is on it.
+func (m *transferModel) lose() {
+	m.line, m.transfer, m.incoming = nil, nil, nil
+}
+
+// sameReplica says whether two replicas hold the same.
+func sameReplica(a, b *Replica) bool {
+	if a.Seq != b.Seq || len(a.Holds) != len(b.Holds) || len(a.Done) != len(b.Done) {
+		return false
+	}
+	for k, h := range a.Holds {
+		if b.Holds[k] != h {
+			return false
+		}
+	}
+	for job, done := range a.Done {
+		if b.Done[job] == nil || !b.Done[job].SymmetricDifference(done).None() {
+			return false
+		}
+	}
+	return true
+}
+
+// TestTransferModel: whatever changes between the parts, and however often the connection is lost, a backup that has
+// received all parts and deltas has exactly the owner's replica.
+func TestTransferModel(t *testing.T) {
+	parts := 0
+	for seed := range uint64(2000) {
+		m := &transferModel{t: t, rng: rand.New(rand.NewPCG(seed, 21)), owner: NewReplica()}
+		for range 10 + m.rng.IntN(60) {
+			m.change()
+		}
+		for range 200 {
+			switch m.rng.IntN(12) {
+			case 0, 1, 2, 3:
+				m.change()
+			case 4, 5, 6:
+				m.send()
+			case 7:
+				if m.rng.IntN(8) == 0 {
+					m.lose()
+				}
+			default:
+				m.receive()
+			}
+		}
+		for m.transfer == nil || !m.transfer.Ended() {
+			m.send()
+		}
+		parts = max(parts, m.transfer.Sent())
+		for len(m.line) > 0 {
+			m.receive()
+		}
+		if m.whole == 0 || !sameReplica(m.owner, m.kept) {
+			t.Fatalf("seed %d: after %d whole replicas the backup has %+v, the owner %+v", seed, m.whole, m.kept, m.owner)
+		}
+	}
+	if parts < 4 {
+		t.Errorf("the largest transfer had %d parts: nothing was tried", parts)
+	}
+}
+
+// TestPartsOutOfOrder: a part that is missing, repeated or made after a delta that did not come ends the transfer.
+func TestPartsOutOfOrder(t *testing.T) {
+	owner := NewReplica()
+	place := func(index int) Delta {
+		return Delta{Seq: owner.Seq + 1, Place: []Hold{{Key: Key{"job-1", index}, Attempt: 1, Machine: "m"}}}
+	}
+	for i := range 30 {
+		if err := owner.Apply(place(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	transfer := NewTransfer(owner)
+	transfer.most = partBytesForTests
+	first, second, third := transfer.Next(owner), transfer.Next(owner), transfer.Next(owner)
+	begun := func() *Incoming {
+		in := NewIncoming()
+		if _, err := in.Take(first); err != nil {
+			t.Fatal(err)
+		}
+		return in
+	}
+	if _, err := begun().Take(third); err == nil {
+		t.Error("a part is missing, and the next one is taken")
+	}
+	if _, err := begun().Take(first); err == nil {
+		t.Error("a part is taken twice")
+	}
+	later := second
+	later.Seq++
+	if _, err := begun().Take(later); err == nil {
+		t.Error("a part is taken without the delta before it")
+	}
+	if err := begun().Apply(Delta{Seq: first.Seq + 2}); err == nil {
+		t.Error("a delta is taken without the one before it")
+	}
+}
+
+// TestPartsAreBounded: no part is longer than a line between controllers may be, and only what is too long for one goes in parts.
+func TestPartsAreBounded(t *testing.T) {
+	const line = 4 << 20
+	r := NewReplica()
+	for i := range 40000 {
+		k := Key{"job-000001", i}
+		r.Holds[k] = Hold{Key: k, Attempt: AttemptID(1<<28, uint64(i)), Machine: "n-000001", Zone: "santiago-centro", CPUs: 1.5, GPUs: 0.5, Memory: 12.25, Session: 1 << 40}
+	}
+	for i := range 100 {
+		done := NewReplica()
+		for task := range 100000 {
+			done.markDone(Key{"job", task})
+		}
+		r.Done[fmt.Sprint("job-", i)] = done.Done["job"]
+	}
+	if r.FitsOneMessage() {
+		t.Error("all of it counts as one message")
+	}
+	for transfer := NewTransfer(r); !transfer.Ended(); {
+		if size := len(encoded(t, transfer.Next(r))); size > line/2 {
+			t.Fatalf("a part has %d bytes", size)
+		}
+	}
+	small := NewReplica()
+	for i := range 15000 {
+		k := Key{"job-000001", i}
+		small.Holds[k] = r.Holds[k]
+	}
+	if !small.FitsOneMessage() {
+		t.Error("15,000 tasks go in parts")
+	}
+	if size := len(encoded(t, small.Copy())); size > line {
+		t.Errorf("a whole replica has %d bytes", size)
+	}
+}
+
+// encoded is a message as it goes out.
+func encoded(t *testing.T, message any) []byte {
+	t.Helper()
+	b, err := json.Marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
--- a/owner.go
+++ b/owner.go
@@ -56,8 +56,8 @@
 	n.items[name] = it
 	n.tookTeam()
 	rep := ledger.NewReplica()
-	if b := n.backups[name]; b != nil && !it.blind {
-		rep = b.rep
+	if kept := n.replica(name); kept != nil && !it.blind {
+		rep = kept
 	} else if r.Since > n.record.First || n.record.Generation > 1 {
 		it.blind = true // the record thinks that we know everything, but we don't
 	}
--- a/replication.go
+++ b/replication.go
@@ -11,21 +11,72 @@
 
 // An item's replicas: who holds them, what was sent and acknowledged, and what the record should say of that.
 
+// Messages between an item's owner and its backups.
+type (
+	// copyMsg gives a backup the whole replica.
+	copyMsg struct {
+		Item  string      `json:"item"`
+		Since uint64      `json:"since"`
+		Copy  ledger.Copy `json:"copy"`
+	}
+	// copyPartMsg gives it a part of a replica that is too large for one message.
+	copyPartMsg struct {
+		Item  string      `json:"item"`
+		Since uint64      `json:"since"`
+		Part  ledger.Part `json:"part"`
+	}
+	// deltasMsg gives it changes of a replica that it has, or is being given.
+	deltasMsg struct {
+		Item   string         `json:"item"`
+		Since  uint64         `json:"since"`
+		Deltas []ledger.Delta `json:"deltas"`
+	}
+	// ackMsg acknowledges an item up to Seq, or so many parts of it, or asks for a copy.
+	ackMsg struct {
+		Item  string `json:"item"`
+		Since uint64 `json:"since"`
+		Seq   uint64 `json:"seq"`
+		Parts int    `json:"parts,omitempty"`
+		Again bool   `json:"again,omitempty"`
+	}
+)
+
+// copyPartKind is the kind of a line with a part of a replica. A controller that does not know it never acknowledges one.
+const copyPartKind = "copy_part"
+
 // ack is what a backup acknowledged.
 type ack struct {
-	inc    uint64
-	copied bool   // a copy was sent on the present connection
-	seq    uint64 // acknowledged
-	known  bool   // acknowledged anything at all
-	since  time.Time
-	sent   uint64
-	retry  time.Time
+	inc      uint64
+	copied   bool             // a copy was sent on the present connection, or is being sent
+	transfer *ledger.Transfer // the sending of the copy in parts; nil: none is under way
+	parts    int              // of it, acknowledged
+	seq      uint64           // acknowledged
+	known    bool             // acknowledged anything at all
+	since    time.Time
+	sent     uint64
+	retry    time.Time
+}
+
+// copyAnew has the whole replica sent again.
+func (a *ack) copyAnew() {
+	a.copied, a.known = false, false
+	a.transfer, a.parts = nil, 0
 }
 
 // backup is a team's progress kept for its owner.
 type backup struct {
-	since uint64
-	rep   *ledger.Replica
+	since         uint64
+	rep           *ledger.Replica  // nil: none is whole yet
+	incoming      *ledger.Incoming // one that is being received; nil: none is
+	incomingSince uint64
+}
+
+// replica is the replica that a controller keeps of an item as a backup; nil if it keeps none that is whole.
+func (n *Node) replica(item string) *ledger.Replica {
+	if b := n.backups[item]; b != nil {
+		return b.rep
+	}
+	return nil
 }
 
 // acked is the sequence number that every backup in sync acknowledged.
@@ -108,14 +159,16 @@
 		}
 		switch {
 		case !a.copied:
-			a.copied = n.links.Send(p, "copy", copyMsg{Item: it.name, Since: it.since, Copy: it.team.Replica().Copy()})
+			n.sendReplica(it, p, a)
 		case len(deltas) == 0:
+			n.sendPart(it, p, a)
 			continue
 		default: // whole already, so the deltas are the next ones; older ones are ignored
 			if line == nil {
 				line = peer.Line("deltas", deltasMsg{Item: it.name, Since: it.since, Deltas: deltas})
 			}
 			n.links.SendLine(p, line)
+			n.sendPart(it, p, a)
 		}
 		a.sent = seq
 		if a.since.IsZero() {
@@ -123,3 +176,150 @@
 		}
 	}
 }
+
+// sendReplica gives a backup an item's replica, as a whole or its first part.
+func (n *Node) sendReplica(it *item, to string, a *ack) {
+	replica := it.team.Replica()
+	if replica.FitsOneMessage() {
+		a.copied = n.links.Send(to, "copy", copyMsg{Item: it.name, Since: it.since, Copy: replica.Copy()})
+		return
+	}
+	a.copied, a.parts = true, 0
+	a.transfer = ledger.NewTransfer(replica)
+	n.sendPart(it, to, a)
+}
+
+// sendPart gives a backup the next part of an item's replica, if one is being sent and the part before was acknowledged. All deltas
+// that the replica has were sent before.
+func (n *Node) sendPart(it *item, to string, a *ack) {
+	if a.transfer == nil || a.transfer.Ended() || a.parts < a.transfer.Sent() {
+		return
+	}
+	part := a.transfer.Next(it.team.Replica())
+	if !n.links.Send(to, copyPartKind, copyPartMsg{Item: it.name, Since: it.since, Part: part}) {
+		a.copyAnew()
+	}
+}
+
+// onCopy takes a whole replica of a peer's item.
+func (n *Node) onCopy(node string, incarnation uint64, c *copyMsg) {
+	if !n.owns(node, incarnation, c.Item, c.Since) {
+		n.askForCopy(node, c.Item, c.Since)
+		return
+	}
+	n.backups[c.Item] = &backup{since: c.Since, rep: ledger.FromCopy(c.Copy)}
+	n.links.Send(node, "ack", ackMsg{Item: c.Item, Since: c.Since, Seq: c.Copy.Seq})
+}
+
+// onCopyPart takes a part of a replica of a peer's item. The replica from before is kept until the new one is whole.
+func (n *Node) onCopyPart(node string, incarnation uint64, m *copyPartMsg) {
+	if !n.owns(node, incarnation, m.Item, m.Since) {
+		n.askForCopy(node, m.Item, m.Since)
+		return
+	}
+	b := n.backups[m.Item]
+	if b == nil {
+		b = &backup{}
+		n.backups[m.Item] = b
+	}
+	if m.Part.Number == 0 {
+		b.incoming, b.incomingSince = ledger.NewIncoming(), m.Since
+	}
+	if !b.receives(m.Since) {
+		n.askForCopy(node, m.Item, m.Since)
+		return
+	}
+	whole, err := b.incoming.Take(m.Part)
+	switch {
+	case err != nil:
+		b.incoming = nil
+		n.askForCopy(node, m.Item, m.Since)
+	case whole != nil:
+		n.backups[m.Item] = &backup{since: m.Since, rep: whole}
+		n.links.Send(node, "ack", ackMsg{Item: m.Item, Since: m.Since, Seq: whole.Seq})
+	default:
+		n.links.Send(node, "ack", ackMsg{Item: m.Item, Since: m.Since, Parts: m.Part.Number + 1})
+	}
+}
+
+// askForCopy asks an item's owner for its whole replica.
+func (n *Node) askForCopy(owner, item string, since uint64) {
+	n.links.Send(owner, "ack", ackMsg{Item: item, Since: since, Again: true})
+}
+
+// onDeltas takes changes of a peer's item.
+func (n *Node) onDeltas(node string, incarnation uint64, d *deltasMsg) {
+	b := n.backups[d.Item]
+	if b == nil || !n.owns(node, incarnation, d.Item, d.Since) {
+		n.askForCopy(node, d.Item, d.Since)
+		return
+	}
+	if b.receives(d.Since) {
+		if applyAll(d.Deltas, b.incoming.Apply) != nil {
+			b.incoming = nil
+			n.askForCopy(node, d.Item, d.Since)
+		}
+		return // acknowledged once the replica is whole
+	}
+	if b.rep == nil || b.since != d.Since || applyAll(d.Deltas, b.rep.Apply) != nil {
+		n.askForCopy(node, d.Item, d.Since)
+		return
+	}
+	n.links.Send(node, "ack", ackMsg{Item: d.Item, Since: d.Since, Seq: b.rep.Seq})
+}
+
+// receives says whether the replica of the item's owner since a term is being received in parts.
+func (b *backup) receives(since uint64) bool { return b.incoming != nil && b.incomingSince == since }
+
+// applyAll carries out deltas up to the first that fails.
+func applyAll(deltas []ledger.Delta, apply func(ledger.Delta) error) error {
+	for _, d := range deltas {
+		if err := apply(d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// copyRetryEvery is the least time between two copies that a backup asks for.
+const copyRetryEvery = 200 * time.Millisecond
+
+// onAck takes what a backup acknowledges of an own item.
+func (n *Node) onAck(node string, incarnation uint64, m *ackMsg) {
+	it := n.items[m.Item]
+	if it == nil || it.since != m.Since {
+		return
+	}
+	a := it.acks[node]
+	if a == nil {
+		return
+	}
+	switch {
+	case m.Again:
+		if !a.retry.IsZero() && time.Since(a.retry) < copyRetryEvery {
+			return
+		}
+		a.retry = time.Now()
+		a.copyAnew()
+	case m.Parts > 0:
+		if a.transfer != nil && m.Parts == a.transfer.Sent() { // else it is of an earlier transfer
+			a.parts = m.Parts
+		}
+	default:
+		a.take(incarnation, m.Seq)
+	}
+	n.wake()
+}
+
+// take books the sequence number that a backup acknowledged.
+func (a *ack) take(incarnation, seq uint64) {
+	a.inc, a.known, a.seq = incarnation, true, seq
+	if a.transfer != nil && a.transfer.Ended() {
+		a.transfer = nil
+	}
+	if a.seq >= a.sent {
+		a.since = time.Time{}
+	} else {
+		a.since = time.Now()
+	}
+}
--- a/talk.go
+++ b/talk.go
@@ -22,23 +22,6 @@
 		Machine string         `json:"machine"`
 		Orders  []ledger.Order `json:"orders"`
 	}
-	copyMsg struct {
-		Item  string      `json:"item"`
-		Since uint64      `json:"since"`
-		Copy  ledger.Copy `json:"copy"`
-	}
-	deltasMsg struct {
-		Item   string         `json:"item"`
-		Since  uint64         `json:"since"`
-		Deltas []ledger.Delta `json:"deltas"`
-	}
-	// ackMsg acknowledges an item up to Seq, or asks for a copy.
-	ackMsg struct {
-		Item  string `json:"item"`
-		Since uint64 `json:"since"`
-		Seq   uint64 `json:"seq"`
-		Again bool   `json:"again,omitempty"`
-	}
 	// statusMsg is told twice a second.
 	statusMsg struct {
 		Term     uint64            `json:"term"`
@@ -188,6 +171,11 @@
 		if err = wire.Decode(body, &c); err == nil {
 			n.onCopy(node, incarnation, &c)
 		}
+	case copyPartKind:
+		var m copyPartMsg
+		if err = wire.Decode(body, &m); err == nil {
+			n.onCopyPart(node, incarnation, &m)
+		}
 	case "deltas":
 		var d deltasMsg
 		if err = wire.Decode(body, &d); err == nil {
@@ -300,60 +288,6 @@
 	return it.Owner == node && it.Since == since
 }
 
-func (n *Node) onCopy(node string, incarnation uint64, c *copyMsg) {
-	if !n.owns(node, incarnation, c.Item, c.Since) {
-		n.links.Send(node, "ack", ackMsg{Item: c.Item, Since: c.Since, Again: true})
-		return
-	}
-	n.backups[c.Item] = &backup{since: c.Since, rep: ledger.FromCopy(c.Copy)}
-	n.links.Send(node, "ack", ackMsg{Item: c.Item, Since: c.Since, Seq: c.Copy.Seq})
-}
-
-func (n *Node) onDeltas(node string, incarnation uint64, d *deltasMsg) {
-	b := n.backups[d.Item]
-	if !n.owns(node, incarnation, d.Item, d.Since) || b == nil || b.since != d.Since || !b.apply(d.Deltas) {
-		n.links.Send(node, "ack", ackMsg{Item: d.Item, Since: d.Since, Again: true})
-		return
-	}
-	n.links.Send(node, "ack", ackMsg{Item: d.Item, Since: d.Since, Seq: b.rep.Seq})
-}
-
-func (b *backup) apply(deltas []ledger.Delta) bool {
-	for _, d := range deltas {
-		if b.rep.Apply(d) != nil {
-			return false
-		}
-	}
-	return true
-}
-
-func (n *Node) onAck(node string, incarnation uint64, m *ackMsg) {
-	it := n.items[m.Item]
-	if it == nil || it.since != m.Since {
-		return
-	}
-	a := it.acks[node]
-	if a == nil {
-		return
-	}
-	if m.Again {
-		if !a.retry.IsZero() && time.Since(a.retry) < 200*time.Millisecond {
-			return
-		}
-		a.retry = time.Now()
-		a.copied, a.known = false, false
-		n.wake()
-		return
-	}
-	a.inc, a.known, a.seq = incarnation, true, m.Seq
-	if a.seq >= a.sent {
-		a.since = time.Time{}
-	} else {
-		a.since = time.Now()
-	}
-	n.wake()
-}
-
 // newsEvery is the least time between two statuses.
 const newsEvery = 150 * time.Millisecond
 
--- a/writeback.go
+++ b/writeback.go
@@ -44,8 +44,10 @@
 	for _, it := range n.items {
 		n.learnDone(it.team.Replica().Done)
 	}
-	for _, b := range n.backups {
-		n.learnDone(b.rep.Done)
+	for name := range n.backups {
+		if kept := n.replica(name); kept != nil {
+			n.learnDone(kept.Done)
+		}
 	}
 }
 
