A look whether the record is to change no longer ranks all items

Change: Repair ends at once if members and owners stand; Upkeep looks at own items and clones the record only for a change.

--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -149,6 +149,9 @@
 // goes to its highest-ranked backup in sync; without one, to the highest-ranked
 // member, who then has to pass the full barrier.
 func Repair(r *Record, items []string, live map[string]Presence) (*Record, []Condition) {
+	if r.stands(items, live) {
+		return nil, nil
+	}
 	next := r.Clone()
 	left := next.removeMissing(r, live)
 	stays := maps.Clone(next.Nodes) // members that kept their memory
@@ -171,6 +174,26 @@
 	return next, append(left, joined...)
 }
 
+// stands says whether the members are just those that are present and each item is owned by one of them. Controllers
+// look at that many times a second; a repair would come to the same by way of a new ranking of all items.
+func (r *Record) stands(items []string, live map[string]Presence) bool {
+	if len(r.Nodes) == 0 || len(live) != len(r.Nodes) {
+		return false
+	}
+	for node, incarnation := range r.Nodes {
+		if p, present := live[node]; !present || p.Incarnation != incarnation {
+			return false
+		}
+	}
+	for _, name := range items {
+		it, known := r.Items[name]
+		if _, member := r.Nodes[it.Owner]; !known || !member {
+			return false
+		}
+	}
+	return true
+}
+
 // removeMissing takes the members of a record out that are gone or whose process is another.
 func (r *Record) removeMissing(before *Record, live map[string]Presence) (conditions []Condition) {
 	for _, n := range before.Members() {
@@ -238,46 +261,61 @@
 // wishes once that one is in sync. handed lists items given away. Nil when
 // nothing is to change.
 func Upkeep(r *Record, self string, syncs map[string]Sync, rebalance bool) (next *Record, handed []string) {
-	next = r.Clone()
-	changed := false
 	wish := r.Wished()
-	for _, name := range slices.Sorted(maps.Keys(r.Items)) {
-		it := next.Items[name]
-		s, mine := syncs[name]
-		if it.Owner != self || !mine || !s.Ready {
+	changed := map[string]Item{}
+	for _, name := range slices.Sorted(maps.Keys(syncs)) {
+		it, known := r.Items[name]
+		s := syncs[name]
+		if !known || it.Owner != self || !s.Ready {
 			continue
 		}
-		if it.Blind {
-			it.Blind, changed = false, true
-		}
-		for n := range s.Whole {
-			if _, member := r.Nodes[n]; member && n != self && !slices.Contains(it.InSync, n) {
-				it.InSync = append(it.InSync, n)
-				changed = true
-			}
+		kept, differs := it.keepInSync(r, self, &s)
+		if to := wish[name]; rebalance && to != self && slices.Contains(kept.InSync, to) && s.Whole[to] {
+			kept = kept.handTo(to, self, r.Term+1, &s)
+			handed, differs = append(handed, name), true
 		}
-		before := len(it.InSync)
-		it.InSync = slices.DeleteFunc(it.InSync, func(n string) bool { return s.Lagging[n] })
-		it.InSync = withoutSurplus(it.InSync, s.Backups)
-		changed = changed || len(it.InSync) != before
-		slices.Sort(it.InSync)
-		if to := wish[name]; rebalance && to != self && slices.Contains(it.InSync, to) && s.Whole[to] {
-			next.Term = r.Term + 1
-			it.Owner, it.Since = to, next.Term
-			it.InSync = slices.DeleteFunc(it.InSync, func(n string) bool { return n == to || !s.Whole[n] })
-			it.InSync = append(it.InSync, self)
-			slices.Sort(it.InSync)
-			handed = append(handed, name)
-			changed = true
+		if differs {
+			changed[name] = kept
 		}
-		next.Items[name] = it
 	}
-	if !changed {
+	if len(changed) == 0 {
 		return nil, nil
 	}
+	next = r.Clone()
+	maps.Copy(next.Items, changed)
+	if len(handed) > 0 {
+		next.Term = r.Term + 1
+	}
 	return next, handed
 }
 
+// keepInSync gives the item as its owner would have it: the barrier passed, and in sync those backups that are whole and not
+// behind. It says whether that differs.
+func (it Item) keepInSync(r *Record, self string, s *Sync) (kept Item, differs bool) {
+	kept, differs = it, it.Blind
+	kept.Blind, kept.InSync = false, slices.Clone(it.InSync)
+	for n := range s.Whole {
+		if _, member := r.Nodes[n]; member && n != self && !slices.Contains(kept.InSync, n) {
+			kept.InSync = append(kept.InSync, n)
+			differs = true
+		}
+	}
+	before := len(kept.InSync)
+	kept.InSync = slices.DeleteFunc(kept.InSync, func(n string) bool { return s.Lagging[n] })
+	kept.InSync = withoutSurplus(kept.InSync, s.Backups)
+	slices.Sort(kept.InSync)
+	return kept, differs || len(kept.InSync) != before
+}
+
+// handTo gives the item to another owner since a term; this controller becomes a backup.
+func (it Item) handTo(to, self string, term uint64, s *Sync) Item {
+	it.Owner, it.Since = to, term
+	it.InSync = slices.DeleteFunc(it.InSync, func(n string) bool { return n == to || !s.Whole[n] })
+	it.InSync = append(it.InSync, self)
+	slices.Sort(it.InSync)
+	return it
+}
+
 // Hearing is the next record with a member taken out of the machines' homes, or
 // back among them; nil when that changes nothing. Homes move with the term only.
 func Hearing(r *Record, node string, deaf bool) *Record {
