The control record is told once to who stays behind; floors within limits that bind

Cause: 368 MB of record lines between 46 controllers in two minutes: each one told each other that was a moment behind, and each line was decoded whether newer or not, 3 ms each under the lock. Floors within a limit were made for teams whose limit is beyond all machines.

Change: a peer must be behind for a time that grows with the group (none for three), a line that is not newer is not read; teamsAtLimit asks whether the limit binds.

--- a/capacity_bench_test.go
+++ b/capacity_bench_test.go
@@ -251,3 +251,35 @@
 		g.n.mu.Unlock()
 	}
 }
+
+// BenchmarkCapacityRecordLine is the control record as one controller tells it another that knows an earlier one: made, and
+// taken in.
+func BenchmarkCapacityRecordLine(b *testing.B) {
+	for _, c := range []struct{ controllers, teams int }{{3, 8}, {3, 950}, {46, 950}} {
+		record := (&tenure.Record{Term: 1}).Clone()
+		var items []string
+		for i := range c.controllers {
+			record.Nodes[fmt.Sprintf("controller-%02d", i)] = 1
+		}
+		for i := range c.teams {
+			items = append(items, fmt.Sprintf("team/team-%03d", i))
+		}
+		for item, owner := range tenure.Placement(items, record.Members()) {
+			record.Items[item] = tenure.Item{Owner: owner, Since: 1, InSync: record.BackupsOf(item, owner, func(string) bool { return true })}
+		}
+		line := wire.Encode(recordMsg{1, wire.Encode(record)})
+		name := fmt.Sprintf("controllers=%d/teams=%d", c.controllers, c.teams)
+		b.Run("made/"+name, func(b *testing.B) {
+			processorTime(b, func() { wire.Encode(recordMsg{1, wire.Encode(record)}) })
+			b.ReportMetric(float64(len(line)), "bytes")
+		})
+		b.Run("taken/"+name, func(b *testing.B) {
+			processorTime(b, func() {
+				var m recordMsg
+				if err := wire.Decode(line, &m); err != nil {
+					b.Fatal(err)
+				}
+			})
+		})
+	}
+}
--- a/internal/admission/divide.go
+++ b/internal/admission/divide.go
@@ -152,12 +152,13 @@
 // Floors gives what each class and each team is not to be kept under: enough to serve the
 // floor's part of what comes, for as many as that is possible for, those first that need
 // least for it. One for which it is not possible, as one that floods, is left a crumb. Of a team that asks for more than
-// its limit, each class has such a floor within the limit, and one that asks for little a higher one.
+// its limit, where that is less than all machines, each class has such a floor within the limit, and one that asks for little
+// a higher one.
 func Floors(cpus float64, needs []Need, teams map[string]Guarantee, w *Weights) []Group {
 	due := Divide(cpus, needs, teams, w)
 	groups := groupFloors(cpus, needs, due, teams, w, func(k Key) Key { return Key{Class: k.Class} })
 	groups = append(groups, groupFloors(cpus, needs, due, teams, w, func(k Key) Key { return Key{Team: k.Team} })...)
-	for _, of := range teamsAtLimit(needs, teams) {
+	for _, of := range teamsAtLimit(cpus, needs, teams) {
 		most := teams[of[0].Team].Most
 		within := groupFloors(most, of, due, teams, w, func(k Key) Key { return k })
 		raiseSmallFloors(within, most, w)
@@ -186,8 +187,9 @@
 	}
 }
 
-// teamsAtLimit gives the needs of each team that asks for more than its limit.
-func teamsAtLimit(needs []Need, teams map[string]Guarantee) [][]Need {
+// teamsAtLimit gives the needs of each team that asks for more than its limit. Limits of more than so many CPUs of machines hold
+// nothing back.
+func teamsAtLimit(cpus float64, needs []Need, teams map[string]Guarantee) [][]Need {
 	byTeam, asked := map[string][]Need{}, map[string]float64{}
 	for _, n := range needs {
 		byTeam[n.Team] = append(byTeam[n.Team], n)
@@ -195,7 +197,7 @@
 	}
 	var over [][]Need
 	for _, team := range slices.Sorted(maps.Keys(byTeam)) {
-		if most := teams[team].Most; most > 0 && asked[team] > most {
+		if most := teams[team].Most; most > 0 && most < cpus && asked[team] > most {
 			over = append(over, byTeam[team])
 		}
 	}
--- a/node.go
+++ b/node.go
@@ -169,6 +169,7 @@
 	at       int64     // the peer's clock in its last status
 	until    time.Time // the peer promised to raise no term before
 	version  uint64    // of the newest control record under which it promised so
+	behind   time.Time // since when it has known an earlier control record; zero: it does not
 	taught   time.Time // when it was last sent the control record
 	demands  []demand
 	progress map[string][2]int
--- a/renewal.go
+++ b/renewal.go
@@ -1,6 +1,7 @@
 package topazhollow
 
 import (
+	"encoding/json"
 	"time"
 
 	"topazhollow/internal/frontend"
@@ -166,24 +167,49 @@
 
 // recordMsg tells a peer the control record as the state service has it.
 type recordMsg struct {
-	Version uint64         `json:"version"`
-	Record  *tenure.Record `json:"record"`
+	Version uint64          `json:"version"`
+	Record  json.RawMessage `json:"record"` // a tenure.Record, read only if it is newer than the one that is known
+}
+
+// Times of telling peers the control record.
+const (
+	teachEvery    = time.Second
+	teachAMember  = 25 * time.Millisecond // for each further member that a peer may hear of it from
+	teachAtOnceBy = 3                     // members who tell it at once
+)
+
+// teachAfter is for how long a peer must be behind before it is told the record: it mostly reads it by itself meanwhile, and in a
+// large group all others would tell it at the same time.
+func teachAfter(members int) time.Duration {
+	return min(teachEvery, time.Duration(max(0, members-teachAtOnceBy))*teachAMember)
 }
 
 // teach gives the control record to a peer that knows an earlier one, as one that the state service refused
 // before it was down for all: it may act by promises only under the latest.
 func (n *Node) teach(name string, s *statusMsg, now time.Time) {
 	p := n.peers[name]
-	if n.record == nil || s.Version == nil || *s.Version >= n.version || s.Store.Generation != n.generation() || !n.trusted() || now.Sub(p.taught) < time.Second {
+	if n.record == nil || s.Version == nil || *s.Version >= n.version || s.Store.Generation != n.generation() || !n.trusted() {
+		p.behind = time.Time{}
+		return
+	}
+	if p.behind.IsZero() {
+		p.behind = now
+	}
+	if now.Sub(p.behind) < teachAfter(len(n.record.Nodes)) || now.Sub(p.taught) < teachEvery {
 		return
 	}
 	p.taught = now
-	n.links.Send(name, "record", recordMsg{n.version, n.record})
+	n.links.Send(name, "record", recordMsg{n.version, wire.Encode(n.record)})
 }
 
+// onRecord takes up a control record that a peer tells, if it is newer than the one known here and of the same generation.
 func (n *Node) onRecord(m *recordMsg) {
-	if m.Record == nil || m.Version == 0 || n.record == nil || m.Record.Generation != n.generation() || !n.trusted() {
+	if m.Version <= n.version || n.record == nil || !n.trusted() {
+		return
+	}
+	var record tenure.Record
+	if err := json.Unmarshal(m.Record, &record); err != nil || record.Generation != n.generation() {
 		return
 	}
-	n.changed(wire.Change{Set: controlKey, Value: wire.Encode(m.Record), Version: m.Version})
+	n.changed(wire.Change{Set: controlKey, Value: m.Record, Version: m.Version})
 }
