A job that has waited a minute gets what is left on machines held for larger tasks

Change: placement.Ask.Waited; such room is given to others after a minute, never room that a waiting task of the held class could use.

--- /dev/null
+++ b/held_test.go
@@ -0,0 +1,52 @@
+package topazhollow
+
+import (
+	"testing"
+	"time"
+
+	"topazhollow/internal/admission"
+	"topazhollow/internal/frontend"
+	"topazhollow/internal/wire"
+)
+
+// TestLeftoverRoomOfHeldMachines: a small job waited for minutes beside room on machines that were held for a class whose
+// larger tasks did not fit there. After a while it has that room, and never what the held class could use.
+func TestLeftoverRoomOfHeldMachines(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		begun      int // small tasks of 2 CPUs on the machine of 32
+		age        time.Duration
+		wantPlaced int
+	}{
+		{"a job that has just come", 15, time.Second, 0},
+		{"a job that has waited", 15, leftoverAfter + time.Second, 1},
+		{"a job that has waited, beside room for the held class", 14, leftoverAfter + time.Second, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGrown(1, 1)
+			n := g.n
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			learn := func(uid, class string, tasks int, cpus float64, age time.Duration) {
+				n.learnJob(frontend.Stored{At: g.now.Add(-age).UnixMilli(), Spec: &wire.Submission{UID: uid, Team: "team-0", Class: class, Kind: wire.Batch,
+					Priority: "standard", Tasks: tasks, CPUs: cpus, Memory: 1, Image: "img", Estimate: 40, Spot: true}}, 1)
+			}
+			team := n.items[teamItem("team-0")].team
+			learn("job-000001", "small", c.begun, 2, 0)
+			n.place(g.now)
+			plan := &admission.Plan{ID: admission.ID{Since: 1, Number: 1}, Reserved: map[string]string{g.names[0]: "large"}}
+			n.admit.known.Hear(1, admission.Word{Force: plan})
+			team.Job("job-000001").Finishing = true // it asks for nothing more
+			learn("job-000002", "small", 1, 2, c.age)
+			learn("job-000003", "large", 1, 4, 0)
+			if c.begun < 15 {
+				elsewhere := "west" // where no machine is, so that the room stays free
+				n.jobs["job-000003"].spec.Zone = &elsewhere
+			}
+			n.place(g.now)
+			if placed := 1 - team.Unstarted(team.Job("job-000002")); placed != c.wantPlaced {
+				t.Errorf("%d tasks placed, want %d", placed, c.wantPlaced)
+			}
+		})
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -21,8 +21,12 @@
 	Images  map[string]bool
 	Pulls   int    // images that it fetches now
 	Held    string // the only class of jobs that may start there now; "" for any
+	HeldFor Room   // the least that a task of that class which waits needs; zero if none is known to wait
 }
 
+// Room is an amount of a machine.
+type Room struct{ CPUs, Memory float64 }
+
 // Ask is what a task needs.
 type Ask struct {
 	CPUs, GPUs, Memory float64
@@ -34,13 +38,14 @@
 	Run                float64 // seconds that the task probably takes
 	Hurry              bool    // time counts, not money
 	Class              string  // of the job
+	Waited             bool    // for so long that it may have what a machine's free room is too small for, though it is held for others
 }
 
 const slack = 1e-6
 
 // Allows says whether a host's type, zone and kind are allowed.
 func (a *Ask) Allows(h *Host) bool {
-	if (h.Spot && !a.Spot) || (a.Zone >= 0 && h.Zone != a.Zone) || (h.Held != "" && h.Held != a.Class) {
+	if (h.Spot && !a.Spot) || (a.Zone >= 0 && h.Zone != a.Zone) || !a.allowsHeld(h) {
 		return false
 	}
 	if a.Types == nil {
@@ -54,6 +59,15 @@
 	return false
 }
 
+// allowsHeld says whether the task may go to a host although that may be held for a class: it is of that class, or it has waited
+// for long and what is free there is too little for any task that the host is held for.
+func (a *Ask) allowsHeld(h *Host) bool {
+	if h.Held == "" || h.Held == a.Class {
+		return true
+	}
+	return a.Waited && (h.CPUs+slack < h.HeldFor.CPUs || h.Memory+slack < h.HeldFor.Memory)
+}
+
 // Fits says whether a host has the room.
 func (a *Ask) Fits(h *Host) bool {
 	return h.CPUs+slack >= a.CPUs && h.GPUs+slack >= a.GPUs && h.Memory+slack >= a.Memory
@@ -61,7 +75,7 @@
 
 // Exceeds says that whatever takes this task would take the other as well.
 func (a *Ask) Exceeds(o *Ask) bool {
-	return a.Class == o.Class && a.CPUs >= o.CPUs && a.GPUs >= o.GPUs && a.Memory >= o.Memory && (o.Spot || !a.Spot) &&
+	return a.Class == o.Class && (a.Waited || !o.Waited) && a.CPUs >= o.CPUs && a.GPUs >= o.GPUs && a.Memory >= o.Memory && (o.Spot || !a.Spot) &&
 		(o.Zone < 0 || o.Zone == a.Zone) && (o.Types == nil || slices.Equal(o.Types, a.Types))
 }
 
--- a/placing.go
+++ b/placing.go
@@ -31,6 +31,7 @@
 	if len(list) > 0 {
 		arrange(list)
 		p.hosts = n.hosts(now, smallest(list))
+		setHeldFor(p.hosts, list)
 	}
 	for i := range list {
 		w := &list[i]
@@ -65,6 +66,26 @@
 	return least
 }
 
+// setHeldFor tells hosts that are held for a class what the smallest of its tasks that wait needs.
+func setHeldFor(hosts []*placement.Host, list []waitingTasks) {
+	least := map[string]placement.Room{}
+	for i := range list {
+		s := list[i].spec
+		room, known := least[s.Class]
+		if !known {
+			room = placement.Room{CPUs: math.Inf(1), Memory: math.Inf(1)}
+		}
+		least[s.Class] = placement.Room{CPUs: min(room.CPUs, s.CPUs), Memory: min(room.Memory, s.Memory)}
+	}
+	for _, h := range hosts {
+		h.HeldFor = least[h.Held]
+	}
+}
+
+// leftoverAfter is for how long a job waits before its tasks may take what is left on machines that are held for a class whose tasks
+// do not fit there any more. Until then that room may yet become enough for one of them.
+const leftoverAfter = time.Minute
+
 // urgent says whether tasks have no time to spare: they would not be complete in time if they
 // ran three times as long as estimated after fetching their image.
 func (n *Node) urgent(w *waitingTasks, now time.Time) bool {
@@ -96,6 +117,7 @@
 func (p *placing) placeTasks(w *waitingTasks) {
 	ask := p.n.ask(w.spec)
 	ask.Hurry = p.n.urgent(w, p.now)
+	ask.Waited = p.now.Sub(w.submitted) > leftoverAfter
 	switch {
 	case w.own == nil:
 		p.leaveRoom(w, ask)
