--- /dev/null
+++ b/internal/keepers/quorum.go
@@ -0,0 +1,106 @@
+package keepers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"topazhollow/internal/blob"
+	"topazhollow/internal/keeper"
+)
+
+// callsAtOnce bounds the calls that one keeper has open to another. Beyond it that one
+// counts as failed for the call; if enough do, the caller is told to come back.
+const callsAtOnce = 4096
+
+// reply is one keeper's.
+type reply struct {
+	name string
+	*answer
+	err error
+}
+
+// ask puts a call to some keepers at once and gives the answers as soon as so many are
+// there, or all have answered. What is still on its way then is seen through behind
+// the caller's back; a keeper that lets too much of that pile up is left to repair.
+func (n *Node) ask(ctx context.Context, names []string, need int, do func(ctx context.Context, name string, r replica) (*answer, error)) (got []reply, failed []reply) {
+	replies := make(chan reply, len(names))
+	late := context.WithoutCancel(ctx)
+	for _, name := range names {
+		p := n.peers[name]
+		if p == nil {
+			replies <- reply{name: name, err: ErrTooFew}
+			continue
+		}
+		select {
+		case n.busy[name] <- struct{}{}:
+		default:
+			replies <- reply{name: name, err: errBusy}
+			continue
+		}
+		go func() {
+			defer func() { <-n.busy[name] }()
+			ctx, cancel := context.WithTimeout(late, n.opt.Patience)
+			defer cancel()
+			a, err := do(ctx, name, p)
+			replies <- reply{name, a, err}
+		}()
+	}
+	for range names {
+		var r reply
+		select {
+		case r = <-replies:
+		case <-ctx.Done():
+			return got, append(failed, reply{err: ctx.Err()})
+		}
+		if r.err != nil {
+			failed = append(failed, r)
+		} else if got = append(got, r); len(got) >= need {
+			break
+		}
+	}
+	return got, failed
+}
+
+// reason is the error that says most about why too few keepers did something.
+func reason(failed []reply) error {
+	var errs []error
+	for _, f := range failed {
+		errs = append(errs, f.err)
+	}
+	for _, e := range []error{keeper.ErrSealed, keeper.ErrClaim, keeper.ErrFrozen, keeper.ErrTooMuch, keeper.ErrName, keeper.ErrUnknown, blob.ErrNotFound, blob.ErrTenant} {
+		for _, err := range errs {
+			if errors.Is(err, e) {
+				return err
+			}
+		}
+	}
+	for _, err := range errs {
+		var gap *keeper.GapError
+		var full *blob.FullError
+		if errors.As(err, &gap) || errors.As(err, &full) {
+			return err
+		}
+	}
+	return fmt.Errorf("%w: %w", ErrTooFew, errors.Join(errs...))
+}
+
+// write has a call carried out by as many of a task's keepers as must have it. An end
+// that somebody began and left open is seen through or undone first.
+func (n *Node) write(ctx context.Context, at keeper.Attempt, do func(ctx context.Context, name string, r replica) (*answer, error)) ([]reply, error) {
+	names := n.opt.Members.Place(at.Job, at.Task)
+	need := n.opt.Members.acks(len(names))
+	for try := 0; ; try++ {
+		got, failed := n.ask(ctx, names, need, do)
+		if len(got) >= need {
+			return got, nil
+		}
+		err := reason(failed)
+		if !errors.Is(err, keeper.ErrFrozen) || try > 2 {
+			return nil, err
+		}
+		if _, rerr := n.resolve(ctx, at); rerr != nil {
+			return nil, errors.Join(err, rerr)
+		}
+	}
+}
--- /dev/null
+++ b/internal/keepers/streams.go
@@ -0,0 +1,203 @@
+package keepers
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"topazhollow/internal/blob"
+	"topazhollow/internal/keeper"
+	"topazhollow/internal/wait"
+)
+
+// Begin opens an attempt for its machine and session. Repeated by the same it has no
+// effect.
+func (n *Node) Begin(ctx context.Context, c keeper.Claim) error {
+	_, err := n.write(ctx, c.Attempt, func(ctx context.Context, _ string, r replica) (*answer, error) {
+		return r.do(ctx, &call{Op: "begin", Claim: c})
+	})
+	return err
+}
+
+// Append adds records to a stream, the first of them under a number. next is the number
+// of the record wanted next; all before it are durable on enough keepers.
+func (n *Node) Append(ctx context.Context, c keeper.Claim, stream string, first uint64, records []keeper.Record) (next uint64, err error) {
+	begun := n.opt.Now()
+	got, err := n.write(ctx, c.Attempt, func(ctx context.Context, name string, r replica) (*answer, error) {
+		a, err := r.do(ctx, &call{Op: "append", Claim: c, Stream: stream, First: first, Records: records})
+		var gap *keeper.GapError
+		if errors.As(err, &gap) && n.fill(ctx, c, stream, gap.Want, first, name, r) {
+			a, err = r.do(ctx, &call{Op: "append", Claim: c, Stream: stream, First: first, Records: records})
+		}
+		return a, err
+	})
+	if err != nil {
+		var gap *keeper.GapError
+		if errors.As(err, &gap) {
+			next = gap.Want
+		}
+		return next, err
+	}
+	n.meters.appended(records, n.opt.Now().Sub(begun))
+	nexts := make([]uint64, 0, len(got))
+	for _, r := range got {
+		nexts = append(nexts, r.Next)
+	}
+	return slices.Min(nexts), nil
+}
+
+// fill brings a keeper the records of a stream that it missed, from another that has
+// them.
+func (n *Node) fill(ctx context.Context, c keeper.Claim, stream string, from, to uint64, name string, r replica) bool {
+	for _, other := range n.opt.Members.Place(c.Job, c.Task) {
+		p := n.peers[other]
+		if other == name || p == nil || from >= to {
+			continue
+		}
+		if next, err := n.copyRecords(ctx, c, stream, from, to, p, r); err == nil {
+			from = next
+		}
+	}
+	return from >= to
+}
+
+// atOnce bounds the records that go from one keeper to another in one call.
+const (
+	atOnce      = 500
+	atOnceBytes = 1 << 20
+)
+
+// copyRecords brings records from one keeper to another, up to a number, or all if it
+// is 0, and gives the number of the next.
+func (n *Node) copyRecords(ctx context.Context, c keeper.Claim, stream string, from, to uint64, src, dst replica) (uint64, error) {
+	var batch []keeper.Record
+	size := 0
+	send := func() error {
+		if len(batch) == 0 {
+			return nil
+		}
+		_, err := dst.do(ctx, &call{Op: "append", Claim: c, Stream: stream, First: from, Records: batch})
+		if err == nil {
+			from += uint64(len(batch))
+			batch, size = nil, 0
+		}
+		return err
+	}
+	_, _, err := src.read(ctx, c.Attempt, stream, from, false, func(rec keeper.Record) error {
+		if to > 0 && from+uint64(len(batch)) >= to {
+			return nil
+		}
+		batch = append(batch, rec)
+		if size += len(rec.Data); len(batch) < atOnce && size < atOnceBytes {
+			return nil
+		}
+		return send()
+	})
+	return from, errors.Join(err, send())
+}
+
+// Attach adds a file, whose content one of the keepers has from the same tenant. A path
+// that was attached before gets the new content.
+func (n *Node) Attach(ctx context.Context, c keeper.Claim, path string, d blob.Digest) error {
+	_, err := n.write(ctx, c.Attempt, func(ctx context.Context, name string, r replica) (*answer, error) {
+		ask := &call{Op: "attach", Claim: c, Path: path, Digest: d.String()}
+		a, err := r.do(ctx, ask)
+		if !errors.Is(err, blob.ErrNotFound) && !errors.Is(err, blob.ErrTenant) {
+			return a, err
+		}
+		content, oerr := n.open(ctx, n.sources(c.Job, c.Task), c.Tenant, d, 0)
+		if oerr != nil {
+			return nil, oerr
+		}
+		defer content.Close()
+		if err := r.put(ctx, c.Tenant, d, content); err != nil {
+			return nil, err
+		}
+		return r.do(ctx, ask)
+	})
+	return err
+}
+
+// turn is for how long a follower stays with one keeper before it looks whether another
+// has more.
+const turn = 5 * time.Second
+
+// Read hands over the records of an attempt's stream from a number on, and gives the
+// number of the next and the attempt's state. A follower is served for as long as the
+// attempt goes on and the context allows. A keeper that fails meanwhile is replaced by
+// another.
+func (n *Node) Read(ctx context.Context, at keeper.Attempt, stream string, from uint64, follow bool, each func(uint64, keeper.Record) error) (next uint64, state string, err error) {
+	next = from
+	var broken error // each's own
+	pass := func(r keeper.Record) error {
+		if broken = each(next, r); broken == nil {
+			next++
+		}
+		return broken
+	}
+	failures := 0
+	for {
+		v, m, err := n.choose(ctx, at.Job, at.Task, at.Number)
+		if err != nil {
+			return next, "", err
+		}
+		state = v.state(m)
+		names := n.sources(at.Job, at.Task)
+		rank := func(name string) uint64 { return m.next[stream][name] }
+		slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(rank(b), rank(a)) })
+		want := uint64(0) // records that must come before this is whole
+		if m.Ended != "" {
+			man, err := n.manifest(ctx, m)
+			if err != nil {
+				return next, "", err
+			}
+			for _, s := range man.Streams {
+				if s.Name == stream {
+					want = s.Records
+				}
+			}
+		} else if len(names) > 0 {
+			want = rank(names[0])
+		}
+		following := follow && m.Ended == ""
+		var last error
+		for _, name := range names {
+			p := n.peers[name]
+			if p == nil || (next >= want && !following) {
+				continue
+			}
+			slice, cancel := ctx, context.CancelFunc(func() {})
+			if following {
+				slice, cancel = context.WithTimeout(ctx, turn)
+			}
+			_, _, last = p.read(slice, m.Attempt, stream, next, following, pass)
+			over := slice.Err() != nil
+			cancel()
+			if broken != nil {
+				return next, "", broken
+			}
+			if over || (last == nil && (following || next >= want)) {
+				last = nil
+				break
+			}
+		}
+		switch {
+		case ctx.Err() != nil:
+			return next, state, nil
+		case last == nil && !following && next >= want:
+			return next, state, nil
+		case last == nil && !following:
+			last = fmt.Errorf("%w: %d of %d records", keeper.ErrNotWhole, next, want)
+		}
+		if last != nil {
+			if failures++; failures > 3 {
+				return next, "", last
+			}
+			wait.For(ctx, rand.N(100*time.Millisecond<<failures)) // the next try sees whether the context ended
+		}
+	}
+}
