--- /dev/null
+++ b/internal/blob/index.go
@@ -0,0 +1,150 @@
+package blob
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
+
+	"topazhollow/internal/wal"
+)
+
+var errStale = errors.New("blob: index is ahead of the log")
+
+func (s *Store) indexPath() string { return filepath.Join(s.opt.Dir, "index") }
+
+func (s *Store) openIndex() error {
+	open := func() error {
+		db, err := bolt.Open(s.indexPath(), 0o600, &bolt.Options{Timeout: time.Second})
+		if err != nil {
+			return err
+		}
+		err = db.Update(func(tx *bolt.Tx) error {
+			for _, b := range [][]byte{bucketBlobs, bucketRefs, bucketUsed, bucketMeta} {
+				if _, err := tx.CreateBucketIfNotExists(b); err != nil {
+					return err
+				}
+			}
+			if pos := tx.Bucket(bucketMeta).Get(keyPos); len(pos) == 12 {
+				s.applied = wal.Pos{Segment: binary.BigEndian.Uint32(pos), Offset: int64(binary.BigEndian.Uint64(pos[4:]))}
+			}
+			return tx.Bucket(bucketUsed).ForEach(func(k, v []byte) error {
+				s.used[strings.TrimPrefix(string(k), "/")] = int64(binary.BigEndian.Uint64(v))
+				return nil
+			})
+		})
+		if err != nil {
+			db.Close()
+			return err
+		}
+		s.db = db
+		return nil
+	}
+	err := open()
+	if errors.Is(err, bolterrors.ErrTimeout) {
+		return fmt.Errorf("blob: another process has %s open: %w", s.opt.Dir, err)
+	}
+	if err != nil { // unreadable: the log has it all
+		if rerr := os.Rename(s.indexPath(), s.indexPath()+".bad"); rerr != nil && !errors.Is(rerr, fs.ErrNotExist) {
+			return fmt.Errorf("blob: %w", rerr)
+		}
+		s.applied, s.used = wal.Pos{}, map[string]int64{}
+		err = open()
+	}
+	if err != nil {
+		return fmt.Errorf("blob: index: %w", err)
+	}
+	return nil
+}
+
+func (s *Store) dropIndex() error {
+	s.db.Close()
+	if err := os.Remove(s.indexPath()); err != nil {
+		return fmt.Errorf("blob: %w", err)
+	}
+	s.applied, s.used, s.fresh, s.refs = wal.Pos{}, map[string]int64{}, map[string]*entry{}, map[string]*ref{}
+	return s.openIndex()
+}
+
+// keep brings the index up to date now and then, and drops abandoned uploads.
+func (s *Store) keep(ctx context.Context) {
+	defer close(s.done)
+	t := time.NewTicker(checkpointEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			// If the index can't be written, the log has it all, and the next start
+			// reads more of it.
+			_ = s.checkpoint()
+			s.dropAbandoned()
+		}
+	}
+}
+
+// checkpoint writes what changed to the index.
+func (s *Store) checkpoint() error {
+	s.commits.Lock()
+	end := s.log.End() // everything before it is applied
+	s.commits.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applied = end
+	return s.writeIndex(end)
+}
+
+// writeIndex is checkpoint with s.mu held: the index then holds all records before
+// a position.
+func (s *Store) writeIndex(upTo wal.Pos) error {
+	err := s.db.Update(func(tx *bolt.Tx) error {
+		put := func(b *bolt.Bucket, key string, value []byte) error {
+			if value == nil {
+				return b.Delete([]byte(key))
+			}
+			return b.Put([]byte(key), value)
+		}
+		blobs := tx.Bucket(bucketBlobs)
+		for _, key := range slices.Sorted(maps.Keys(s.fresh)) {
+			var value []byte
+			if e := s.fresh[key]; e != nil {
+				value = e.encode()
+			}
+			if err := put(blobs, key, value); err != nil {
+				return err
+			}
+		}
+		for name, r := range s.refs {
+			var value []byte
+			if r != nil {
+				value = r.encode()
+			}
+			if err := put(tx.Bucket(bucketRefs), name, value); err != nil {
+				return err
+			}
+		}
+		for tenant, n := range s.used {
+			if err := tx.Bucket(bucketUsed).Put([]byte("/"+tenant), binary.BigEndian.AppendUint64(nil, uint64(n))); err != nil {
+				return err
+			}
+		}
+		pos := binary.BigEndian.AppendUint32(nil, upTo.Segment)
+		return tx.Bucket(bucketMeta).Put(keyPos, binary.BigEndian.AppendUint64(pos, uint64(upTo.Offset)))
+	})
+	if err != nil {
+		return fmt.Errorf("blob: index: %w", err)
+	}
+	s.fresh, s.refs = map[string]*entry{}, map[string]*ref{}
+	return nil
+}
--- /dev/null
+++ b/internal/blob/read.go
@@ -0,0 +1,154 @@
+package blob
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"sync"
+
+	"github.com/klauspost/compress/zstd"
+)
+
+// Reader reads a blob from its beginning on. It must be closed; until then the blob
+// is not collected.
+type Reader struct {
+	io.Reader
+	d     Digest
+	close func()
+	once  sync.Once
+}
+
+// Digest is what is read.
+func (r *Reader) Digest() Digest { return r.d }
+
+// Close lets the blob go.
+func (r *Reader) Close() error {
+	r.once.Do(r.close)
+	return nil
+}
+
+// Open reads a blob that a tenant has, from an offset on. What is read is not
+// verified as a whole; see Scrub.
+func (s *Store) Open(tenant string, d Digest, offset int64) (*Reader, error) {
+	if offset < 0 || offset > d.Size {
+		return nil, fmt.Errorf("%w: offset %d of %d", ErrNotFound, offset, d.Size)
+	}
+	return s.open(d, offset, func(key string) *entry { return s.touch(tenant, key) })
+}
+
+// OpenAny is Open for whoever may read all tenants' blobs.
+func (s *Store) OpenAny(d Digest, offset int64) (*Reader, error) {
+	if offset < 0 || offset > d.Size {
+		return nil, fmt.Errorf("%w: offset %d of %d", ErrNotFound, offset, d.Size)
+	}
+	return s.open(d, offset, func(key string) *entry {
+		if e := s.find(key); e != nil && !e.rotten && !s.deleting[key] {
+			return e
+		}
+		return nil
+	})
+}
+
+func (s *Store) open(d Digest, offset int64, find func(key string) *entry) (*Reader, error) {
+	key := d.key()
+	for range 3 { // a small blob may move on in the log meanwhile
+		s.mu.Lock()
+		e := find(key)
+		if e == nil {
+			e := s.find(key)
+			s.mu.Unlock()
+			switch {
+			case e == nil:
+				return nil, fmt.Errorf("%w: %s", ErrNotFound, d)
+			case e.rotten:
+				return nil, fmt.Errorf("%w: %s", ErrRotten, d)
+			}
+			return nil, fmt.Errorf("%w: %s", ErrTenant, d)
+		}
+		e = &entry{codec: e.codec, small: e.small, at: e.at}
+		s.pins[key]++
+		s.mu.Unlock()
+		r, err := s.content(d, e)
+		if err == nil {
+			if _, err = io.CopyN(io.Discard, r, offset); err == nil {
+				return &Reader{Reader: r, d: d, close: func() { r.Close(); s.unpin(key) }}, nil
+			}
+			r.Close()
+		}
+		s.unpin(key)
+		if !errors.Is(err, fs.ErrNotExist) {
+			return nil, fmt.Errorf("%w: %s: %v", ErrRotten, d, err)
+		}
+	}
+	return nil, fmt.Errorf("%w: %s", ErrRotten, d)
+}
+
+func (s *Store) unpin(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pins[key]--; s.pins[key] <= 0 {
+		delete(s.pins, key)
+	}
+}
+
+// content opens what lies on the disk.
+func (s *Store) content(d Digest, e *entry) (io.ReadCloser, error) {
+	var raw io.ReadCloser
+	if e.small {
+		b, err := s.log.Read(e.at)
+		if err != nil {
+			return nil, err
+		}
+		r, err := decodeRecord(b)
+		if err != nil {
+			return nil, err
+		}
+		raw = io.NopCloser(bytes.NewReader(r.data))
+	} else {
+		f, err := os.Open(s.objectPath(d))
+		if err != nil {
+			return nil, err
+		}
+		raw = f
+	}
+	if e.codec == plain {
+		return raw, nil
+	}
+	z, err := zstd.NewReader(raw, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(64<<20))
+	if err != nil {
+		raw.Close()
+		return nil, err
+	}
+	return &unpacked{z, raw}, nil
+}
+
+// unpacked is a decompressed file.
+type unpacked struct {
+	*zstd.Decoder
+	raw io.Closer
+}
+
+func (u *unpacked) Close() error {
+	u.Decoder.Close()
+	return u.raw.Close()
+}
+
+// Get reads a whole blob of at most max bytes.
+func (s *Store) Get(tenant string, d Digest, max int64) ([]byte, error) {
+	if d.Size > max {
+		return nil, fmt.Errorf("%w: %s is longer than %d bytes", ErrNotFound, d, max)
+	}
+	r, err := s.Open(tenant, d, 0)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	b, err := io.ReadAll(io.LimitReader(r, d.Size+1))
+	if err != nil || Of(b) != d {
+		return nil, fmt.Errorf("%w: %s", ErrRotten, d)
+	}
+	return b, nil
+}
--- a/internal/blob/store.go
+++ b/internal/blob/store.go
@@ -6,13 +6,11 @@
 package blob
 
 import (
-	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
-	"io/fs"
 	"maps"
 	"os"
 	"path/filepath"
@@ -21,9 +19,7 @@
 	"sync"
 	"time"
 
-	"github.com/klauspost/compress/zstd"
 	bolt "go.etcd.io/bbolt"
-	bolterrors "go.etcd.io/bbolt/errors"
 
 	"topazhollow/internal/wal"
 )
@@ -177,63 +173,6 @@
 	return s, nil
 }
 
-var errStale = errors.New("blob: index is ahead of the log")
-
-func (s *Store) indexPath() string { return filepath.Join(s.opt.Dir, "index") }
-
-func (s *Store) openIndex() error {
-	open := func() error {
-		db, err := bolt.Open(s.indexPath(), 0o600, &bolt.Options{Timeout: time.Second})
-		if err != nil {
-			return err
-		}
-		err = db.Update(func(tx *bolt.Tx) error {
-			for _, b := range [][]byte{bucketBlobs, bucketRefs, bucketUsed, bucketMeta} {
-				if _, err := tx.CreateBucketIfNotExists(b); err != nil {
-					return err
-				}
-			}
-			if pos := tx.Bucket(bucketMeta).Get(keyPos); len(pos) == 12 {
-				s.applied = wal.Pos{Segment: binary.BigEndian.Uint32(pos), Offset: int64(binary.BigEndian.Uint64(pos[4:]))}
-			}
-			return tx.Bucket(bucketUsed).ForEach(func(k, v []byte) error {
-				s.used[strings.TrimPrefix(string(k), "/")] = int64(binary.BigEndian.Uint64(v))
-				return nil
-			})
-		})
-		if err != nil {
-			db.Close()
-			return err
-		}
-		s.db = db
-		return nil
-	}
-	err := open()
-	if errors.Is(err, bolterrors.ErrTimeout) {
-		return fmt.Errorf("blob: another process has %s open: %w", s.opt.Dir, err)
-	}
-	if err != nil { // unreadable: the log has it all
-		if rerr := os.Rename(s.indexPath(), s.indexPath()+".bad"); rerr != nil && !errors.Is(rerr, fs.ErrNotExist) {
-			return fmt.Errorf("blob: %w", rerr)
-		}
-		s.applied, s.used = wal.Pos{}, map[string]int64{}
-		err = open()
-	}
-	if err != nil {
-		return fmt.Errorf("blob: index: %w", err)
-	}
-	return nil
-}
-
-func (s *Store) dropIndex() error {
-	s.db.Close()
-	if err := os.Remove(s.indexPath()); err != nil {
-		return fmt.Errorf("blob: %w", err)
-	}
-	s.applied, s.used, s.fresh, s.refs = wal.Pos{}, map[string]int64{}, map[string]*entry{}, map[string]*ref{}
-	return s.openIndex()
-}
-
 func (s *Store) openLog() error {
 	from, replayed := s.applied, 0
 	log, err := wal.Open(filepath.Join(s.opt.Dir, "log"), wal.Options{Step: s.opt.Step}, from, func(at wal.Pos, b []byte) error {
@@ -385,79 +324,6 @@
 	}
 }
 
-// keep brings the index up to date now and then, and drops abandoned uploads.
-func (s *Store) keep(ctx context.Context) {
-	defer close(s.done)
-	t := time.NewTicker(checkpointEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			// If the index can't be written, the log has it all, and the next start
-			// reads more of it.
-			_ = s.checkpoint()
-			s.dropAbandoned()
-		}
-	}
-}
-
-// checkpoint writes what changed to the index.
-func (s *Store) checkpoint() error {
-	s.commits.Lock()
-	end := s.log.End() // everything before it is applied
-	s.commits.Unlock()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.applied = end
-	return s.writeIndex(end)
-}
-
-// writeIndex is checkpoint with s.mu held: the index then holds all records before
-// a position.
-func (s *Store) writeIndex(upTo wal.Pos) error {
-	err := s.db.Update(func(tx *bolt.Tx) error {
-		put := func(b *bolt.Bucket, key string, value []byte) error {
-			if value == nil {
-				return b.Delete([]byte(key))
-			}
-			return b.Put([]byte(key), value)
-		}
-		blobs := tx.Bucket(bucketBlobs)
-		for _, key := range slices.Sorted(maps.Keys(s.fresh)) {
-			var value []byte
-			if e := s.fresh[key]; e != nil {
-				value = e.encode()
-			}
-			if err := put(blobs, key, value); err != nil {
-				return err
-			}
-		}
-		for name, r := range s.refs {
-			var value []byte
-			if r != nil {
-				value = r.encode()
-			}
-			if err := put(tx.Bucket(bucketRefs), name, value); err != nil {
-				return err
-			}
-		}
-		for tenant, n := range s.used {
-			if err := tx.Bucket(bucketUsed).Put([]byte("/"+tenant), binary.BigEndian.AppendUint64(nil, uint64(n))); err != nil {
-				return err
-			}
-		}
-		pos := binary.BigEndian.AppendUint32(nil, upTo.Segment)
-		return tx.Bucket(bucketMeta).Put(keyPos, binary.BigEndian.AppendUint64(pos, uint64(upTo.Offset)))
-	})
-	if err != nil {
-		return fmt.Errorf("blob: index: %w", err)
-	}
-	s.fresh, s.refs = map[string]*entry{}, map[string]*ref{}
-	return nil
-}
-
 // commit writes records to the log and carries them over to the index.
 func (s *Store) commit(ctx context.Context, rs ...*record) error {
 	var data [][]byte
@@ -535,147 +401,6 @@
 	return e
 }
 
-// Reader reads a blob from its beginning on. It must be closed; until then the blob
-// is not collected.
-type Reader struct {
-	io.Reader
-	d     Digest
-	close func()
-	once  sync.Once
-}
-
-// Digest is what is read.
-func (r *Reader) Digest() Digest { return r.d }
-
-// Close lets the blob go.
-func (r *Reader) Close() error {
-	r.once.Do(r.close)
-	return nil
-}
-
-// Open reads a blob that a tenant has, from an offset on. What is read is not
-// verified as a whole; see Scrub.
-func (s *Store) Open(tenant string, d Digest, offset int64) (*Reader, error) {
-	if offset < 0 || offset > d.Size {
-		return nil, fmt.Errorf("%w: offset %d of %d", ErrNotFound, offset, d.Size)
-	}
-	return s.open(d, offset, func(key string) *entry { return s.touch(tenant, key) })
-}
-
-// OpenAny is Open for whoever may read all tenants' blobs.
-func (s *Store) OpenAny(d Digest, offset int64) (*Reader, error) {
-	if offset < 0 || offset > d.Size {
-		return nil, fmt.Errorf("%w: offset %d of %d", ErrNotFound, offset, d.Size)
-	}
-	return s.open(d, offset, func(key string) *entry {
-		if e := s.find(key); e != nil && !e.rotten && !s.deleting[key] {
-			return e
-		}
-		return nil
-	})
-}
-
-func (s *Store) open(d Digest, offset int64, find func(key string) *entry) (*Reader, error) {
-	key := d.key()
-	for range 3 { // a small blob may move on in the log meanwhile
-		s.mu.Lock()
-		e := find(key)
-		if e == nil {
-			e := s.find(key)
-			s.mu.Unlock()
-			switch {
-			case e == nil:
-				return nil, fmt.Errorf("%w: %s", ErrNotFound, d)
-			case e.rotten:
-				return nil, fmt.Errorf("%w: %s", ErrRotten, d)
-			}
-			return nil, fmt.Errorf("%w: %s", ErrTenant, d)
-		}
-		e = &entry{codec: e.codec, small: e.small, at: e.at}
-		s.pins[key]++
-		s.mu.Unlock()
-		r, err := s.content(d, e)
-		if err == nil {
-			if _, err = io.CopyN(io.Discard, r, offset); err == nil {
-				return &Reader{Reader: r, d: d, close: func() { r.Close(); s.unpin(key) }}, nil
-			}
-			r.Close()
-		}
-		s.unpin(key)
-		if !errors.Is(err, fs.ErrNotExist) {
-			return nil, fmt.Errorf("%w: %s: %v", ErrRotten, d, err)
-		}
-	}
-	return nil, fmt.Errorf("%w: %s", ErrRotten, d)
-}
-
-func (s *Store) unpin(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.pins[key]--; s.pins[key] <= 0 {
-		delete(s.pins, key)
-	}
-}
-
-// content opens what lies on the disk.
-func (s *Store) content(d Digest, e *entry) (io.ReadCloser, error) {
-	var raw io.ReadCloser
-	if e.small {
-		b, err := s.log.Read(e.at)
-		if err != nil {
-			return nil, err
-		}
-		r, err := decodeRecord(b)
-		if err != nil {
-			return nil, err
-		}
-		raw = io.NopCloser(bytes.NewReader(r.data))
-	} else {
-		f, err := os.Open(s.objectPath(d))
-		if err != nil {
-			return nil, err
-		}
-		raw = f
-	}
-	if e.codec == plain {
-		return raw, nil
-	}
-	z, err := zstd.NewReader(raw, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(64<<20))
-	if err != nil {
-		raw.Close()
-		return nil, err
-	}
-	return &unpacked{z, raw}, nil
-}
-
-// unpacked is a decompressed file.
-type unpacked struct {
-	*zstd.Decoder
-	raw io.Closer
-}
-
-func (u *unpacked) Close() error {
-	u.Decoder.Close()
-	return u.raw.Close()
-}
-
-// Get reads a whole blob of at most max bytes.
-func (s *Store) Get(tenant string, d Digest, max int64) ([]byte, error) {
-	if d.Size > max {
-		return nil, fmt.Errorf("%w: %s is longer than %d bytes", ErrNotFound, d, max)
-	}
-	r, err := s.Open(tenant, d, 0)
-	if err != nil {
-		return nil, err
-	}
-	defer r.Close()
-	b, err := io.ReadAll(io.LimitReader(r, d.Size+1))
-	if err != nil || Of(b) != d {
-		return nil, fmt.Errorf("%w: %s", ErrRotten, d)
-	}
-	return b, nil
-}
-
 // Stats is what a store holds.
 type Stats struct {
 	Blobs   int
--- /dev/null
+++ b/internal/keeper/inventory.go
@@ -0,0 +1,179 @@
+package keeper
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Extent is how much of a stream is there.
+type Extent struct {
+	Next  uint64 `json:"next"` // number of the next record
+	Bytes int64  `json:"bytes"`
+	Lost  int64  `json:"lost,omitempty"`
+}
+
+// View is what one keeper has of an attempt.
+type View struct {
+	Claim
+	Ended   string            `json:"ended,omitempty"` // digest of its manifest; empty: open
+	Partial bool              `json:"partial,omitempty"`
+	Exit    *Exit             `json:"exit,omitempty"`
+	Voted   bool              `json:"voted,omitempty"` // an end was accepted, and perhaps decided
+	Idle    float64           `json:"idle,omitempty"`  // seconds since something came for it
+	Streams map[string]Extent `json:"streams,omitempty"`
+	Files   map[string]string `json:"files,omitempty"`
+}
+
+// TaskView is what one keeper has of a task.
+type TaskView struct {
+	Attempts []View  `json:"attempts"`
+	Result   *Result `json:"result,omitempty"`
+	Voted    bool    `json:"voted,omitempty"` // a result was accepted, and perhaps decided
+}
+
+// view is what is here of an open attempt. k.mu is held.
+func (k *Keeper) view(at Attempt, a *attempt) *View {
+	v := &View{Claim: a.claim, Idle: k.opt.Now().Sub(a.touched).Seconds(), Streams: map[string]Extent{}, Files: map[string]string{}}
+	v.Voted = k.votes[at] != nil && k.votes[at].Value != nil
+	for name, s := range a.streams {
+		v.Streams[name] = Extent{s.next, s.bytes, s.lost}
+	}
+	for path, d := range a.files {
+		v.Files[path] = d.String()
+	}
+	return v
+}
+
+// Task gives what is here of a task, its attempts in their order.
+func (k *Keeper) Task(job string, task int) (*TaskView, error) {
+	at := Attempt{Job: job, Task: task}
+	t := &TaskView{}
+	k.mu.Lock()
+	open := map[uint64]*View{}
+	for x, a := range k.open {
+		if x.Job == job && x.Task == task {
+			open[x.Number] = k.view(x, a)
+		}
+	}
+	for x, v := range k.votes { // an end may be accepted of an attempt that is not known else
+		if x.Job == job && x.Task == task && x.Number > 0 && open[x.Number] == nil && v.Value != nil {
+			open[x.Number] = &View{Claim: Claim{Attempt: x}, Voted: true}
+		}
+	}
+	t.Voted = k.votes[at] != nil && k.votes[at].Value != nil
+	k.mu.Unlock()
+	for _, kind := range []string{"sealed/", "partial/"} {
+		names, err := k.opt.Blobs.Refs(kind+at.task(), "", 100_000)
+		if err != nil {
+			return nil, err
+		}
+		for _, name := range names {
+			x, err := ParseName(name)
+			if err != nil {
+				return nil, err
+			}
+			tenant, ds, ok := k.opt.Blobs.Ref(name)
+			if !ok {
+				continue
+			}
+			m, err := k.manifest(tenant, ds[0])
+			if err != nil {
+				return nil, err
+			}
+			delete(open, x.Number)
+			t.Attempts = append(t.Attempts, View{Claim: m.Claim, Ended: ds[0].String(), Partial: m.Partial, Exit: &m.Exit})
+		}
+	}
+	for _, v := range open {
+		t.Attempts = append(t.Attempts, *v)
+	}
+	slices.SortFunc(t.Attempts, func(a, b View) int { return cmp.Compare(a.Number, b.Number) })
+	value, there, err := k.decided(at)
+	if err != nil || !there {
+		return t, err
+	}
+	t.Result = &Result{}
+	return t, json.Unmarshal(value, t.Result)
+}
+
+// Open lists the attempts that have not ended here, with what is there of them.
+func (k *Keeper) Open() []View {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	list := make([]View, 0, len(k.open))
+	for at, a := range k.open {
+		list = append(list, *k.view(at, a))
+	}
+	return list
+}
+
+// Names lists the references of ended attempts and results, in order, after a name.
+func (k *Keeper) Names(after string, most int) ([]string, error) {
+	var list []string
+	for _, kind := range []string{"final/", "partial/", "sealed/"} { // in the order of names
+		names, err := k.opt.Blobs.Refs(kind, after, most-len(list))
+		if list = append(list, names...); err != nil || len(list) >= most {
+			return list, err
+		}
+	}
+	return list, nil
+}
+
+// Tasks lists the tasks of a job of which something is here.
+func (k *Keeper) Tasks(job string) ([]int, error) {
+	found := map[int]bool{}
+	for _, kind := range []string{"partial/", "sealed/"} {
+		for after := ""; ; {
+			names, err := k.opt.Blobs.Refs(kind+job+"/", after, 1000)
+			if err != nil {
+				return nil, err
+			}
+			for _, name := range names {
+				at, err := ParseName(name)
+				if err != nil {
+					return nil, err
+				}
+				found[at.Task] = true
+			}
+			if len(names) < 1000 {
+				break
+			}
+			after = names[len(names)-1]
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for at := range k.open {
+		if at.Job == job {
+			found[at.Task] = true
+		}
+	}
+	list := make([]int, 0, len(found))
+	for n := range found {
+		list = append(list, n)
+	}
+	slices.Sort(list)
+	return list, nil
+}
+
+// ParseName reads the name of a reference, as Names gives them.
+func ParseName(name string) (Attempt, error) {
+	parts := strings.Split(name, "/")
+	var at Attempt
+	if len(parts) != 4 {
+		return at, fmt.Errorf("%w: %.100q", ErrName, name)
+	}
+	at.Job = parts[1]
+	if _, err := fmt.Sscanf(parts[2], "%d", &at.Task); err != nil {
+		return at, fmt.Errorf("%w: %.100q", ErrName, name)
+	}
+	if parts[3] != "" {
+		if _, err := fmt.Sscanf(parts[3], "%d", &at.Number); err != nil {
+			return at, fmt.Errorf("%w: %.100q", ErrName, name)
+		}
+	}
+	return at, nil
+}
--- /dev/null
+++ b/internal/keepers/pace.go
@@ -0,0 +1,67 @@
+package keepers
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"golang.org/x/time/rate"
+
+	"topazhollow/internal/blob"
+	"topazhollow/internal/keeper"
+)
+
+// paced makes a fetch keep to the rate that repair may take, so that it starves nobody.
+func (n *Node) paced(f keeper.Fetch) keeper.Fetch {
+	return func(ctx context.Context, tenant string, d blob.Digest) (io.ReadCloser, error) {
+		r, err := f(ctx, tenant, d)
+		if err != nil {
+			return nil, err
+		}
+		return &pacedReader{ctx, r, n}, nil
+	}
+}
+
+type pacedReader struct {
+	ctx context.Context
+	io.ReadCloser
+	n *Node
+}
+
+func (p *pacedReader) Read(b []byte) (int, error) {
+	got, err := p.ReadCloser.Read(b[:min(len(b), 64<<10)])
+	return got, errors.Join(err, p.n.pace(p.ctx, got))
+}
+
+// pace waits until repair may have brought so many bytes more.
+func (n *Node) pace(ctx context.Context, bytes int) error {
+	n.mu.Lock()
+	n.repair.bytes += int64(bytes)
+	n.mu.Unlock()
+	if n.limit == nil {
+		return nil
+	}
+	return n.limit.WaitN(ctx, min(bytes, n.limit.Burst()))
+}
+
+func newLimit(bytesPerSecond float64) *rate.Limiter {
+	if bytesPerSecond <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(bytesPerSecond), 1<<20)
+}
+
+// pacedSource is a keeper whose records are read at repair's rate.
+type pacedSource struct {
+	replica
+	n *Node
+}
+
+func (p pacedSource) read(ctx context.Context, at keeper.Attempt, stream string, from uint64, follow bool, each func(keeper.Record) error) (uint64, bool, error) {
+	return p.replica.read(ctx, at, stream, from, follow, func(r keeper.Record) error {
+		if err := p.n.pace(ctx, len(r.Data)); err != nil {
+			return err
+		}
+		return each(r)
+	})
+}
--- a/internal/keepers/repair.go
+++ b/internal/keepers/repair.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/binary"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -13,9 +11,7 @@
 	"strings"
 	"time"
 
-	"github.com/zeebo/blake3"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/time/rate"
 
 	"topazhollow/internal/blob"
 	"topazhollow/internal/keeper"
@@ -26,99 +22,10 @@
 // and of open attempts with how much of them is there. Names fall into buckets by their
 // tasks; equal sums of hashes mean equal buckets, and only the names of others are sent.
 
-const buckets = 1024
-
-// bucketsAtOnce is how many buckets one call lists: each call walks over all names.
-const bucketsAtOnce = 256
-
 // mendsAtOnce is how many tasks are brought at a time: most of what one takes is waiting
 // for disks.
 const mendsAtOnce = 8
 
-// strays is the bucket of what a keeper has though it is not its keeper (any more).
-const strays = -1
-
-// bucketOf is the bucket of a task's names.
-func bucketOf(at keeper.Attempt) int {
-	h := blake3.Sum256(fmt.Appendf(nil, "%s/%d", at.Job, at.Task))
-	return int(binary.LittleEndian.Uint32(h[:])) % buckets
-}
-
-// each walks over the names of what is here of tasks that another keeper is to have too.
-func (n *Node) each(other string, f func(name string, at keeper.Attempt, stray bool)) error {
-	var last keeper.Attempt
-	var theirs, mine bool
-	visit := func(name string, at keeper.Attempt) {
-		if last.Job != at.Job || last.Task != at.Task {
-			place := n.opt.Members.Place(at.Job, at.Task)
-			theirs, mine, last = slices.Contains(place, other), slices.Contains(place, n.opt.Name), at
-		}
-		if theirs {
-			f(name, at, !mine)
-		}
-	}
-	for after := ""; ; {
-		names, err := n.keeper.Names(after, 2000)
-		if err != nil {
-			return err
-		}
-		for _, name := range names {
-			at, err := keeper.ParseName(name)
-			if err != nil {
-				return err
-			}
-			visit(name, at)
-		}
-		if len(names) < 2000 {
-			break
-		}
-		after = names[len(names)-1]
-	}
-	for _, v := range n.keeper.Open() {
-		v.Idle = 0
-		h := blake3.Sum256(wire.Encode(&struct {
-			S map[string]keeper.Extent
-			F map[string]string
-		}{v.Streams, v.Files}))
-		visit(fmt.Sprintf("open/%s/%x", v.Attempt, h[:8]), v.Attempt)
-	}
-	return nil
-}
-
-// sums gives each bucket's sum of hashes, of what another keeper is to have too.
-func (n *Node) sums(other string) ([]string, error) {
-	var sums [buckets][2]uint64
-	err := n.each(other, func(name string, at keeper.Attempt, stray bool) {
-		if stray {
-			return
-		}
-		h := blake3.Sum256([]byte(name))
-		s := &sums[bucketOf(at)]
-		s[0] += binary.LittleEndian.Uint64(h[:])
-		s[1] += binary.LittleEndian.Uint64(h[8:])
-	})
-	list := make([]string, buckets)
-	for i, s := range sums {
-		b := binary.LittleEndian.AppendUint64(nil, s[0])
-		list[i] = hex.EncodeToString(binary.LittleEndian.AppendUint64(b, s[1]))
-	}
-	return list, err
-}
-
-// names lists some buckets, in one walk.
-func (n *Node) names(other string, of []int) (list []string, err error) {
-	err = n.each(other, func(name string, at keeper.Attempt, stray bool) {
-		b := strays
-		if !stray {
-			b = bucketOf(at)
-		}
-		if slices.Contains(of, b) {
-			list = append(list, name)
-		}
-	})
-	return list, err
-}
-
 // lack is a task of which something is missing here.
 type lack struct {
 	at      keeper.Attempt // its task
@@ -159,18 +66,6 @@
 	return list
 }
 
-// taskOf is the task that a name belongs to.
-func taskOf(name string) (keeper.Attempt, error) {
-	if rest, ok := strings.CutPrefix(name, "open/"); ok {
-		if i := strings.LastIndexByte(rest, '/'); i >= 0 {
-			name = "open/" + rest[:i]
-		}
-	}
-	at, err := keeper.ParseName(name)
-	at.Number = 0
-	return at, err
-}
-
 // repairState is what is known of the last look at what others have.
 type repairState struct {
 	noticed map[string]time.Time // tasks of which something is missing here, since when
@@ -350,61 +245,6 @@
 	return err == nil
 }
 
-// paced makes a fetch keep to the rate that repair may take, so that it starves nobody.
-func (n *Node) paced(f keeper.Fetch) keeper.Fetch {
-	return func(ctx context.Context, tenant string, d blob.Digest) (io.ReadCloser, error) {
-		r, err := f(ctx, tenant, d)
-		if err != nil {
-			return nil, err
-		}
-		return &pacedReader{ctx, r, n}, nil
-	}
-}
-
-type pacedReader struct {
-	ctx context.Context
-	io.ReadCloser
-	n *Node
-}
-
-func (p *pacedReader) Read(b []byte) (int, error) {
-	got, err := p.ReadCloser.Read(b[:min(len(b), 64<<10)])
-	return got, errors.Join(err, p.n.pace(p.ctx, got))
-}
-
-// pace waits until repair may have brought so many bytes more.
-func (n *Node) pace(ctx context.Context, bytes int) error {
-	n.mu.Lock()
-	n.repair.bytes += int64(bytes)
-	n.mu.Unlock()
-	if n.limit == nil {
-		return nil
-	}
-	return n.limit.WaitN(ctx, min(bytes, n.limit.Burst()))
-}
-
-func newLimit(bytesPerSecond float64) *rate.Limiter {
-	if bytesPerSecond <= 0 {
-		return nil
-	}
-	return rate.NewLimiter(rate.Limit(bytesPerSecond), 1<<20)
-}
-
-// pacedSource is a keeper whose records are read at repair's rate.
-type pacedSource struct {
-	replica
-	n *Node
-}
-
-func (p pacedSource) read(ctx context.Context, at keeper.Attempt, stream string, from uint64, follow bool, each func(keeper.Record) error) (uint64, bool, error) {
-	return p.replica.read(ctx, at, stream, from, follow, func(r keeper.Record) error {
-		if err := p.n.pace(ctx, len(r.Data)); err != nil {
-			return err
-		}
-		return each(r)
-	})
-}
-
 // mend brings what is missing here of a task.
 func (n *Node) mend(ctx context.Context, l lack) error {
 	var errs []error
@@ -516,121 +356,6 @@
 	return err
 }
 
-// handOver lets go of what does not belong here once all of its keepers have it.
-func (n *Node) handOver(ctx context.Context) error {
-	tasks := map[keeper.Attempt]bool{}
-	for _, m := range n.opt.Members.List {
-		if m.State != Serving || m.Name == n.opt.Name {
-			continue
-		}
-		if err := n.each(m.Name, func(_ string, at keeper.Attempt, stray bool) {
-			if stray {
-				tasks[keeper.Attempt{Job: at.Job, Task: at.Task}] = true
-			}
-		}); err != nil {
-			return err
-		}
-	}
-	left := len(tasks)
-	defer func() {
-		n.mu.Lock()
-		n.repair.strays = left
-		n.mu.Unlock()
-	}()
-	for at := range tasks {
-		mine, err := n.keeper.Task(at.Job, at.Task)
-		if err != nil {
-			return err
-		}
-		names := n.opt.Members.Place(at.Job, at.Task)
-		got, _ := n.ask(ctx, names, len(names), func(ctx context.Context, _ string, r replica) (*answer, error) {
-			return r.do(ctx, &call{Op: "task", Attempt: at, Count: true})
-		})
-		whole := len(got) == len(names)
-		for _, r := range got {
-			whole = whole && covers(r.Task, mine)
-		}
-		if !whole {
-			continue // they bring it themselves
-		}
-		for _, v := range mine.Attempts {
-			if v.Ended == "" {
-				err = n.keeper.Abandon(ctx, v.Attempt)
-			} else {
-				err = n.keeper.Forget(ctx, v.Attempt)
-			}
-			if err != nil {
-				return err
-			}
-		}
-		if err := n.keeper.Forget(ctx, at); err != nil {
-			return err
-		}
-		left--
-	}
-	return nil
-}
-
-// covers says whether a keeper has all that another has of a task.
-func covers(theirs, mine *keeper.TaskView) bool {
-	if mine.Result != nil && (theirs.Result == nil || *theirs.Result != *mine.Result) {
-		return false
-	}
-	for _, v := range mine.Attempts {
-		i := slices.IndexFunc(theirs.Attempts, func(t keeper.View) bool { return t.Number == v.Number })
-		if i < 0 {
-			return false
-		}
-		t := theirs.Attempts[i]
-		if t.Ended != "" {
-			continue
-		}
-		if v.Ended != "" {
-			return false
-		}
-		for stream, x := range v.Streams {
-			if t.Streams[stream].Next < x.Next {
-				return false
-			}
-		}
-		for path := range v.Files {
-			if t.Files[path] == "" {
-				return false
-			}
-		}
-	}
-	return true
-}
-
-// seeThrough finishes what somebody left half decided: ends and results that were
-// accepted here, and completed attempts of which nobody said whether they are the
-// result.
-func (n *Node) seeThrough(ctx context.Context) error {
-	var errs []error
-	seen := map[keeper.Attempt]bool{}
-	for at, v := range n.keeper.Votes() {
-		if v.Value == nil {
-			continue
-		}
-		if seen[at] = true; n.repair.voted[at] { // since the last round
-			_, err := n.resolve(ctx, at)
-			errs = append(errs, err)
-		}
-	}
-	n.repair.voted = seen
-	for _, at := range n.keeper.Unsettled() {
-		m, err := n.keeper.Ended(at)
-		if err == nil && n.opt.Members.Here(n.opt.Name, at.Job, at.Task) {
-			_, err = n.settle(ctx, m.Claim, blob.Of(wire.Encode(m)).String())
-		}
-		if err == nil {
-			err = n.keeper.Settled(ctx, at)
-		}
-		errs = append(errs, err)
-	}
-	return errors.Join(errs...)
-}
-
 // Good gives a copy of a blob that went bad here, from a keeper that has a good one.
 func (n *Node) Good(ctx context.Context, d blob.Digest) (io.ReadCloser, error) {
 	errs := []error{blob.ErrRotten}
--- /dev/null
+++ b/internal/keepers/sums.go
@@ -0,0 +1,115 @@
+package keepers
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/zeebo/blake3"
+
+	"topazhollow/internal/keeper"
+	"topazhollow/internal/wire"
+)
+
+const buckets = 1024
+
+// bucketsAtOnce is how many buckets one call lists: each call walks over all names.
+const bucketsAtOnce = 256
+
+// strays is the bucket of what a keeper has though it is not its keeper (any more).
+const strays = -1
+
+// bucketOf is the bucket of a task's names.
+func bucketOf(at keeper.Attempt) int {
+	h := blake3.Sum256(fmt.Appendf(nil, "%s/%d", at.Job, at.Task))
+	return int(binary.LittleEndian.Uint32(h[:])) % buckets
+}
+
+// each walks over the names of what is here of tasks that another keeper is to have too.
+func (n *Node) each(other string, f func(name string, at keeper.Attempt, stray bool)) error {
+	var last keeper.Attempt
+	var theirs, mine bool
+	visit := func(name string, at keeper.Attempt) {
+		if last.Job != at.Job || last.Task != at.Task {
+			place := n.opt.Members.Place(at.Job, at.Task)
+			theirs, mine, last = slices.Contains(place, other), slices.Contains(place, n.opt.Name), at
+		}
+		if theirs {
+			f(name, at, !mine)
+		}
+	}
+	for after := ""; ; {
+		names, err := n.keeper.Names(after, 2000)
+		if err != nil {
+			return err
+		}
+		for _, name := range names {
+			at, err := keeper.ParseName(name)
+			if err != nil {
+				return err
+			}
+			visit(name, at)
+		}
+		if len(names) < 2000 {
+			break
+		}
+		after = names[len(names)-1]
+	}
+	for _, v := range n.keeper.Open() {
+		v.Idle = 0
+		h := blake3.Sum256(wire.Encode(&struct {
+			S map[string]keeper.Extent
+			F map[string]string
+		}{v.Streams, v.Files}))
+		visit(fmt.Sprintf("open/%s/%x", v.Attempt, h[:8]), v.Attempt)
+	}
+	return nil
+}
+
+// sums gives each bucket's sum of hashes, of what another keeper is to have too.
+func (n *Node) sums(other string) ([]string, error) {
+	var sums [buckets][2]uint64
+	err := n.each(other, func(name string, at keeper.Attempt, stray bool) {
+		if stray {
+			return
+		}
+		h := blake3.Sum256([]byte(name))
+		s := &sums[bucketOf(at)]
+		s[0] += binary.LittleEndian.Uint64(h[:])
+		s[1] += binary.LittleEndian.Uint64(h[8:])
+	})
+	list := make([]string, buckets)
+	for i, s := range sums {
+		b := binary.LittleEndian.AppendUint64(nil, s[0])
+		list[i] = hex.EncodeToString(binary.LittleEndian.AppendUint64(b, s[1]))
+	}
+	return list, err
+}
+
+// names lists some buckets, in one walk.
+func (n *Node) names(other string, of []int) (list []string, err error) {
+	err = n.each(other, func(name string, at keeper.Attempt, stray bool) {
+		b := strays
+		if !stray {
+			b = bucketOf(at)
+		}
+		if slices.Contains(of, b) {
+			list = append(list, name)
+		}
+	})
+	return list, err
+}
+
+// taskOf is the task that a name belongs to.
+func taskOf(name string) (keeper.Attempt, error) {
+	if rest, ok := strings.CutPrefix(name, "open/"); ok {
+		if i := strings.LastIndexByte(rest, '/'); i >= 0 {
+			name = "open/" + rest[:i]
+		}
+	}
+	at, err := keeper.ParseName(name)
+	at.Number = 0
+	return at, err
+}
