A large begun job no longer keeps a team's limit from all its others

Found by a trace of the account.

Change: begun jobs go first only if what is left of them takes a quarter of the limit at most; others go by their goals, before late ones that have not begun.

--- a/internal/ledger/quotaorder.go
+++ b/internal/ledger/quotaorder.go
@@ -12,19 +12,24 @@
 //
 // By due time alone nearly all jobs of a team that asks for more than its limit would be late: each job that can't be in
 // time any more would go before those that can, and a job of long tasks, which is due late, would not begin for minutes.
-// So jobs that have begun are completed, then those go first that must start soonest to reach a goal, and what can reach
-// none comes after them. Gangs start whole and wait long for it; they keep their order, whatever they have missed.
+// So jobs of which little is left to start are completed, then those go first that must start soonest to reach a goal, and what
+// can reach none comes after them. A begun job of which much is left has no such right: it would keep a small limit from all others
+// for minutes. Gangs start whole and wait long for it; they keep their order, whatever they have missed.
 
 // standing is the part of a priority's order that a job is in.
 type standing int
 
 const (
-	begun    standing = iota // some of its tasks run or are done
-	reaching                 // it can still reach a goal
-	missed                   // it can reach none
-	aimless                  // it has none
+	begun       standing = iota // some of its tasks run or are done, and little is left to start
+	reaching                    // it can still reach a goal
+	missedBegun                 // it can reach none, and some of its tasks run or are done
+	missed                      // it can reach none
+	aimless                     // it has none
 )
 
+// completedPart is the part of the limit that what is left of a begun job may take for the job to be completed first.
+const completedPart = 0.25
+
 // waitingJob is a job with tasks that neither run nor are done, or one that is held to be faulty.
 type waitingJob struct {
 	*Job
@@ -74,16 +79,25 @@
 	}
 	goal, late := w.goals.Next(now, estimate)
 	w.latest = goal.Add(-estimate)
+	hasBegun := w.left < w.Spec.Tasks
 	switch {
-	case w.left < w.Spec.Tasks:
+	case hasBegun && t.isSmallPart(w):
 		w.standing = begun
-	case late:
-		w.standing, w.latest = missed, w.Submitted
-	default:
+	case !late:
 		w.standing = reaching
+	case hasBegun:
+		w.standing = missedBegun
+	default:
+		w.standing, w.latest = missed, w.Submitted
 	}
 }
 
+// isSmallPart says whether what is left of a job takes a small part of the team's limit.
+func (t *Team) isSmallPart(w *waitingJob) bool {
+	left := float64(w.left)
+	return left*w.Spec.CPUs <= completedPart*t.MaxCPUs+slack && left*w.Spec.GPUs <= completedPart*t.MaxGPUs+slack
+}
+
 // compareForQuota orders ranked jobs. Those that compare equal stay in order of urgency.
 func compareForQuota(a, b waitingJob) int {
 	return cmp.Or(cmp.Compare(wire.Rank(b.Spec.Priority), wire.Rank(a.Spec.Priority)), cmp.Compare(a.standing, b.standing), a.latest.Compare(b.latest))
--- a/internal/ledger/quotaorder_test.go
+++ b/internal/ledger/quotaorder_test.go
@@ -22,8 +22,8 @@
 	return asked
 }
 
-// TestQuotaGoesToWhatCanBeInTime: of what a team asks for beyond its limit, begun jobs come first, then those that can still
-// reach a goal, soonest start first, then what is late, then what has no goal. Priority stands above all of it.
+// TestQuotaGoesToWhatCanBeInTime: of what a team asks for beyond its limit, jobs with little left come first, then those that can
+// still reach a goal, soonest start first, then what is late, then what has no goal. Priority stands above all of it.
 func TestQuotaGoesToWhatCanBeInTime(t *testing.T) {
 	now := time.Unix(1000, 0)
 	team := NewTeam("team", 0, 5, 0, math.Inf(1), NewReplica(), 1, func(string, ...any) {})
@@ -55,6 +55,26 @@
 	}
 }
 
+// TestLargeBegunJobLeavesTheLimitToOthers: a begun job that could fill the limit for minutes goes by its goals like any other,
+// and before late ones that have not begun.
+func TestLargeBegunJobLeavesTheLimitToOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	team := NewTeam("team", 0, 8, 0, math.Inf(1), NewReplica(), 1, func(string, ...any) {})
+	add := func(uid string, tasks int, due time.Duration) {
+		team.AddJob(&wire.Submission{UID: uid, Kind: wire.Batch, Priority: "standard", Tasks: tasks, CPUs: 1, Estimate: 10}, 1, now.Add(-time.Hour), nil)
+		team.SetGoals(uid, Goals{now.Add(due)})
+	}
+	add("job-giant", 20, -time.Minute)
+	if !team.Place(team.Job("job-giant"), 0, Spot{Machine: "m", Zone: "z", Session: 1}) {
+		t.Fatal("not placed")
+	}
+	add("job-late", 20, -time.Minute)
+	add("job-small", 3, 5*time.Minute)
+	if asked := askedOf(team, now); !slices.Equal(asked, []string{"job-small", "job-giant"}) {
+		t.Errorf("%v ask for 7 CPUs of quota", asked)
+	}
+}
+
 // TestGangsKeepTheirOrder: a gang that has missed its goals still goes before a later one, or it would never have enough
 // quota at once.
 func TestGangsKeepTheirOrder(t *testing.T) {
