blob: a start after a kill waits for the kernel to let go of the index

Cause: TestKilled of keepers failed on a busy machine (loads of 60 and more, and now at 33): the kernel closes a killed process's files some time after its end, longer than the second for which the next store waited for the lock.

Change: lockWait, 15 s. The test is as it was.

--- a/internal/blob/index.go
+++ b/internal/blob/index.go
@@ -19,13 +19,17 @@
 	"topazhollow/internal/wal"
 )
 
+// lockWait is how long a store waits for the lock of its index. The kernel lets go of a killed process's files some time after
+// the process has ended, more than a second on a busy machine, and the next one may be started at once.
+const lockWait = 15 * time.Second
+
 var errStale = errors.New("blob: index is ahead of the log")
 
 func (s *Store) indexPath() string { return filepath.Join(s.opt.Dir, "index") }
 
 func (s *Store) openIndex() error {
 	open := func() error {
-		db, err := bolt.Open(s.indexPath(), 0o600, &bolt.Options{Timeout: time.Second})
+		db, err := bolt.Open(s.indexPath(), 0o600, &bolt.Options{Timeout: lockWait})
 		if err != nil {
 			return err
 		}
