--- a/internal/ledger/quotaorder_test.go
+++ b/internal/ledger/quotaorder_test.go
@@ -82,7 +82,7 @@
 	team := NewTeam("team", 0, 4, 0, math.Inf(1), NewReplica(), 1, func(string, ...any) {})
 	for i, uid := range []string{"job-000001", "job-000002"} {
 		team.AddJob(&wire.Submission{UID: uid, Kind: wire.Gang, Priority: "high", Tasks: 4, CPUs: 1, Estimate: 10}, 1, now, nil)
-		team.SetGoals(uid, Goals{now.Add(time.Duration(i-1) * time.Minute)})
+		team.SetGoals(uid, Goals{now.Add(time.Duration(6*i-1) * time.Minute)})
 	}
 	if asked := askedOf(team, now); len(asked) == 0 || asked[0] != "job-000001" {
 		t.Errorf("%v ask for quota", asked)
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -181,3 +181,39 @@
 		t.Fatal("valid after it was lost")
 	}
 }
+
+// TestRepairOfEachChange: whatever changed about the members or the items is repaired, and nothing else is touched.
+func TestRepairOfEachChange(t *testing.T) {
+	items := []string{Fleet, "team/a", "team/b"}
+	live := func(nodes ...string) map[string]Presence {
+		m := map[string]Presence{}
+		for _, n := range nodes {
+			m[n] = Presence{Incarnation: 1, Version: 1}
+		}
+		return m
+	}
+	whole, _ := Repair((&Record{Term: 1}).Clone(), items, live("n0", "n1", "n2"))
+	restarted := live("n0", "n1", "n2")
+	restarted["n1"] = Presence{Incarnation: 2, Version: 2}
+	unowned := whole.Clone()
+	unowned.Items[Fleet] = Item{Owner: "n9", Since: 1}
+	for _, c := range []struct {
+		name   string
+		record *Record
+		items  []string
+		live   map[string]Presence
+		want   bool
+	}{
+		{"nothing", whole, items, live("n0", "n1", "n2"), false},
+		{"a member is gone", whole, items, live("n0", "n1"), true},
+		{"a member began anew", whole, items, restarted, true},
+		{"one more is present", whole, items, live("n0", "n1", "n2", "n3"), true},
+		{"one went and another came", whole, items, live("n0", "n1", "n3"), true},
+		{"a new item", whole, append([]string{"team/c"}, items...), live("n0", "n1", "n2"), true},
+		{"an item's owner is no member", unowned, items, live("n0", "n1", "n2"), true},
+	} {
+		if next, _ := Repair(c.record, c.items, c.live); (next != nil) != c.want {
+			t.Errorf("%s: repaired %v, want %v", c.name, next != nil, c.want)
+		}
+	}
+}
--- a/replication_test.go
+++ b/replication_test.go
@@ -127,6 +127,9 @@
 	p.finish("job-000002", 7) // a delta between the parts
 	p.replicated(t)
 	p.owner.mu.Lock()
+	if !p.it.acks["node-b"].retry.IsZero() {
+		t.Error("the backup asked for another copy while it received one")
+	}
 	p.it.acks["node-b"].copyAnew()
 	p.owner.replicate(p.it, time.Now())
 	p.owner.mu.Unlock()
