Small tasks take room that their team's large ones can't use

Found by a trace of accounts and hosts.

Change: ledger.Spare offers each class what the limit has room for as it is used now, up to three quarters of it, after all other work; none while a gang waits.

--- a/held_test.go
+++ b/held_test.go
@@ -1,6 +1,7 @@
 package topazhollow
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -50,3 +51,43 @@
 		})
 	}
 }
+
+// TestSmallTasksTakeRoomThatTheirTeamCannotUse: large tasks that found no room asked for all that a team's limit left, and small
+// ones without a goal waited for minutes beside room that they fit.
+func TestSmallTasksTakeRoomThatTheirTeamCannotUse(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		limit float64
+		want  int
+	}{
+		{"limit with room", 58, 1},
+		{"limit nearly used up", 38, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGrown(1, 1) // of 32 CPUs
+			n := g.n
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			team := n.items[teamItem("team-0")].team
+			team.SetLimits(0, c.limit, 0, math.Inf(1))
+			deadline := 500.0
+			learn := func(uid, class string, tasks int, cpus float64, deadline *float64) {
+				n.learnJob(frontend.Stored{At: g.now.UnixMilli(), Spec: &wire.Submission{UID: uid, Team: "team-0", Class: class, Kind: wire.Batch,
+					Priority: "standard", Tasks: tasks, CPUs: cpus, Memory: 1, Image: "img", Estimate: 40, Spot: true, Deadline: deadline}}, 1)
+			}
+			learn("job-000001", "other", 15, 2, nil)
+			n.place(g.now)
+			learn("job-000002", "large", 100, 4, &deadline)
+			learn("job-000003", "small", 1, 2, nil)
+			for _, d := range team.Demands(g.now) {
+				if d.Spec.Class == "small" && d.Count > 0 {
+					t.Fatal("the small job is asked for anyway")
+				}
+			}
+			n.place(g.now)
+			if placed := 1 - team.Unstarted(team.Job("job-000003")); placed != c.want {
+				t.Errorf("%d small tasks placed, want %d", placed, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/ledger/spare.go
@@ -0,0 +1,62 @@
+package ledger
+
+import (
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// A team that asks for far more than its limit lists what the limit leaves, most urgent first. While machines are full most of
+// that finds no room, and holds none of the limit; yet smaller tasks behind it, which would fit into what is free on machines,
+// were not listed at all. They are offered as spare work.
+
+// sparePart is the part of the limit that spare work leaves nothing beyond, so that the rest stays with what is listed.
+const sparePart = 0.75
+
+// Spare lists what the team could place beside its demands where those find no room: of each class what the limit, as it is
+// used now, has room for. The classes' counts are not of each other; FitsSpare tells what is left while they are placed. While a
+// gang waits there is none, since what comes free is collected for it.
+func (t *Team) Spare(now time.Time) []Demand {
+	cpus, gpus := t.charged()
+	room := quota{sparePart*t.MaxCPUs - cpus, sparePart*t.MaxGPUs - gpus}
+	if room.cpus <= 0 || !t.holdback.waiting.IsZero() || t.asksWithin(now) {
+		return nil
+	}
+	offered := map[string]*quota{}
+	var spare []Demand
+	for _, w := range t.waitingJobs(now) {
+		if w.faulty || w.Spec.Kind == wire.Gang {
+			continue
+		}
+		taken := offered[w.Spec.Class]
+		if taken == nil {
+			taken = &quota{}
+			offered[w.Spec.Class] = taken
+		}
+		count := min(w.left, most(room.cpus-taken.cpus, w.Spec.CPUs), most(room.gpus-taken.gpus, w.Spec.GPUs))
+		if count > 0 {
+			taken.add(w.Spec, count)
+			spare = append(spare, Demand{Spec: w.Spec, Count: count, Borrowed: true})
+		}
+	}
+	return spare
+}
+
+// asksWithin says whether the limit has room for all that waits.
+func (t *Team) asksWithin(now time.Time) bool {
+	cpus, gpus := t.charged()
+	for _, j := range t.order {
+		if t.Waits(j, now) {
+			left := float64(t.Unstarted(j))
+			cpus += left * j.Spec.CPUs
+			gpus += left * j.Spec.GPUs
+		}
+	}
+	return cpus <= t.MaxCPUs+slack && gpus <= t.MaxGPUs+slack
+}
+
+// FitsSpare says whether a task of a job may start as spare work.
+func (t *Team) FitsSpare(j *Job) bool {
+	cpus, gpus := t.charged()
+	return cpus+j.Spec.CPUs <= sparePart*t.MaxCPUs+slack && (j.Spec.GPUs == 0 || gpus+j.Spec.GPUs <= sparePart*t.MaxGPUs+slack)
+}
--- /dev/null
+++ b/internal/ledger/spare_test.go
@@ -0,0 +1,58 @@
+package ledger
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"topazhollow/internal/wire"
+)
+
+// TestSpareWork: beside demands that may find no room, every class is offered what the limit has room for now; nothing of a team that
+// asks for less than its limit, has little left of it, or collects it for a gang.
+func TestSpareWork(t *testing.T) {
+	now := time.Unix(1000, 0)
+	spare := func(t *testing.T, limit float64, gang bool) map[string]int {
+		team := NewTeam("team", 0, limit, 0, math.Inf(1), NewReplica(), 1, func(string, ...any) {})
+		add := func(uid, class, kind string, tasks int, cpus float64) *Job {
+			team.AddJob(&wire.Submission{UID: uid, Class: class, Kind: kind, Priority: "standard", Tasks: tasks, CPUs: cpus, Estimate: 10}, 1, now, nil)
+			return team.Job(uid)
+		}
+		running := add("job-running", "other", wire.Batch, 20, 1)
+		for i := range 20 {
+			if !team.Place(running, i, Spot{Machine: "m", Zone: "z", Session: 1}) {
+				t.Fatal("not placed")
+			}
+		}
+		add("job-large", "large", wire.Batch, 30, 4)
+		team.SetGoals("job-large", Goals{now.Add(time.Minute)})
+		add("job-small", "small", wire.Batch, 3, 2)
+		if gang {
+			add("job-gang", "gang", wire.Gang, 2, 4)
+		}
+		team.TurnHoldback(now)
+		got := map[string]int{}
+		for _, d := range team.Spare(now) {
+			got[d.Spec.Class] += d.Count
+		}
+		return got
+	}
+	for _, c := range []struct {
+		name         string
+		limit        float64
+		gang         bool
+		large, small int
+	}{
+		{"the limit is asked for twice", 80, false, 10, 3},
+		{"little room", 32, false, 1, 2},
+		{"three quarters are used", 26, false, 0, 0},
+		{"the limit has room for all", 200, false, 0, 0},
+		{"a gang waits", 80, true, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := spare(t, c.limit, c.gang); got["large"] != c.large || got["small"] != c.small || got["gang"] != 0 {
+				t.Errorf("%v tasks offered, want %d large and %d small", got, c.large, c.small)
+			}
+		})
+	}
+}
--- a/placing.go
+++ b/placing.go
@@ -39,7 +39,7 @@
 			p.reserveForGangs()
 		}
 		p.placeTasks(w)
-		if w.own != nil && w.count > 0 {
+		if w.own != nil && w.count > 0 && !w.spare {
 			p.short = append(p.short, *w)
 		}
 	}
@@ -148,7 +148,7 @@
 	rule := p.n.zoneRule(w)
 	team := w.it.team
 	team.Pending(w.own, p.now, func(index int) bool {
-		if w.count == 0 || !team.Fits(w.own, 1) {
+		if w.count == 0 || !team.Fits(w.own, 1) || w.spare && !team.FitsSpare(w.own) {
 			return false
 		}
 		h := p.choose(ask, func(h *placement.Host) bool { return w.own.Avoids(h.Name, p.now) || !rule.allows(h) })
--- a/waiting.go
+++ b/waiting.go
@@ -25,6 +25,7 @@
 	count     int
 	borrowed  bool      // beyond the team's guarantee
 	probe     bool      // of a job that fails everywhere
+	spare     bool      // beyond what the team's limit leaves to its demands, of which some find no room
 	first     bool      // its class has less than the plan leaves it, whatever is more urgent
 	late      bool      // can reach no goal any more
 	lost      bool      // nor start when it should
@@ -65,6 +66,19 @@
 		wanted := demand{Job: d.Spec.UID, Count: d.Count, First: first[i], Borrowed: d.Borrowed}
 		list = n.appendWaiting(list, own, &wanted, d.Probe, now)
 	}
+	return n.appendSpare(list, it, now)
+}
+
+// appendSpare adds what an own team could place where its demands find no room.
+func (n *Node) appendSpare(list []waitingTasks, it *item, now time.Time) []waitingTasks {
+	from := len(list)
+	for _, d := range it.team.Spare(now) {
+		own := claim{it, it.team.Job(d.Spec.UID)}
+		list = n.appendWaiting(list, own, &demand{Job: d.Spec.UID, Count: d.Count, Borrowed: true}, false, now)
+	}
+	for i := range list[from:] {
+		list[from+i].spare = true
+	}
 	return list
 }
 
@@ -116,11 +130,14 @@
 }
 
 // compareClass compares what must not be mixed: work within its team's guarantee comes
-// first, then priority decides. Tries of faulty jobs come last of all.
+// first, then priority decides. Spare work comes after all that, and tries of faulty jobs last.
 func (w *waitingTasks) compareClass(o *waitingTasks) int {
 	if w.probe != o.probe {
 		return falseFirst(w.probe)
 	}
+	if w.spare != o.spare {
+		return falseFirst(w.spare)
+	}
 	if w.first != o.first {
 		return falseFirst(o.first)
 	}
