A large array that has waited a minute begins with one task

Change: the first task of an array of 20 or more that has waited for a minute goes before what is more urgent, within the team's limit.

--- a/admit.go
+++ b/admit.go
@@ -56,13 +56,19 @@
 const inTime = 0.75
 
 // goFirst tells for each of a team's demands how many of its tasks go before what is more
-// urgent: as many as its class has less than the plan leaves it.
+// urgent: as many as its class has less than the plan leaves it, and the first one of an array that has waited long.
 func (n *Node) goFirst(it *item, list []ledger.Demand, now time.Time) []int {
+	first := make([]int, len(list))
+	for i, d := range list {
+		if d.Begins {
+			first[i] = d.Count
+		}
+	}
 	plan := n.admit.known.Acts()
 	if plan == nil || len(plan.Floors) == 0 {
-		return make([]int, len(list))
+		return first
 	}
-	f := &floorFilling{list: list, first: make([]int, len(list)), lacks: map[string]float64{}}
+	f := &floorFilling{list: list, first: first, lacks: map[string]float64{}}
 	held := it.team.HeldBy()
 	for i, d := range list {
 		lacks := plan.Floor(keyOf(d.Spec)) - held[d.Spec.Class]
--- a/internal/ledger/demand.go
+++ b/internal/ledger/demand.go
@@ -33,6 +33,7 @@
 	Count    int
 	Borrowed bool          // beyond the team's guarantee
 	Probe    bool          // to see whether a faulty job still fails
+	Begins   bool          // the first task of a large array that has waited long; it goes before what is more urgent
 	Beyond   float64       // CPUs that the job's class asks for beyond the quota; then Count is 0
 	Behind   time.Duration // that the whole quota takes for what waits beyond it
 }
@@ -130,7 +131,19 @@
 	taken := quota{cpus, gpus} // what more urgent jobs leave nothing of
 	reserved := false          // part of it is reserved for a job that can't begin
 	var blocked *Job           // an array that can't begin: less urgent priorities wait for it
-	for _, waiting := range t.waitingJobs(now) {
+	list := t.waitingJobs(now)
+	for i := range list {
+		w := &list[i]
+		if !w.begins(now) || most(t.MaxCPUs-taken.cpus, w.Spec.CPUs) == 0 || most(t.MaxGPUs-taken.gpus, w.Spec.GPUs) == 0 {
+			continue
+		}
+		cpus += w.Spec.CPUs
+		gpus += w.Spec.GPUs
+		taken.add(w.Spec, 1)
+		w.left--
+		out = append(out, Demand{Spec: w.Spec, Count: 1, Begins: true, Borrowed: cpus > t.CPUs+slack || gpus > t.GPUs+slack})
+	}
+	for _, waiting := range list {
 		j, left := waiting.Job, waiting.left
 		if blocked != nil && !reserved && wire.Rank(j.Spec.Priority) < wire.Rank(blocked.Spec.Priority) {
 			reserved = true
--- a/internal/ledger/quotaorder.go
+++ b/internal/ledger/quotaorder.go
@@ -98,6 +98,18 @@
 	return left*w.Spec.CPUs <= completedPart*t.MaxCPUs+slack && left*w.Spec.GPUs <= completedPart*t.MaxGPUs+slack
 }
 
+// A large array that has waited for beginAfter begins with one task: its users see that it is not forgotten, and those who
+// would be served last of all have begun within minutes.
+const (
+	beginAfter = time.Minute
+	beginTasks = 20 // of the array at least, so that what goes first is a small part of it
+)
+
+// begins says whether the job's first task should go before others.
+func (w *waitingJob) begins(now time.Time) bool {
+	return w.Spec.Kind == wire.Batch && !w.faulty && w.Spec.Tasks >= beginTasks && w.left == w.Spec.Tasks && now.Sub(w.Submitted) > beginAfter
+}
+
 // compareForQuota orders ranked jobs. Those that compare equal stay in order of urgency.
 func compareForQuota(a, b waitingJob) int {
 	return cmp.Or(cmp.Compare(wire.Rank(b.Spec.Priority), wire.Rank(a.Spec.Priority)), cmp.Compare(a.standing, b.standing), a.latest.Compare(b.latest))
