--- a/internal/ledger/quotaorder.go
+++ b/internal/ledger/quotaorder.go
@@ -68,7 +68,7 @@
 
 // rank sets where a job stands.
 func (t *Team) rank(w *waitingJob, now time.Time) {
-	estimate := time.Duration(w.Spec.Estimate * float64(time.Second))
+	estimate := w.estimate()
 	if len(w.goals) == 0 {
 		w.standing = aimless
 		return
@@ -98,8 +98,8 @@
 	return left*w.Spec.CPUs <= completedPart*t.MaxCPUs+slack && left*w.Spec.GPUs <= completedPart*t.MaxGPUs+slack
 }
 
-// A large array that has waited for beginAfter begins with one task: its users see that it is not forgotten, and those who
-// would be served last of all have begun within minutes.
+// A large array that can reach no goal, so that it would be served last of all, begins with one task after beginAfter: its
+// users see that it is not forgotten, and it has begun within minutes.
 const (
 	beginAfter = time.Minute
 	beginTasks = 20 // of the array at least, so that what goes first is a small part of it
@@ -107,9 +107,16 @@
 
 // begins says whether the job's first task should go before others.
 func (w *waitingJob) begins(now time.Time) bool {
-	return w.Spec.Kind == wire.Batch && !w.faulty && w.Spec.Tasks >= beginTasks && w.left == w.Spec.Tasks && now.Sub(w.Submitted) > beginAfter
+	if w.Spec.Kind != wire.Batch || w.faulty || w.Spec.Tasks < beginTasks || w.left < w.Spec.Tasks || now.Sub(w.Submitted) <= beginAfter {
+		return false
+	}
+	_, missed := w.goals.Next(now, w.estimate())
+	return missed
 }
 
+// estimate is how long one of the job's tasks takes, as its owner says.
+func (j *Job) estimate() time.Duration { return time.Duration(j.Spec.Estimate * float64(time.Second)) }
+
 // compareForQuota orders ranked jobs. Those that compare equal stay in order of urgency.
 func compareForQuota(a, b waitingJob) int {
 	return cmp.Or(cmp.Compare(wire.Rank(b.Spec.Priority), wire.Rank(a.Spec.Priority)), cmp.Compare(a.standing, b.standing), a.latest.Compare(b.latest))
--- a/internal/ledger/quotaorder_test.go
+++ b/internal/ledger/quotaorder_test.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// TestLargeArraysBegin: one task of a large array that has waited long goes first, also at a limit that others fill; not of one that
-// has begun, has just come, or is small.
+// TestLargeArraysBegin: one task of a large array that has waited long and can reach no goal goes first, also at a limit that others
+// fill; not of one that has begun, has just come, is small, or can be in time.
 func TestLargeArraysBegin(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for _, c := range []struct {
@@ -87,6 +87,8 @@
 		want  int
 	}{
 		{"waited long", 40, beginAfter + time.Second, false, 1},
+		{"late", 40, beginAfter + 2*time.Second, false, 1},
+		{"can be in time", 40, beginAfter + 3*time.Second, false, 0},
 		{"has just come", 40, time.Second, false, 0},
 		{"small", beginTasks - 1, beginAfter + time.Second, false, 0},
 		{"has begun", 40, beginAfter + time.Second, true, 0},
@@ -94,6 +96,12 @@
 		t.Run(c.name, func(t *testing.T) {
 			team := NewTeam("team", 0, 10, 0, math.Inf(1), NewReplica(), 1, func(string, ...any) {})
 			team.AddJob(&wire.Submission{UID: "job-large", Kind: wire.Batch, Priority: "low", Tasks: c.tasks, CPUs: 1, Estimate: 10}, 1, now.Add(-c.age), nil)
+			switch c.name {
+			case "late":
+				team.SetGoals("job-large", Goals{now.Add(-time.Minute)})
+			case "can be in time":
+				team.SetGoals("job-large", Goals{now.Add(-time.Minute), now.Add(time.Minute)})
+			}
 			if c.begun && !team.Place(team.Job("job-large"), 0, Spot{Machine: "m", Zone: "z", Session: 1}) {
 				t.Fatal("not placed")
 			}
