One run time, one sum of what waits, one reading of a told record

Read once more: ledger.Job.estimate was the root's run() again (wire.Submission .RunTime serves both); asksWithin summed up what waitingJobs had just summed up; a control record told by a peer was decoded twice (learnRecord is the part of changed that is about it); hosts were told what held classes need in each step though none is held; a loop over backups looked each one up again. Behaviour as before.

--- a/admit.go
+++ b/admit.go
@@ -102,7 +102,7 @@
 	for _, i := range f.order {
 		spec := f.list[i].Spec
 		goal, late := n.goal(n.jobs[spec.UID], now)
-		reaches[i] = reach{late, goal.Add(-run(spec))}
+		reaches[i] = reach{late, goal.Add(-spec.RunTime())}
 	}
 	slices.SortStableFunc(f.order, func(a, b int) int {
 		x, y := reaches[a], reaches[b]
--- a/control.go
+++ b/control.go
@@ -190,28 +190,7 @@
 			bad(err)
 			return
 		}
-		if n.record != nil && r.Generation > n.record.Generation {
-			n.store.watch.Newer(r.Generation) // all is read anew before anything rests on it
-			return
-		}
-		if n.record != nil && e.Version <= n.version {
-			return // read before the one known was written
-		}
-		if n.record != nil && (r.Generation < n.record.Generation || r.Term < n.record.Term || r.Generation == n.record.Generation && r.Store != n.record.Store) {
-			// A store that went back and on again, past the revision that was seen, or one that
-			// was begun anew by a process that found none.
-			n.doubt("the control record is older than the one known")
-			return
-		}
-		if n.record != nil && r.After != 0 && r.After < n.version {
-			// Written past the revision that was seen, over a store that had gone back: the versions
-			// that were given in between are given again, and no comparison shows the loss any more.
-			n.store.unchained = true
-			n.store.saw = true
-			n.doubt("the control record does not follow the one known")
-			return
-		}
-		n.adopt(&r, e.Version)
+		n.learnRecord(&r, e.Version)
 	case strings.HasPrefix(key, rebuild.StoreKey):
 		delete(n.store.markers, key)
 		if e.Delete == "" {
@@ -261,6 +240,32 @@
 	}
 }
 
+// learnRecord takes in a control record as the state service has it under a version.
+func (n *Node) learnRecord(r *tenure.Record, version uint64) {
+	if n.record != nil && r.Generation > n.record.Generation {
+		n.store.watch.Newer(r.Generation) // all is read anew before anything rests on it
+		return
+	}
+	if n.record != nil && version <= n.version {
+		return // read before the one known was written
+	}
+	if n.record != nil && (r.Generation < n.record.Generation || r.Term < n.record.Term || r.Generation == n.record.Generation && r.Store != n.record.Store) {
+		// A store that went back and on again, past the revision that was seen, or one that
+		// was begun anew by a process that found none.
+		n.doubt("the control record is older than the one known")
+		return
+	}
+	if n.record != nil && r.After != 0 && r.After < n.version {
+		// Written past the revision that was seen, over a store that had gone back: the versions
+		// that were given in between are given again, and no comparison shows the loss any more.
+		n.store.unchained = true
+		n.store.saw = true
+		n.doubt("the control record does not follow the one known")
+		return
+	}
+	n.adopt(r, version)
+}
+
 // adopt takes up a control record.
 func (n *Node) adopt(r *tenure.Record, version uint64) {
 	if version <= n.version {
--- a/fleetview.go
+++ b/fleetview.go
@@ -177,7 +177,7 @@
 // worth more machines at once than a new one takes to come up.
 func (n *Node) due(j *job, now time.Time) time.Time {
 	goal, late := n.goal(j, now)
-	haste := time.Duration(n.opt.Haste * float64(run(j.spec)))
+	haste := time.Duration(n.opt.Haste * float64(j.spec.RunTime()))
 	switch {
 	case late:
 		return now.Add(haste + time.Minute)
--- a/goals.go
+++ b/goals.go
@@ -6,7 +6,6 @@
 
 	"topazhollow/internal/ledger"
 	"topazhollow/internal/settings"
-	"topazhollow/internal/wire"
 )
 
 // goals lists when a job should be complete, by its deadline and the objectives
@@ -33,9 +32,6 @@
 	return j.goals
 }
 
-// run is how long a task of a job takes, as its owner estimates.
-func run(s *wire.Submission) time.Duration { return settings.Seconds(s.Estimate) }
-
 // far is the goal of a job of which nobody said when it should be complete.
 const far = 24 * time.Hour
 
@@ -45,7 +41,7 @@
 	if len(goals) == 0 {
 		return j.at.Add(far), false
 	}
-	return goals.Next(now, run(j.spec))
+	return goals.Next(now, j.spec.RunTime())
 }
 
 // startBy is when tasks of a job's class should have started; false if nobody said,
--- a/internal/ledger/demand.go
+++ b/internal/ledger/demand.go
@@ -131,7 +131,7 @@
 	taken := quota{cpus, gpus} // what more urgent jobs leave nothing of
 	reserved := false          // part of it is reserved for a job that can't begin
 	var blocked *Job           // an array that can't begin: less urgent priorities wait for it
-	list := t.waitingJobs(now)
+	list, _ := t.waitingJobs(now)
 	for i := range list {
 		w := &list[i]
 		if !w.begins(now) || most(t.MaxCPUs-taken.cpus, w.Spec.CPUs) == 0 || most(t.MaxGPUs-taken.gpus, w.Spec.GPUs) == 0 {
--- a/internal/ledger/quotaorder.go
+++ b/internal/ledger/quotaorder.go
@@ -38,10 +38,11 @@
 	latest   time.Time // when they must start to reach the goal that counts
 }
 
-// waitingJobs lists the jobs that wait for quota, in the order in which they get it.
-func (t *Team) waitingJobs(now time.Time) []waitingJob {
+// waitingJobs lists the jobs that wait for quota, in the order in which they get it, and says whether there is too little for
+// all of them.
+func (t *Team) waitingJobs(now time.Time) (list []waitingJob, short bool) {
 	cpus, gpus := t.charged()
-	list := make([]waitingJob, 0, len(t.order))
+	list = make([]waitingJob, 0, len(t.order))
 	for _, j := range t.order {
 		if j.Over || j.Finishing || now.Before(j.notUntil) {
 			continue
@@ -57,18 +58,18 @@
 		}
 	}
 	if cpus <= t.MaxCPUs+slack && gpus <= t.MaxGPUs+slack {
-		return list
+		return list, false
 	}
 	for i := range list {
 		t.rank(&list[i], now)
 	}
 	slices.SortStableFunc(list, compareForQuota)
-	return list
+	return list, true
 }
 
 // rank sets where a job stands.
 func (t *Team) rank(w *waitingJob, now time.Time) {
-	estimate := w.estimate()
+	estimate := w.Spec.RunTime()
 	if len(w.goals) == 0 {
 		w.standing = aimless
 		return
@@ -110,13 +111,10 @@
 	if w.Spec.Kind != wire.Batch || w.faulty || w.Spec.Tasks < beginTasks || w.left < w.Spec.Tasks || now.Sub(w.Submitted) <= beginAfter {
 		return false
 	}
-	_, missed := w.goals.Next(now, w.estimate())
+	_, missed := w.goals.Next(now, w.Spec.RunTime())
 	return missed
 }
 
-// estimate is how long one of the job's tasks takes, as its owner says.
-func (j *Job) estimate() time.Duration { return time.Duration(j.Spec.Estimate * float64(time.Second)) }
-
 // compareForQuota orders ranked jobs. Those that compare equal stay in order of urgency.
 func compareForQuota(a, b waitingJob) int {
 	return cmp.Or(cmp.Compare(wire.Rank(b.Spec.Priority), wire.Rank(a.Spec.Priority)), cmp.Compare(a.standing, b.standing), a.latest.Compare(b.latest))
--- a/internal/ledger/spare.go
+++ b/internal/ledger/spare.go
@@ -19,12 +19,16 @@
 func (t *Team) Spare(now time.Time) []Demand {
 	cpus, gpus := t.charged()
 	room := quota{sparePart*t.MaxCPUs - cpus, sparePart*t.MaxGPUs - gpus}
-	if room.cpus <= 0 || !t.holdback.waiting.IsZero() || t.asksWithin(now) {
+	if room.cpus <= 0 || !t.holdback.waiting.IsZero() {
+		return nil
+	}
+	list, short := t.waitingJobs(now)
+	if !short {
 		return nil
 	}
 	offered := map[string]*quota{}
 	var spare []Demand
-	for _, w := range t.waitingJobs(now) {
+	for _, w := range list {
 		if w.faulty || w.Spec.Kind == wire.Gang {
 			continue
 		}
@@ -42,19 +46,6 @@
 	return spare
 }
 
-// asksWithin says whether the limit has room for all that waits.
-func (t *Team) asksWithin(now time.Time) bool {
-	cpus, gpus := t.charged()
-	for _, j := range t.order {
-		if t.Waits(j, now) {
-			left := float64(t.Unstarted(j))
-			cpus += left * j.Spec.CPUs
-			gpus += left * j.Spec.GPUs
-		}
-	}
-	return cpus <= t.MaxCPUs+slack && gpus <= t.MaxGPUs+slack
-}
-
 // FitsSpare says whether a task of a job may start as spare work.
 func (t *Team) FitsSpare(j *Job) bool {
 	cpus, gpus := t.charged()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/segmentio/encoding/json"
 )
@@ -284,6 +285,9 @@
 	Version uint64             `json:"version"`
 }
 
+// RunTime is how long one of the job's tasks runs, as its owner estimates.
+func (s *Submission) RunTime() time.Duration { return time.Duration(s.Estimate * float64(time.Second)) }
+
 // Times is how many of the job's tasks so much room takes.
 func (s *Submission) Times(cpus, gpus, memory float64) int {
 	const slack = 1e-6 // absorbs rounding in sums of amounts
--- a/owner.go
+++ b/owner.go
@@ -413,7 +413,7 @@
 		if j == nil || j.runs < max(3, tj.Spec.Tasks/3) || tj.Spec.Kind != wire.Batch {
 			return
 		}
-		limit := max(j.longest, run(tj.Spec)) * 5 / 2
+		limit := max(j.longest, tj.Spec.RunTime()) * 5 / 2
 		it.team.Running(tj, func(h ledger.Hold) {
 			m := n.machines[h.Machine]
 			if m == nil || tj.Avoids(h.Machine, now) {
--- a/placing.go
+++ b/placing.go
@@ -31,7 +31,9 @@
 	if len(list) > 0 {
 		arrange(list)
 		p.hosts = n.hosts(now, smallest(list))
-		setHeldFor(p.hosts, list)
+		if plan := n.admit.known.Acts(); plan != nil && len(plan.Reserved) > 0 {
+			setHeldFor(p.hosts, list)
+		}
 	}
 	for i := range list {
 		w := &list[i]
@@ -93,7 +95,7 @@
 		return false
 	}
 	fetch := settings.Seconds(fleet.FetchTime(n.types, w.spec))
-	return w.latest.Sub(now) <= 2*run(w.spec)+fetch+preemptionDelay
+	return w.latest.Sub(now) <= 2*w.spec.RunTime()+fetch+preemptionDelay
 }
 
 // choose finds a host that is not to be skipped.
--- a/renewal.go
+++ b/renewal.go
@@ -211,5 +211,5 @@
 	if err := json.Unmarshal(m.Record, &record); err != nil || record.Generation != n.generation() {
 		return
 	}
-	n.changed(wire.Change{Set: controlKey, Value: m.Record, Version: m.Version})
+	n.learnRecord(&record, m.Version)
 }
--- a/waiting.go
+++ b/waiting.go
@@ -106,7 +106,7 @@
 // setUrgency derives from a job's goals when its tasks must start.
 func (n *Node) setUrgency(w *waitingTasks, j *job, now time.Time) {
 	w.latest, w.late = n.goal(j, now)
-	w.latest = w.latest.Add(-run(j.spec))
+	w.latest = w.latest.Add(-j.spec.RunTime())
 	startBy, canStart := n.startBy(j, now)
 	if w.late && canStart {
 		w.latest = startBy
--- a/writeback.go
+++ b/writeback.go
@@ -44,9 +44,9 @@
 	for _, it := range n.items {
 		n.learnDone(it.team.Replica().Done)
 	}
-	for name := range n.backups {
-		if kept := n.replica(name); kept != nil {
-			n.learnDone(kept.Done)
+	for _, b := range n.backups {
+		if b.rep != nil {
+			n.learnDone(b.rep.Done)
 		}
 	}
 }
