review: case 2, a job is left waiting

The second case: a job whose tasks failed on the only machine that fits is not tried again for ten minutes, although the machine is sound and has room.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 
 var cases = map[string]play{
 	"small-tasks": smallTasks,
+	"avoided":     avoided,
 }
 
 // limit bounds a case.
