review: new case 1, a task runs on two machines

An old report, repeated by the network when its machine's home has just begun anew under a later term, hides the machine's tasks from an owner at its barrier, which then starts them elsewhere.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/standin small-tasks review/1/record.txt
+exec target/review/standin old-report review/1/record.txt
--- a/review/standin/avoided.go
+++ b/review/standin/avoided.go
@@ -21,7 +21,7 @@
 // avoided: one machine fails every task that it starts for some seconds. Afterwards a job that may run in its zone only must
 // not be left waiting while the machine has room.
 func avoided(rec *record, dir string, trouble bool) (broken string, err error) {
-	g, err := openRegion(rec, dir, cordillera, 1)
+	g, err := openRegion(rec, dir, cordillera, 1, 1)
 	if err != nil {
 		return "", err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]play{
 	"small-tasks": smallTasks,
 	"avoided":     avoided,
+	"old-report":  oldReport,
 }
 
 // limit bounds a case.
--- a/review/standin/region.go
+++ b/review/standin/region.go
@@ -77,8 +77,8 @@
 }
 
 // openRegion starts the stand-ins and the controllers. The cloud rents machines of one type, at most capacity of them in each
-// zone, and one machine of each zone is up at the start.
-func openRegion(rec *record, dir string, typ protocol.MachineType, capacity int) (*region, error) {
+// zone, and the given number of machines of each zone is up at the start.
+func openRegion(rec *record, dir string, typ protocol.MachineType, capacity, up int) (*region, error) {
 	g := &region{rec: rec, dir: dir, jobs: newJobs(rec)}
 	var err error
 	if g.store, err = simulation.NewKVStore(12, 16); err != nil {
@@ -111,8 +111,10 @@
 			return nil, err
 		}
 	}
-	for _, zone := range typ.Zones {
-		g.cloud.add(zone, false, 0)
+	for range up {
+		for _, zone := range typ.Zones {
+			g.cloud.add(zone, false, 0)
+		}
 	}
 	return g, nil
 }
@@ -271,3 +273,50 @@
 	}
 	return fmt.Errorf("%s does not run", uid)
 }
+
+// overview returns a node's view of itself, nil if it does not answer.
+func (g *region) overview(n *node) *overview {
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+n.serve+"/overview", nil)
+	if err != nil {
+		return nil
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var o overview
+	if json.NewDecoder(resp.Body).Decode(&o) != nil {
+		return nil
+	}
+	return &o
+}
+
+// overview is a part of what GET /overview answers.
+type overview struct {
+	Term     uint64            `json:"term"`
+	Entitled bool              `json:"entitled"`
+	Owners   map[string]string `json:"owners"`
+	Items    map[string]struct {
+		Phase   string `json:"phase"`
+		Awaited int    `json:"barrier_waits_for"`
+	} `json:"items"`
+}
+
+// copyReport delivers a copy of a worker's earlier report to a node, and ignores the answer.
+func (g *region) copyReport(w *worker, body []byte, n *node) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+n.serve+protocol.PathHeartbeat, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	status := 0
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		status = resp.StatusCode
+		resp.Body.Close()
+	}
+	g.rec.add("network: copy of a report of %s arrives at %s -> %d", w.name, n.name, status)
+}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -26,12 +27,40 @@
 	killed map[string]int // by job: tasks that ended because a worker's lease ran out
 	failed map[string]int // by job: tasks that exited with an error
 	done   map[string]map[int]bool
+	on     map[string]string // by task: the machine that it is on
+	twice  []string          // tasks that started on one machine while they were on another
 	runs   func(uid string) time.Duration
 }
 
+// enter records that a task is on a machine from now on.
+func (j *jobs) enter(e *entry, w *worker) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if other := j.on[e.Task]; other != "" && other != w.name {
+		j.twice = append(j.twice, fmt.Sprintf("%s starts on %s while it is on %s", e.Task, w.name, other))
+		j.rec.add("ran_twice: %s", j.twice[len(j.twice)-1])
+	}
+	j.on[e.Task] = w.name
+}
+
+// leave records that a task is no longer on a machine.
+func (j *jobs) leave(e *entry, w *worker) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.on[e.Task] == w.name {
+		delete(j.on, e.Task)
+	}
+}
+
+func (j *jobs) ranTwice() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.twice)
+}
+
 func newJobs(rec *record) *jobs {
 	return &jobs{rec: rec, specs: map[string]*protocol.Submission{}, starts: map[string]int{}, killed: map[string]int{},
-		failed: map[string]int{}, done: map[string]map[int]bool{}}
+		failed: map[string]int{}, done: map[string]map[int]bool{}, on: map[string]string{}}
 }
 
 func (j *jobs) add(s *protocol.Submission) {
@@ -81,9 +110,11 @@
 	mu       sync.Mutex
 	gone     bool
 	failing  bool // fails every task that it starts
+	hanging  bool // does nothing
 	session  uint64
 	seq      uint64
 	token    uint64
+	tokenAt  time.Time // when a higher token last counted as a change
 	entries  []*entry
 	images   map[string]bool
 	results  map[string]bool // tasks that completed here
@@ -91,6 +122,9 @@
 	longest  int             // bytes of the longest report
 	refused  map[int]int     // reports by status other than 200 and 421
 	leases   int             // how often the lease ran out
+	old      []byte          // the last report without a task
+	home     string          // node that the last report was answered by with 200
+	homeAt   time.Time       // when that answer came
 }
 
 // entry is one attempt of a task on the machine.
@@ -138,6 +172,27 @@
 	w.failing = on
 }
 
+// hang suspends the machine or lets it go on.
+func (w *worker) hang(on bool) {
+	w.region.rec.add("worker %s: hangs: %v", w.name, on)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hanging = on
+	w.change()
+}
+
+func (w *worker) waitWhileHanging() {
+	for {
+		w.mu.Lock()
+		hanging := w.hanging && !w.gone
+		w.mu.Unlock()
+		if !hanging {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // freeCPUs returns what the tasks on the machine leave of its CPUs.
 func (w *worker) freeCPUs() float64 {
 	w.mu.Lock()
@@ -154,6 +209,11 @@
 // remove ends the machine and everything on it.
 func (w *worker) remove() {
 	w.mu.Lock()
+	for _, e := range w.entries {
+		if e.State == protocol.Running {
+			w.region.jobs.leave(e, w)
+		}
+	}
 	w.gone, w.entries = true, nil
 	w.mu.Unlock()
 	w.stop()
@@ -186,6 +246,7 @@
 	nodes := w.region.nodes
 	at := rand.IntN(len(nodes))
 	for ctx.Err() == nil {
+		w.waitWhileHanging()
 		sent := time.Now()
 		stays, next := w.sendReport(client, nodes[at].serve, sent)
 		var pause time.Duration
@@ -223,6 +284,9 @@
 	session := w.session
 	body := protocol.Encode(w.report())
 	w.longest = max(w.longest, len(body))
+	if len(w.entries) == 0 && w.session == 1 {
+		w.old = body
+	}
 	w.mu.Unlock()
 	resp, err := client.Post("http://"+addr+protocol.PathHeartbeat, "application/json", bytes.NewReader(body))
 	if err != nil {
@@ -233,6 +297,7 @@
 	defer resp.Body.Close()
 	switch resp.StatusCode {
 	case 200:
+		w.region.rec.add("worker %s: report to %s -> 200", w.name, addr)
 		var a protocol.HeartbeatAnswer
 		if json.NewDecoder(resp.Body).Decode(&a) != nil {
 			return false, -1
@@ -242,6 +307,7 @@
 		if a.FencingToken >= w.token && a.FencingToken > 0 && session == w.session && !w.gone {
 			w.learn(a.FencingToken)
 			w.answered = sent
+			w.home, w.homeAt = addr, time.Now()
 			w.execute(a.Commands)
 		}
 		return true, -1
@@ -263,8 +329,12 @@
 
 // learn stores the highest token. The caller holds the lock.
 func (w *worker) learn(token uint64) {
-	if token > w.token {
-		w.token = token
+	if token <= w.token {
+		return
+	}
+	w.token = token
+	if time.Since(w.tokenAt).Seconds() > workerTiming.LeaseSeconds/2 { // a higher token counts as a change no more often
+		w.tokenAt = time.Now()
 		w.change()
 	}
 }
@@ -275,6 +345,7 @@
 		reply(out, 400, protocol.Error{Error: "mando or jornada is missing"})
 		return
 	}
+	w.waitWhileHanging() // a machine that goes on executes what came meanwhile, also if nobody waits for it
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	status := 409
@@ -283,6 +354,7 @@
 		w.learn(d.FencingToken)
 		w.execute(d.Commands)
 	}
+	w.region.rec.add("worker %s: /do with token %d and %d commands -> %d", w.name, d.FencingToken, len(d.Commands), status)
 	reply(out, status, w.report())
 }
 
@@ -344,6 +416,7 @@
 func (w *worker) run(e *entry) {
 	e.State = protocol.Running
 	w.region.jobs.count(w.region.jobs.starts, e.job)
+	w.region.jobs.enter(e, w)
 	w.region.rec.add("worker %s: runs %s attempt %d", w.name, e.Task, e.Attempt)
 	duration := w.region.jobs.runs(e.job)
 	if w.results[e.Task] {
@@ -370,6 +443,9 @@
 
 // exit ends an attempt. The caller holds the lock.
 func (w *worker) exit(e *entry, reason protocol.ExitReason) {
+	if e.State == protocol.Running {
+		w.region.jobs.leave(e, w)
+	}
 	e.State, e.Reason = protocol.Exited, reason
 	switch reason {
 	case protocol.ReasonDone:
@@ -392,11 +468,15 @@
 		case <-ctx.Done():
 			return
 		}
+		w.waitWhileHanging()
 		w.mu.Lock()
 		if time.Since(w.answered).Seconds() > workerTiming.LeaseSeconds {
 			on := 0
 			for _, e := range w.entries {
 				if e.State != protocol.Exited {
+					if e.State == protocol.Running {
+						w.region.jobs.leave(e, w)
+					}
 					on++
 					w.region.jobs.count(w.region.jobs.killed, e.job)
 				}
