--- a/review/standin/oldreport.go
+++ b/review/standin/oldreport.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"fmt"
 	"strings"
 	"time"
 )
@@ -10,10 +11,13 @@
 // restartDelay is how long after its end a controller is back.
 const restartDelay = 3 * time.Second
 
+// machinesAtStart is the number of machines, half of them in each zone.
+const machinesAtStart = 6
+
 // oldReport: while a machine hangs, all controllers end, and one of them again soon after it is back. When that one begins
 // the second time, a copy of an old report of each machine arrives at it, from before the machine's tasks started.
 func oldReport(rec *record, dir string, trouble bool) (broken string, err error) {
-	g, err := openRegion(rec, dir, cordillera, 5, 3)
+	g, err := openRegion(rec, dir, cordillera, 5, machinesAtStart/2)
 	if err != nil {
 		return "", err
 	}
@@ -22,6 +26,9 @@
 	if err := g.awaitHealthy(20 * time.Second); err != nil {
 		return "", err
 	}
+	if err := g.awaitAnswered(); err != nil {
+		return "", err
+	}
 	time.Sleep(2 * time.Second)
 	const tasks = 22 // five machines are full, one has two tasks
 	job := array("job-000001", "plate-match", "cobranza", tasks, 4, 27, 90)
@@ -40,6 +47,9 @@
 	again := g.chooseAgain("team/" + job.Team)
 	rec.add("the node that ends again is %s", again.name)
 	before := g.overview(again)
+	if before == nil || !g.hasFullMachine(again) {
+		return "", fmt.Errorf("no full machine reports to %s", again.name)
+	}
 	hung := g.otherMachine(again)
 	hung.hang(true)
 	for _, n := range g.nodes {
@@ -122,6 +132,37 @@
 	return chosen
 }
 
+// awaitAnswered waits until every machine is up and a report of it was answered.
+func (g *region) awaitAnswered() error {
+	for until := time.Now().Add(15 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		answered := 0
+		for _, w := range g.cloud.workers() {
+			w.mu.Lock()
+			if w.home != "" {
+				answered++
+			}
+			w.mu.Unlock()
+		}
+		if answered == machinesAtStart {
+			return nil
+		}
+	}
+	return fmt.Errorf("not all machines were answered")
+}
+
+// hasFullMachine reports whether a machine without room reports to a node.
+func (g *region) hasFullMachine(n *node) bool {
+	for _, w := range g.cloud.workers() {
+		w.mu.Lock()
+		here := w.home == n.serve
+		w.mu.Unlock()
+		if here && w.freeCPUs() == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // heardBy counts the machines whose last report was answered by a node, after a time.
 func (g *region) heardBy(n *node, after time.Time) (count int) {
 	for _, w := range g.cloud.workers() {
