--- a/review/standin/avoided.go
+++ b/review/standin/avoided.go
@@ -21,7 +21,7 @@
 // avoided: one machine fails every task that it starts for some seconds. Afterwards a job that may run in its zone only must
 // not be left waiting while the machine has room.
 func avoided(rec *record, dir string, trouble bool) (broken string, err error) {
-	g, err := openRegion(rec, dir, cordillera, 1, 1)
+	g, err := openRegion(rec, dir, peaje(cordillera, 1, 1))
 	if err != nil {
 		return "", err
 	}
@@ -29,7 +29,7 @@
 	service := array("job-000009", "gate", "vision-vial", 2, 1, 2, 0)
 	service.Kind, service.Spread, service.Spot = protocol.Service, true, false
 	job := array("job-000001", "plate-match", "cobranza", 3, 4, 27, 5)
-	zone := zoneA
+	zone := g.site.zones[0]
 	job.Zone = &zone
 	g.jobs.runs = func(uid string) time.Duration {
 		if uid == service.UID {
@@ -48,7 +48,7 @@
 		return "", err
 	}
 	w := g.cloud.workers()[0]
-	if w.zone != zoneA {
+	if w.zone != zone {
 		return "", fmt.Errorf("the first machine is in %s", w.zone)
 	}
 	rec.add("machine %s fails every task that it starts from now on: %v", w.name, trouble)
--- a/review/standin/oldreport.go
+++ b/review/standin/oldreport.go
@@ -17,7 +17,7 @@
 // oldReport: while a machine hangs, all controllers end, and one of them again soon after it is back. When that one begins
 // the second time, a copy of an old report of each machine arrives at it, from before the machine's tasks started.
 func oldReport(rec *record, dir string, trouble bool) (broken string, err error) {
-	g, err := openRegion(rec, dir, cordillera, 5, machinesAtStart/2)
+	g, err := openRegion(rec, dir, peaje(cordillera, 5, machinesAtStart/2))
 	if err != nil {
 		return "", err
 	}
--- a/review/standin/region.go
+++ b/review/standin/region.go
@@ -46,9 +46,24 @@
 	fmt.Fprintf(r.file, format+"\n", args...)
 }
 
+// site holds the settings of one of the operators' site files.
+type site struct {
+	zones     []string // of the deployment; the controllers are spread over them
+	teams     []settings.Team
+	workers   settings.Agents
+	state     settings.KVStore
+	cloud     settings.Cloud
+	limits    settings.Limits
+	clockOff  float64
+	machine   protocol.MachineType
+	capacity  int // machines of each zone
+	upAtStart int // machines of each zone
+}
+
 // region is three controller processes on loopback with stand-ins for the state service, the cloud, the workers and the
-// users. Its settings are those of the deployment peaje-cl, the smallest of the operators' site files.
+// users.
 type region struct {
+	site  site
 	rec   *record
 	dir   string
 	store *simulation.KVStore
@@ -63,28 +78,32 @@
 	process                     *exec.Cmd
 }
 
-const (
-	zoneA = "santiago-centro"
-	zoneB = "concepcion-sur"
-)
-
-var workerTiming = settings.Agents{HeartbeatSeconds: 2, LeaseSeconds: 12, GangWaitSeconds: 30, GangPeerSeconds: 4, CancelSeconds: 32}
-
-var teams = []settings.Team{
-	{Name: "cobranza", CPUs: 160, CPUsMax: 456},
-	{Name: "vision-vial", CPUs: 80, CPUsMax: 264},
-	{Name: "fiscalia-ops", CPUs: 128, CPUsMax: 264},
+// peaje returns the settings of the deployment peaje-cl, with machines of a type, at most capacity of them in each zone, and
+// the given number of each zone up at the start.
+func peaje(machine protocol.MachineType, capacity, up int) site {
+	return site{
+		zones: []string{"concepcion-sur", "santiago-centro"},
+		teams: []settings.Team{
+			{Name: "cobranza", CPUs: 160, CPUsMax: 456},
+			{Name: "vision-vial", CPUs: 80, CPUsMax: 264},
+			{Name: "fiscalia-ops", CPUs: 128, CPUsMax: 264},
+		},
+		workers:  settings.Agents{HeartbeatSeconds: 2, LeaseSeconds: 12, GangWaitSeconds: 30, GangPeerSeconds: 4, CancelSeconds: 32},
+		state:    settings.KVStore{RequestsPerSecond: 200, ChangesPerSecond: 40, ValueKB: 16, ChangesPerTransaction: 12},
+		cloud:    settings.Cloud{RequestsPerSecond: 8, ListLagSeconds: 4},
+		limits:   settings.Limits{Cores: 0.24, MemoryMB: 125, MaxSockets: 1500},
+		clockOff: 5, machine: machine, capacity: capacity, upAtStart: up,
+	}
 }
 
-// openRegion starts the stand-ins and the controllers. The cloud rents machines of one type, at most capacity of them in each
-// zone, and the given number of machines of each zone is up at the start.
-func openRegion(rec *record, dir string, typ protocol.MachineType, capacity, up int) (*region, error) {
-	g := &region{rec: rec, dir: dir, jobs: newJobs(rec)}
+// openRegion starts the stand-ins and the controllers of a site.
+func openRegion(rec *record, dir string, at site) (*region, error) {
+	g := &region{site: at, rec: rec, dir: dir, jobs: newJobs(rec)}
 	var err error
-	if g.store, err = simulation.NewKVStore(12, 16); err != nil {
+	if g.store, err = simulation.NewKVStore(at.state.ChangesPerTransaction, int(at.state.ValueKB)); err != nil {
 		return nil, err
 	}
-	g.store.LimitRates(200, 40)
+	g.store.LimitRates(at.state.RequestsPerSecond, at.state.ChangesPerSecond)
 	host := simulation.NewHost()
 	for i := range 3 {
 		n := &node{name: fmt.Sprintf("estacion-%d", i)}
@@ -96,8 +115,9 @@
 		}
 		g.nodes = append(g.nodes, n)
 	}
-	typ.Zones = []string{zoneA, zoneB}
-	if g.cloud, err = openCloud(g, typ, capacity); err != nil {
+	typ := at.machine
+	typ.Zones = at.zones
+	if g.cloud, err = openCloud(g, typ, at.capacity); err != nil {
 		return nil, err
 	}
 	for i, n := range g.nodes {
@@ -111,8 +131,8 @@
 			return nil, err
 		}
 	}
-	for range up {
-		for _, zone := range typ.Zones {
+	for range at.upAtStart {
+		for _, zone := range at.zones {
 			g.cloud.add(zone, false, 0)
 		}
 	}
@@ -120,23 +140,20 @@
 }
 
 func (g *region) writeSettings(i int) error {
-	n := g.nodes[i]
-	zones := []string{zoneA, zoneB, zoneA}
+	n, at := g.nodes[i], &g.site
+	zone := func(k int) string { return at.zones[k%len(at.zones)] }
 	s := map[string]any{
-		"host_name": n.name, "zone": zones[i], "serve_on": n.serve, "peer_listen": n.peer,
+		"host_name": n.name, "zone": zone(i), "serve_on": n.serve, "peer_listen": n.peer,
 		"outside": map[string]any{"cloud": g.cloud.addr, "state": g.store.Addr()},
 		"deployment": map[string]any{
-			"initial_size": 3, "zones": []string{zoneB, zoneA}, "teams": teams, "objectives": []any{}, "workers": workerTiming,
-			"state":        map[string]any{"rps": 200.0, "write_rps": 40.0, "value_kb": 16.0, "txn_ops": 12},
-			"cloud":        map[string]any{"rps": 8.0, "list_lag_s": 4.0},
-			"limits":       map[string]any{"cores": 0.24, "memory_mb": 125.0, "max_sockets": 1500},
-			"clock_off_ms": 5.0,
+			"initial_size": 3, "zones": at.zones, "teams": at.teams, "objectives": []any{}, "workers": at.workers,
+			"state": at.state, "cloud": at.cloud, "limits": at.limits, "clock_off_ms": at.clockOff,
 		},
 	}
 	var seeds []any
 	for k, p := range g.nodes {
 		if k != i {
-			seeds = append(seeds, map[string]any{"host_name": p.name, "zone": zones[k], "endpoint": p.peer})
+			seeds = append(seeds, map[string]any{"host_name": p.name, "zone": zone(k), "endpoint": p.peer})
 		}
 	}
 	s["seeds"] = seeds
--- a/review/standin/smalltasks.go
+++ b/review/standin/smalltasks.go
@@ -22,7 +22,7 @@
 
 // smallTasks: a class of jobs with many small tasks comes four times as often; meanwhile another team's job must run.
 func smallTasks(rec *record, dir string, trouble bool) (broken string, err error) {
-	g, err := openRegion(rec, dir, g8, 2, 1)
+	g, err := openRegion(rec, dir, peaje(g8, 2, 1))
 	if err != nil {
 		return "", err
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -252,7 +252,7 @@
 		var pause time.Duration
 		switch {
 		case stays:
-			period := time.Duration((0.75 + rand.Float64()/2) * workerTiming.HeartbeatSeconds * float64(time.Second))
+			period := time.Duration((0.75 + rand.Float64()/2) * w.region.site.workers.HeartbeatSeconds * float64(time.Second))
 			pause = period - time.Since(sent)
 		case next >= 0:
 			client.CloseIdleConnections()
@@ -333,7 +333,7 @@
 		return
 	}
 	w.token = token
-	if time.Since(w.tokenAt).Seconds() > workerTiming.LeaseSeconds/2 { // a higher token counts as a change no more often
+	if time.Since(w.tokenAt).Seconds() > w.region.site.workers.LeaseSeconds/2 { // a higher token counts as a change no more often
 		w.tokenAt = time.Now()
 		w.change()
 	}
@@ -470,7 +470,7 @@
 		}
 		w.waitWhileHanging()
 		w.mu.Lock()
-		if time.Since(w.answered).Seconds() > workerTiming.LeaseSeconds {
+		if time.Since(w.answered).Seconds() > w.region.site.workers.LeaseSeconds {
 			on := 0
 			for _, e := range w.entries {
 				if e.State != protocol.Exited {
