controller: log homes that report an older heartbeat; one order of heartbeats

The logs could not tell whether a barrier was passed by an old report (it settled the machine), or whether the report that settled the machine was replaced afterwards.

"home reports an older heartbeat" names both heartbeats and terms and whether the known status is replaced; "shard ready" counts the machines whose known status no longer settles them. The order of two heartbeats stood three times; it is now protocol.HeartbeatID.Compare. No decision changes.

--- a/internal/agents/registry.go
+++ b/internal/agents/registry.go
@@ -116,7 +116,7 @@
 	if a == nil {
 		a = &Agent{starts: map[jobstate.AttemptRef]*start{}}
 		g.agents[h.Machine] = a
-	} else if !isNewer(h, &a.Heartbeat) {
+	} else if h.ID().Compare(a.Heartbeat.ID()) <= 0 {
 		return false, false
 	}
 	changed = differs(h, &a.Heartbeat)
@@ -136,11 +136,6 @@
 	return true, changed
 }
 
-// isNewer reports whether a heartbeat was sent after a known one: by a later incarnation, or later by the same one.
-func isNewer(h, known *protocol.Heartbeat) bool {
-	return h.Incarnation > known.Incarnation || (h.Incarnation == known.Incarnation && h.Seq > known.Seq)
-}
-
 // differs reports whether two heartbeats differ in anything that is reported to owners.
 func differs(h, known *protocol.Heartbeat) bool {
 	return h.Incarnation != known.Incarnation ||
--- a/internal/controller/barrier.go
+++ b/internal/controller/barrier.go
@@ -30,7 +30,8 @@
 	if shard.Pages().AreRead() {
 		n.releaseUnregistered(shard)
 	}
-	n.log.Info("shard ready", "shard", shard.Name(), "term", shard.SinceTerm(), "after", now.Sub(shard.TakenAt()))
+	n.log.Info("shard ready", "shard", shard.Name(), "term", shard.SinceTerm(), "after", now.Sub(shard.TakenAt()),
+		"unsettled", n.countUnsettled(shard))
 	for _, name := range slices.Sorted(maps.Keys(n.machines)) {
 		if m := n.machines[name]; m.status != nil {
 			n.reconcileMachine(shard, m.status)
@@ -38,6 +39,20 @@
 	}
 }
 
+// countUnsettled returns how many known machines are not settled by the status that is known of them now, for the log.
+// After a barrier, a registered machine that is counted here was settled by another status.
+func (n *Node) countUnsettled(shard *shards.Owned) (count int) {
+	if !shard.NeedsBarrier() {
+		return 0
+	}
+	for name, m := range n.machines {
+		if m.status != nil && !n.machineSettled(name, shard.SinceTerm()) {
+			count++
+		}
+	}
+	return count
+}
+
 // machineReported removes a machine that reported from those that a shard's barrier awaits, and ends the barrier if it
 // awaits nothing else.
 func (n *Node) machineReported(shard *shards.Owned, v *jobstate.MachineStatus) {
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -73,7 +73,7 @@
 		return agents.Answer{Outcome: agents.NotEntitled}
 	}
 	agent := n.agents.Get(h.Machine)
-	if agent.Heartbeat.Seq == h.Seq && agent.Heartbeat.Incarnation == h.Incarnation { // not a late, older one
+	if agent.Heartbeat.ID() == h.ID() { // not a late, older one
 		n.prepareCommands(agent, now)
 		commands = append(commands, agent.TakeForAnswer()...)
 		n.publishStatus(h.Machine)
--- a/internal/controller/machinestatus.go
+++ b/internal/controller/machinestatus.go
@@ -81,9 +81,16 @@
 // applyStatus applies a machine's status, derived here or sent by a peer, unless a newer one is known.
 func (n *Node) applyStatus(v *jobstate.MachineStatus, now time.Time) {
 	m := n.machine(v.Machine)
-	if m.gone || (m.status != nil && !v.Newer(m.status)) {
+	if m.gone {
 		return
 	}
+	if m.status != nil {
+		newer := v.Newer(m.status)
+		n.logOlderHeartbeat(v, m.status, newer)
+		if !newer {
+			return
+		}
+	}
 	n.replaceStatus(m, v)
 	n.recordStartedTasks(v)
 	m.HeardAt = now
@@ -94,6 +101,16 @@
 	n.wake()
 }
 
+// logOlderHeartbeat logs that a home reports, under a later term, a status made from an older heartbeat than the known
+// one. That happens if a copy of a heartbeat is the first that a home receives in its term.
+func (n *Node) logOlderHeartbeat(v, known *jobstate.MachineStatus, replaces bool) {
+	if v.Term <= known.Term || v.HeartbeatID().Compare(known.HeartbeatID()) >= 0 {
+		return
+	}
+	n.log.Info("home reports an older heartbeat", "machine", v.Machine, "term", v.Term, "seq", v.Seq, "known_term", known.Term,
+		"known_seq", known.Seq, "fencing_token", v.FencingToken, "known_fencing_token", known.FencingToken, "replaces", replaces)
+}
+
 // replaceStatus replaces a machine's known status and updates the index of tasks.
 func (n *Node) replaceStatus(m *machine, v *jobstate.MachineStatus) {
 	if m.status != nil {
--- a/internal/jobstate/machinestatus.go
+++ b/internal/jobstate/machinestatus.go
@@ -45,6 +45,11 @@
 	Barred       []AttemptRef `json:"b,omitempty"` // attempts whose starts the home will never send
 }
 
+// HeartbeatID returns the identity of the heartbeat that the status was made from.
+func (v *MachineStatus) HeartbeatID() protocol.HeartbeatID {
+	return protocol.HeartbeatID{Incarnation: v.Incarnation, Seq: v.Seq}
+}
+
 // Newer reports whether v replaces old: by the agent's incarnation, then the home's term, the heartbeat's sequence
 // number, and the home's revision.
 func (v *MachineStatus) Newer(old *MachineStatus) bool {
--- a/internal/jobstate/orphan.go
+++ b/internal/jobstate/orphan.go
@@ -33,10 +33,9 @@
 
 // orphanReservation is the quota reserved for the orphaned tasks of one machine.
 type orphanReservation struct {
-	incarnation uint64       // of the machine's agent
-	seq         uint64       // of the heartbeat that listed the tasks
-	unknownSize []AttemptRef // tasks of unknown size
-	resources   Resources    // total, with the bound for tasks of unknown size
+	heartbeat   protocol.HeartbeatID // that listed the tasks
+	unknownSize []AttemptRef         // tasks of unknown size
+	resources   Resources            // total, with the bound for tasks of unknown size
 }
 
 // orphanReservations holds the reservations by machine.
@@ -52,7 +51,7 @@
 // it does not prove that tasks listed by a newer one are gone.
 func (o *orphanReservations) observe(status *MachineStatus, count orphanCount, directory JobDirectory) {
 	before, reserved := o.machines[status.Machine]
-	if reserved && before.isNewerThan(status) {
+	if reserved && status.HeartbeatID().Compare(before.heartbeat) < 0 {
 		return
 	}
 	needed := count.sized
@@ -65,21 +64,12 @@
 		return
 	}
 	o.machines[status.Machine] = orphanReservation{
-		incarnation: status.Incarnation,
-		seq:         status.Seq,
+		heartbeat:   status.HeartbeatID(),
 		unknownSize: count.unknownSize,
 		resources:   needed,
 	}
 }
 
-// isNewerThan reports whether the reservation was made for a newer heartbeat than the status's.
-func (r *orphanReservation) isNewerThan(status *MachineStatus) bool {
-	if status.Incarnation != r.incarnation {
-		return status.Incarnation < r.incarnation
-	}
-	return status.Seq < r.seq
-}
-
 // release removes the reservation of a machine that the cloud has confirmed as returned.
 func (o *orphanReservations) release(machine string) {
 	delete(o.machines, machine)
--- a/internal/protocol/agents.go
+++ b/internal/protocol/agents.go
@@ -1,5 +1,7 @@
 package protocol
 
+import "cmp"
+
 // TaskState is the state of a task on a machine, as reported by the machine's agent.
 type TaskState string
 
@@ -64,6 +66,22 @@
 	Tasks         []TaskStatus `json:"tramos"`
 }
 
+// HeartbeatID identifies a heartbeat among those of one agent. The agent itself assigns it, so the order of two
+// heartbeats does not depend on which controllers received them, when, or how often.
+type HeartbeatID struct {
+	Incarnation uint64
+	Seq         uint64
+}
+
+// Compare returns a negative number if the agent sent id before other, a positive one if after, and 0 if they are the
+// same heartbeat.
+func (id HeartbeatID) Compare(other HeartbeatID) int {
+	return cmp.Or(cmp.Compare(id.Incarnation, other.Incarnation), cmp.Compare(id.Seq, other.Seq))
+}
+
+// ID returns the identity of the heartbeat.
+func (h *Heartbeat) ID() HeartbeatID { return HeartbeatID{h.Incarnation, h.Seq} }
+
 // TaskStatus is the status of one task in a heartbeat.
 type TaskStatus struct {
 	Task         string     `json:"tramo"`
