jobstate: a later heartbeat counts before a later term of the home

Cause: MachineStatus.Newer put the home's term before the agent's order of its heartbeats. A home that restarted during an owner's barrier, and whose first heartbeat was a copy of an old one, published it under the raised term; it replaced the heartbeat that had settled the machine, and the barrier ended on a list without the machine's tasks.

Change: the heartbeat's order first, then the home's term and revision. So what is known of a machine never goes back.

--- a/internal/controller/barrier_test.go
+++ b/internal/controller/barrier_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"topazhollow/internal/jobstate"
+	"topazhollow/internal/protocol"
 	"topazhollow/internal/settings"
 	"topazhollow/internal/shards"
 	"topazhollow/internal/userapi"
@@ -44,6 +45,41 @@
 	}
 }
 
+// TestCopyOfOldHeartbeatDuringBarrier guards against an owner that starts running tasks again (review/1): a machine's home
+// restarted during the owner's barrier and received a copy of a heartbeat from before the machine's task started. Under
+// the later term it replaced the heartbeat that had settled the machine, so the owner never learned of the task.
+func TestCopyOfOldHeartbeatDuringBarrier(t *testing.T) {
+	for name, restarted := range map[string]bool{"the home restarts": true, "the home stays": false} {
+		g := newNodeHarness(2, 1)
+		n := g.n
+		g.submit(1, 4)
+		n.mu.Lock()
+		task := jobstate.TaskStatus{TaskID: jobstate.TaskID{Job: "job-000001"}, Attempt: jobstate.AttemptID(1, 1), State: protocol.Running}
+		machine, awaited := g.machineNames[0], g.machineNames[1]
+		old := *g.statuses[machine]
+		n.leadership.Record().Term = 3
+		shard := barrierShard(n, n.shards.OfTeam("team-0"), 2, g.machineNames)
+		g.reportStatus(machine, func(v *jobstate.MachineStatus) {
+			v.Term, v.FencingToken, v.Tasks = 2, 2, []jobstate.TaskStatus{task}
+		})
+		if shard.Awaits(machine) {
+			t.Fatalf("%s: the barrier awaits a machine that reported under its term", name)
+		}
+		if restarted {
+			old.Term = 3
+		}
+		n.applyStatus(&old, g.now)
+		g.reportStatus(awaited, func(v *jobstate.MachineStatus) { v.Term, v.FencingToken = 2, 2 })
+		if !shard.IsReady() {
+			t.Fatalf("%s: the barrier is not passed", name)
+		}
+		if assigned, _ := shard.Team().Assignments().Count(); assigned != 1 {
+			t.Errorf("%s: the owner knows %d of 1 running tasks after the barrier", name, assigned)
+		}
+		n.mu.Unlock()
+	}
+}
+
 // TestJobAcceptedDuringBarrier: a job accepted while its team's owner was at the barrier was not added to the team, and
 // waited until the next owner read the state service.
 func TestJobAcceptedDuringBarrier(t *testing.T) {
--- a/internal/jobstate/jobstate_test.go
+++ b/internal/jobstate/jobstate_test.go
@@ -50,16 +50,16 @@
 }
 
 // TestOwnerModel runs a team's state at its owner against modelled agents. Messages are reordered and delayed, leases
-// expire, machines hang or die, jobs are cancelled, old heartbeats arrive again, and the owner crashes. Its successor
-// starts from an in-sync replica, or without one and without knowing the jobs that have ended. At every start the task
-// must run on no other machine and the quota must not be exceeded, and only tasks that completed may be recorded as
-// done.
+// expire, machines hang or die, jobs are cancelled, old heartbeats arrive again, the term is raised, and the owner
+// crashes. Its successor starts from an in-sync replica, or without one and without knowing the jobs that have ended. At
+// every start the task must run on no other machine and the quota must not be exceeded, and only tasks that completed
+// may be recorded as done.
 func TestOwnerModel(t *testing.T) {
 	doneTasks := 0
 	reached := map[string]bool{}
-	for seed := range uint64(1500) {
+	for seed := range uint64(4000) {
 		m := newModel(t, seed)
-		m.reached = reached
+		m.reached, m.tasksRunLong = reached, seed%4 > 0
 		for range 400 {
 			violation := m.step()
 			if violation == "" {
@@ -82,7 +82,7 @@
 		t.Fatal("no task was done in any run")
 	}
 	for _, what := range []string{"a message waits for a hung machine", "quota is reserved for orphaned tasks", "a barrier is passed",
-		"a failover without a replica", "an old heartbeat replaces a newer one"} {
+		"a failover without a replica", "an old heartbeat arrives under a later term than a newer one", "the term is raised during a barrier"} {
 		if !reached[what] {
 			t.Errorf("not covered by any run: %s", what)
 		}
--- a/internal/jobstate/machinestatus.go
+++ b/internal/jobstate/machinestatus.go
@@ -1,6 +1,10 @@
 package jobstate
 
-import "topazhollow/internal/protocol"
+import (
+	"cmp"
+
+	"topazhollow/internal/protocol"
+)
 
 // The machine statuses that homes report to owners, and the orders that owners return. A machine's home is the
 // controller that its agent reports to; a team's owner is the controller that keeps the team's state.
@@ -50,19 +54,13 @@
 	return protocol.HeartbeatID{Incarnation: v.Incarnation, Seq: v.Seq}
 }
 
-// Newer reports whether v replaces old: by the agent's incarnation, then the home's term, the heartbeat's sequence
-// number, and the home's revision.
+// Newer reports whether v replaces old: it is made from a later heartbeat or, if both are made from the same one, by the
+// home of a later term or at a later revision of the same home.
+//
+// The heartbeat comes before the home's term. The first heartbeat that a home receives in its term may be a copy of an
+// old one, which must not hide tasks that a newer heartbeat listed to an earlier home.
 func (v *MachineStatus) Newer(old *MachineStatus) bool {
-	if v.Incarnation != old.Incarnation {
-		return v.Incarnation > old.Incarnation
-	}
-	if v.Term != old.Term {
-		return v.Term > old.Term
-	}
-	if v.Seq != old.Seq {
-		return v.Seq > old.Seq
-	}
-	return v.Revision > old.Revision
+	return cmp.Or(v.HeartbeatID().Compare(old.HeartbeatID()), cmp.Compare(v.Term, old.Term), cmp.Compare(v.Revision, old.Revision)) > 0
 }
 
 // Order is a command of an owner for a machine, which the machine's home forwards.
--- a/internal/jobstate/model_test.go
+++ b/internal/jobstate/model_test.go
@@ -57,6 +57,7 @@
 	specs                map[string]*protocol.Submission
 	active               map[string]bool
 	done                 map[TaskID]bool
+	tasksRunLong         bool                      // few tasks end, so that most machines run some at a failover
 	releasesWithoutProof bool                      // a faulty owner that treats silent machines as returned
 	knowledge            map[string]endKnowledge   // what is known of an ended job; the zero value: everything
 	newestStatus         map[string]*MachineStatus // the newest status of each machine that the owner has received
@@ -185,7 +186,11 @@
 	m.now = m.now.Add(time.Second)
 	at := m.rng.IntN(len(m.agents))
 	agent := m.agents[at]
-	switch m.rng.IntN(24) {
+	action := m.rng.IntN(25)
+	if endsTasks := action >= 14 && action <= 16 || action == 19 || action == 20; endsTasks && m.tasksRunLong && m.rng.IntN(8) > 0 {
+		action = 11
+	}
+	switch action {
 	case 0, 1, 2: // place all pending tasks for which a machine is found
 		if m.barrier == nil {
 			m.place()
@@ -236,6 +241,8 @@
 		m.changeForeignTask(agent)
 	case 23: // a duplicate of an old heartbeat arrives
 		m.receiveDelayedStatus()
+	case 24: // the term is raised because another controller restarted; the owner stays
+		m.raiseTerm()
 	}
 	return ""
 }
@@ -291,7 +298,7 @@
 // sendHeartbeat delivers a heartbeat of an agent. A duplicate may arrive at any later time.
 func (m *model) sendHeartbeat(agent *modelAgent) {
 	v := m.status(agent)
-	if m.rng.IntN(4) == 0 {
+	if v.Seq == 1 || m.rng.IntN(4) == 0 {
 		m.delayedStatuses = append(m.delayedStatuses, v)
 	}
 	agent.fencingToken = max(agent.fencingToken, m.term) // the response to the heartbeat carries the present term
@@ -430,17 +437,41 @@
 	}
 }
 
-// receiveDelayedStatus delivers a duplicate of an earlier heartbeat to a home that may not have received newer ones.
+// raiseTerm raises the term without a change of the owner, which may be at its barrier. Homes that restarted report what
+// they receive first under the new term, which may be the duplicate of an agent's first heartbeat.
+func (m *model) raiseTerm() {
+	m.term++
+	m.team.SetTerm(m.term)
+	m.reached["the term is raised during a barrier"] = m.reached["the term is raised during a barrier"] || m.barrier != nil
+	for _, agent := range m.agents {
+		first := slices.IndexFunc(m.delayedStatuses, func(v *MachineStatus) bool {
+			return v.Machine == agent.name && v.Incarnation == agent.incarnation
+		})
+		if first >= 0 && m.rng.IntN(2) == 0 {
+			m.receiveDelayed(first)
+		}
+	}
+}
+
+// receiveDelayedStatus delivers a random duplicate of an earlier heartbeat.
 func (m *model) receiveDelayedStatus() {
-	if len(m.delayedStatuses) == 0 {
-		return
+	if len(m.delayedStatuses) > 0 {
+		m.receiveDelayed(m.rng.IntN(len(m.delayedStatuses)))
 	}
-	i := m.rng.IntN(len(m.delayedStatuses))
+}
+
+// receiveDelayed delivers duplicate i of an earlier heartbeat to a home that may not have received newer ones.
+func (m *model) receiveDelayed(i int) {
 	v := *m.delayedStatuses[i]
-	m.delayedStatuses = slices.Delete(m.delayedStatuses, i, i+1)
+	if m.rng.IntN(2) == 0 { // it may arrive again
+		m.delayedStatuses = slices.Delete(m.delayedStatuses, i, i+1)
+	}
 	for _, agent := range m.agents {
 		if agent.name == v.Machine {
-			m.reached["an old heartbeat replaces a newer one"] = m.reached["an old heartbeat replaces a newer one"] || m.newestStatus[v.Machine] != nil && m.newestStatus[v.Machine].Term < m.term
+			known := m.newestStatus[v.Machine]
+			if known != nil && known.Term < m.term && v.HeartbeatID().Compare(known.HeartbeatID()) < 0 {
+				m.reached["an old heartbeat arrives under a later term than a newer one"] = true
+			}
 			v.Term = m.term
 			m.receiveStatus(agent, &v)
 		}
