controller: a copy of an old heartbeat makes no machine idle

What callers could see: after all controllers ended, a copy of a heartbeat from before a machine's tasks started may be the first that is known of it. If the machine hung meanwhile it counted as idle, and would be returned with all that it ran after idle_return_s.

Change: a machine becomes idle only by a heartbeat that knows its home's term, which its next answered one does. One that was idle before stays so.

Before: TestCopyOfOldHeartbeatMakesNoMachineIdle "a heartbeat that does not know the term made the machine idle"; mutant caught.

--- a/internal/controller/barrier_test.go
+++ b/internal/controller/barrier_test.go
@@ -80,6 +80,28 @@
 	}
 }
 
+// TestCopyOfOldHeartbeatMakesNoMachineIdle guards against returning a machine that runs tasks: after a restart of all
+// controllers the first heartbeat known of it is a copy from before its tasks started, and it hangs meanwhile.
+func TestCopyOfOldHeartbeatMakesNoMachineIdle(t *testing.T) {
+	g := newNodeHarness(1, 1)
+	n, name := g.n, g.machineNames[0]
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.machines[name] = &machine{} // as after a restart
+	report := func(seq, token uint64) time.Time {
+		v := *g.statuses[name]
+		v.Seq, v.Term, v.FencingToken = seq, 2, token
+		n.applyStatus(&v, g.now)
+		return n.machines[name].idleSince
+	}
+	if idle := report(1, 1); !idle.IsZero() {
+		t.Error("a heartbeat that does not know the term made the machine idle")
+	}
+	if idle := report(2, 2); !idle.Equal(g.now) {
+		t.Errorf("idle since %v after a heartbeat under the term, want %v", idle, g.now)
+	}
+}
+
 // TestJobAcceptedDuringBarrier: a job accepted while its team's owner was at the barrier was not added to the team, and
 // waited until the next owner read the state service.
 func TestJobAcceptedDuringBarrier(t *testing.T) {
--- a/internal/controller/machinestatus.go
+++ b/internal/controller/machinestatus.go
@@ -147,7 +147,8 @@
 	_ = n.startLatency.RecordValue(min(latency, maxStartLatency.Milliseconds()))
 }
 
-// recordTasks records the outcome of exited tasks, and since when the machine is idle.
+// recordTasks records the outcome of exited tasks, and since when the machine is idle. A machine does not become idle by a
+// heartbeat that does not know its home's term: that may be a copy of an old one, sent before tasks started.
 func (n *Node) recordTasks(m *machine, v *jobstate.MachineStatus, now time.Time) {
 	busy := false
 	for _, t := range v.Tasks {
@@ -160,7 +161,7 @@
 	switch {
 	case busy:
 		m.idleSince = time.Time{}
-	case m.idleSince.IsZero():
+	case m.idleSince.IsZero() && v.FencingToken >= v.Term:
 		m.idleSince = now
 	}
 }
