simulation: the checker notes a cancellation before the submission

Cause: RecordCancellation ignored a job that was not submitted yet. It is now kept for the submission.

--- a/internal/simulation/check.go
+++ b/internal/simulation/check.go
@@ -19,6 +19,7 @@
 	mu      sync.Mutex
 	limits  map[string]float64 // CPUs by team
 	jobs    map[string]*jobRecord
+	early   map[string]bool      // jobs whose users requested the cancellation before they submitted them
 	running map[string]placement // tasks on machines
 	Broken  []string
 	Started int
@@ -43,7 +44,7 @@
 
 // NewChecker returns a checker with the teams' CPU limits.
 func NewChecker(limits map[string]float64) *Checker {
-	return &Checker{limits: limits, jobs: map[string]*jobRecord{}, running: map[string]placement{}}
+	return &Checker{limits: limits, jobs: map[string]*jobRecord{}, early: map[string]bool{}, running: map[string]placement{}}
 }
 
 // recordViolation records a violation of a rule. The caller holds the lock.
@@ -85,7 +86,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.jobs[spec.UID] == nil {
-		c.jobs[spec.UID] = &jobRecord{spec: spec, done: map[int]bool{}}
+		c.jobs[spec.UID] = &jobRecord{spec: spec, done: map[int]bool{}, cancelRequested: c.early[spec.UID]}
 	}
 }
 
@@ -175,12 +176,14 @@
 	}
 }
 
-// RecordCancellation records that a job's user requests its cancellation.
+// RecordCancellation records that a job's user requests its cancellation, which may be before its submission.
 func (c *Checker) RecordCancellation(uid string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if t := c.jobs[uid]; t != nil {
 		t.cancelRequested = true
+	} else {
+		c.early[uid] = true
 	}
 }
 
--- a/internal/simulation/check_test.go
+++ b/internal/simulation/check_test.go
@@ -73,3 +73,21 @@
 		}
 	}
 }
+
+// TestCancellationBeforeSubmission guards against reporting a job as cancelled without a request: a user may request the
+// cancellation before the submission. A job that nobody asked to cancel is still reported.
+func TestCancellationBeforeSubmission(t *testing.T) {
+	c := NewChecker(map[string]float64{"red": 8})
+	c.RecordCancellation("job-1")
+	for _, uid := range []string{"job-1", "job-2"} {
+		c.RecordSubmission(&protocol.Submission{UID: uid, Team: "red", Tasks: 1, CPUs: 1})
+	}
+	c.RecordAnswer("job-1", 200, protocol.Cancelled, false)
+	if broken := c.BrokenRules(); len(broken) > 0 {
+		t.Errorf("a job that was cancelled as requested: %v", broken)
+	}
+	c.RecordAnswer("job-2", 200, protocol.Cancelled, false)
+	if broken := c.BrokenRuleNames(); len(broken) != 1 || broken[0] != "went_back" {
+		t.Errorf("a job that nobody asked to cancel: %v, want went_back", broken)
+	}
+}
