controller: responses that know a later term are ignored where the term is known

Beside the reports' own check, which answers one that knows a later term with 503, it belongs to the controller, and asks for the record.

--- a/internal/agents/neweststatus_test.go
+++ b/internal/agents/neweststatus_test.go
@@ -63,19 +63,20 @@
 	return h
 }
 
-// deliver delivers a heartbeat, or a copy of one, to a controller, which publishes a changed status to the owner.
-func (m *statusModel) deliver(i int, h protocol.Heartbeat) {
+// deliver delivers a heartbeat or a response to a controller, or a copy of one. Like controllers, it ignores one that knows
+// a later term, and publishes a changed status to the owner.
+func (m *statusModel) deliver(i int, h protocol.Heartbeat, apply func(*Registry, *protocol.Heartbeat, time.Time) (newer, changed bool)) {
 	if !m.isHome(i) || h.FencingToken > m.homes[i].term {
 		return
 	}
-	if _, changed := m.homes[i].ApplyHeartbeat(&h, time.Unix(0, 0)); changed {
+	if _, changed := apply(m.homes[i], &h, time.Unix(0, 0)); changed {
 		m.publish(i)
 	}
 }
 
 // report makes the agent send a heartbeat to a controller, whose answer carries its term.
 func (m *statusModel) report(i int) {
-	m.deliver(i, m.heartbeat())
+	m.deliver(i, m.heartbeat(), (*Registry).ApplyHeartbeat)
 	if m.isHome(i) {
 		m.agent.FencingToken = max(m.agent.FencingToken, m.homes[i].term)
 	}
@@ -87,10 +88,7 @@
 		return
 	}
 	m.agent.FencingToken = max(m.agent.FencingToken, m.homes[i].term)
-	h := m.heartbeat()
-	if _, changed := m.homes[i].ApplyResponse(&h, time.Unix(0, 0)); changed {
-		m.publish(i)
-	}
+	m.deliver(i, m.heartbeat(), (*Registry).ApplyResponse)
 }
 
 // publish makes the owner receive a home's status. The owner must always know the latest heartbeat of all.
@@ -125,7 +123,7 @@
 		m.command(i)
 	case 7, 8: // a copy of a heartbeat arrives
 		if len(m.sent) > 0 {
-			m.deliver(i, m.sent[m.rng.IntN(len(m.sent))])
+			m.deliver(i, m.sent[m.rng.IntN(len(m.sent))], (*Registry).ApplyHeartbeat)
 		}
 	case 9: // a task starts, or the agent's lease expires
 		m.agent.Tasks = append(m.agent.Tasks, protocol.TaskStatus{Task: "job-1/0", Attempt: m.agent.Seq, State: protocol.Running})
--- a/internal/agents/registry.go
+++ b/internal/agents/registry.go
@@ -103,7 +103,7 @@
 // commands in the answer to the previous one or never will.
 func (g *Registry) ApplyHeartbeat(h *protocol.Heartbeat, now time.Time) (newer, changed bool) {
 	newer, changed = g.ApplyResponse(h, now)
-	if a := g.agents[h.Machine]; a != nil && a.Heartbeat.Incarnation == h.Incarnation {
+	if a := g.agents[h.Machine]; a.Heartbeat.Incarnation == h.Incarnation {
 		a.lastOwnSeq = max(a.lastOwnSeq, h.Seq)
 	}
 	return newer, changed
@@ -111,13 +111,7 @@
 
 // ApplyResponse applies the heartbeat in an agent's response to a request with commands. Unlike with ApplyHeartbeat,
 // the answer to the agent's own last heartbeat may still be in transit.
-//
-// It ignores a heartbeat that knows a later term: the agent's home of that term reports it, and would be taken for
-// outdated where this home's status came first.
 func (g *Registry) ApplyResponse(h *protocol.Heartbeat, now time.Time) (newer, changed bool) {
-	if h.FencingToken > g.term {
-		return false, false
-	}
 	a := g.agents[h.Machine]
 	if a == nil {
 		a = &Agent{starts: map[jobstate.AttemptRef]*start{}}
--- a/internal/controller/barrier_test.go
+++ b/internal/controller/barrier_test.go
@@ -102,6 +102,24 @@
 	}
 }
 
+// TestResponseThatKnowsALaterTerm guards against a home of an earlier term that hides the present one: its late request got
+// a response with a higher number than the last status that the present home published.
+func TestResponseThatKnowsALaterTerm(t *testing.T) {
+	g := newNodeHarness(1, 1)
+	n, name := g.n, g.machineNames[0]
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h := protocol.Heartbeat{Machine: name, Type: "m32", Zone: "east", Incarnation: 1, Seq: 7, FencingToken: n.leadership.Term() + 1}
+	before := n.machines[name].status
+	if n.applyResponse(&h, g.now); n.machines[name].status != before {
+		t.Error("a response that knows a later term changed the status")
+	}
+	h.FencingToken = n.leadership.Term()
+	if n.applyResponse(&h, g.now); n.machines[name].status.Seq != h.Seq {
+		t.Error("a response that knows the present term did not change the status")
+	}
+}
+
 // TestJobAcceptedDuringBarrier: a job accepted while its team's owner was at the barrier was not added to the team, and
 // waited until the next owner read the state service.
 func TestJobAcceptedDuringBarrier(t *testing.T) {
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -133,8 +133,13 @@
 	}
 }
 
-// applyResponse applies the heartbeat in an agent's response to commands.
+// applyResponse applies the heartbeat in an agent's response to commands, unless the agent knows a later term: its home
+// of that term reports its status, which would count as outdated where one made from this response came first.
 func (n *Node) applyResponse(h *protocol.Heartbeat, now time.Time) {
+	if h.FencingToken > n.leadership.Term() {
+		n.requestRecordRead()
+		return
+	}
 	if newer, changed := n.agents.ApplyResponse(h, now); newer {
 		n.recordHeartbeat(h, changed, now)
 	}
