jobstate: a machine that failed a task is used last, and tried again if it is the only one

Cause: a job avoided a machine for ten minutes after an error, whatever others there were.

Change: for ten minutes the machine is used only if no other has room, and only after a pause of 20 s that doubles with each retry that fails; one task is tried at a time until one completes.

--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -15,11 +15,14 @@
 const (
 	avoidAfterMigration = 2 * time.Minute
 	avoidAfterError     = 10 * time.Minute
+	firstRetryPause     = 20 * time.Second        // before a machine is tried again if there is no other; doubles with each error there
+	migrationRetryPause = time.Minute             // the same after a migration
 	avoidWhileFull      = 1500 * time.Millisecond // the machine's next status arrives within this time
 	backoffIncomplete   = 2 * time.Second         // for a gang whose tasks did not all start
 	retryDelay          = 3 * time.Second         // for a task whose name is still in use on a machine
 	maxProbeBackoff     = time.Minute             // between probes of a faulty job
 	maxProbeDoublings   = 6
+	maxRetryDoublings   = 5
 )
 
 // noDeadline is the time from submission to the assumed deadline of a job that has none.
@@ -34,7 +37,7 @@
 	Finishing bool // the end of the job is being written to the state service
 
 	replica       *Replica             // of its team; holds the done tasks
-	avoidUntil    map[string]time.Time // by machine where an attempt failed
+	avoidances    map[string]avoidance // by machine where an attempt failed
 	backoffUntil  time.Time            // no task is placed before
 	objectives    Objectives
 	faulty        bool // assumed to fail everywhere: one task at a time is tried, with increasing backoff
@@ -48,13 +51,22 @@
 	mustRestart   bool              // a gang whose present attempt must end before the next
 }
 
+// avoidance is how a job treats a machine on which an attempt failed: until retryFrom no task is placed there, and from
+// then until the end only if no other machine has room.
+type avoidance struct {
+	retryFrom time.Time
+	until     time.Time
+	failures  int  // attempts that failed there: the first, and retries
+	retrying  bool // a retry is under way
+}
+
 func newJob(spec *protocol.Submission, submitted time.Time, replica *Replica) *Job {
 	return &Job{
 		Spec:       spec,
 		Submitted:  submitted,
 		replica:    replica,
 		savedDone:  bitset.New(0),
-		avoidUntil: map[string]time.Time{},
+		avoidances: map[string]avoidance{},
 		retryAt:    map[int]time.Time{},
 		attempts:   map[int]*attempt{},
 	}
@@ -173,16 +185,73 @@
 	return list
 }
 
-// Avoids reports whether the job should not be placed on a machine now.
+// Avoids reports whether the job should not be placed on a machine now if any other has room.
 func (j *Job) Avoids(machine string, now time.Time) bool {
-	until, avoided := j.avoidUntil[machine]
-	if avoided && !now.Before(until) {
-		delete(j.avoidUntil, machine)
+	x, avoided := j.avoidances[machine]
+	if avoided && !now.Before(x.until) {
+		delete(j.avoidances, machine)
 		return false
 	}
 	return avoided
 }
 
+// Excludes reports whether the job must not be placed on a machine now, even if no other has room.
+func (j *Job) Excludes(machine string, now time.Time) bool {
+	return j.Avoids(machine, now) && now.Before(j.avoidances[machine].retryFrom)
+}
+
+// AvoidsAny reports whether the job avoids any machine.
+func (j *Job) AvoidsAny() bool { return len(j.avoidances) > 0 }
+
+// avoid extends the avoidance of a machine: it is not tried again for a pause, and used last for a time.
+func (j *Job) avoid(machine string, now time.Time, pause, last time.Duration) {
+	x := j.avoidances[machine]
+	if x.until.Before(now) {
+		x = avoidance{}
+	}
+	x.retryFrom, x.until = latest(x.retryFrom, now.Add(pause)), latest(x.until, now.Add(last))
+	j.avoidances[machine] = x
+}
+
+// avoidAfterFailure avoids a machine on which an attempt failed. The pause doubles with each retry that fails, so that a
+// faulty machine that is the only one does not use up the attempts of the job's tasks. Attempts that fail during a pause
+// began before it and do not prolong it.
+func (j *Job) avoidAfterFailure(machine string, now time.Time) {
+	x := j.avoidances[machine]
+	if now.Before(x.retryFrom) && x.failures > 0 && !x.retrying {
+		return
+	}
+	x.retrying = false
+	j.avoidances[machine] = x
+	j.avoid(machine, now, x.retryPause(), avoidAfterError)
+	x = j.avoidances[machine]
+	x.failures++
+	j.avoidances[machine] = x
+}
+
+// retryPause returns the pause before the next retry on the machine.
+func (x avoidance) retryPause() time.Duration {
+	return min(firstRetryPause<<min(x.failures, maxRetryDoublings), avoidAfterError)
+}
+
+// RecordRetry records that a task is placed on a machine that the job avoids. The next one follows only after another
+// pause, or once a task has completed there.
+func (j *Job) RecordRetry(machine string, now time.Time) {
+	if x := j.avoidances[machine]; x.failures > 0 {
+		x.retryFrom = now.Add(firstRetryPause)
+		x.retrying = true
+		j.avoidances[machine] = x
+	}
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // SetFaulty records whether the job is assumed to fail on every machine. Such a job requests capacity for one task
 // only, so that it neither fills the machines nor causes more of them to be rented. It is retried until its user
 // cancels it or a task succeeds. A nil job is ignored.
@@ -191,7 +260,7 @@
 		return
 	}
 	j.faulty, j.failedProbes, j.backoffUntil = faulty, 0, time.Time{}
-	clear(j.avoidUntil) // failures of a faulty job are no evidence against machines
+	clear(j.avoidances) // failures of a faulty job are no evidence against machines
 }
 
 // SetObjectives records when the job should be complete. Before the first call the job counts as one without
@@ -223,16 +292,20 @@
 // recordExit sets the backoff that follows from the end of an attempt: for the machine, the task or the whole job.
 func (j *Job) recordExit(a *attempt, reason protocol.ExitReason, now time.Time) {
 	switch reason {
+	case protocol.ReasonDone:
+		if j.avoidances[a.Machine].retrying {
+			delete(j.avoidances, a.Machine)
+		}
 	case protocol.ReasonError:
 		if !j.faulty {
-			j.avoidUntil[a.Machine] = now.Add(avoidAfterError)
+			j.avoidAfterFailure(a.Machine, now)
 		} else if !now.Before(j.backoffUntil) {
 			j.failedProbes++
 			backoff := time.Second << min(j.failedProbes, maxProbeDoublings)
 			j.backoffUntil = now.Add(min(maxProbeBackoff, backoff))
 		}
 	case protocol.ReasonFull:
-		j.avoidUntil[a.Machine] = now.Add(avoidWhileFull)
+		j.avoid(a.Machine, now, avoidWhileFull, avoidWhileFull)
 	case protocol.ReasonIncomplete:
 		j.backoffUntil = now.Add(backoffIncomplete)
 	case protocol.ReasonInUse, protocol.ReasonNoSuch:
--- a/internal/jobstate/team.go
+++ b/internal/jobstate/team.go
@@ -332,6 +332,6 @@
 	if j == nil || !t.Stop(assignment.Ref(), graceSeconds) {
 		return false
 	}
-	j.avoidUntil[assignment.Machine] = now.Add(avoidAfterMigration)
+	j.avoid(assignment.Machine, now, migrationRetryPause, avoidAfterMigration)
 	return true
 }
--- a/internal/scheduler/gangs.go
+++ b/internal/scheduler/gangs.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"topazhollow/internal/jobstate"
 	"topazhollow/internal/placement"
 )
@@ -55,9 +57,15 @@
 	zones := p.scheduler.zoneRule(w)
 	taken := map[int]*placement.Host{}
 	for _, index := range missing {
-		h := p.scheduler.chooseHost(p.hosts, ask, func(h *placement.Host) bool {
-			return (zone != anyZone && h.Zone != zone) || w.job.Avoids(h.Name, p.now) || !zones.allows(h)
-		})
+		choose := func(avoids func(machine string, now time.Time) bool) *placement.Host {
+			return p.scheduler.chooseHost(p.hosts, ask, func(h *placement.Host) bool {
+				return (zone != anyZone && h.Zone != zone) || avoids(h.Name, p.now) || !zones.allows(h)
+			})
+		}
+		h := choose(w.job.Avoids)
+		if h == nil && w.job.AvoidsAny() {
+			h = choose(w.job.Excludes)
+		}
 		if h == nil {
 			break
 		}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -161,9 +161,13 @@
 			return false
 		}
 		h := p.choose(ask, func(h *placement.Host) bool { return w.job.Avoids(h.Name, p.now) || !zones.allows(h) })
+		if h == nil && w.job.AvoidsAny() {
+			h = p.choose(ask, func(h *placement.Host) bool { return w.job.Excludes(h.Name, p.now) || !zones.allows(h) })
+		}
 		if h == nil || !w.team.Place(w.job, index, p.scheduler.location(h)) {
 			return false
 		}
+		w.job.RecordRetry(h.Name, p.now)
 		zones.take(h)
 		w.count--
 		p.allocate(h, ask)
