scheduler: a machine gets no more tasks than its report can list

Cause: nothing bounded the tasks of a machine by the size of its report.

Change: room in the report is a third resource of placement, counted by the longest entry that a task can have, from before its start until it is forgotten. The home refuses starts of owners who do not know of each other. The autoscaler takes a machine whose report is full for full.

--- a/internal/agents/commands.go
+++ b/internal/agents/commands.go
@@ -114,14 +114,17 @@
 	return protocol.Command{Op: o.Op, Task: protocol.TaskName(o.Job, o.Index), Attempt: o.Attempt}
 }
 
-// hasRoomFor reports whether a machine has room for all listed tasks and ordered starts, including the newest start.
+// hasRoomFor reports whether a machine, and its agent's heartbeat, have room for all listed tasks and ordered starts,
+// including the newest start.
 func (g *Registry) hasRoomFor(a *Agent) bool {
 	cpus, gpus, memory, ok := g.capacity(a.Heartbeat.Type)
 	if !ok {
 		return false
 	}
 	use := func(c, g, m float64) { cpus, gpus, memory = cpus-c, gpus-g, memory-m }
+	listedBytes := protocol.MaxListedBytes
 	for _, t := range a.Heartbeat.Tasks {
+		listedBytes -= protocol.ListedBytes(len(t.Task))
 		if t.State != protocol.Exited {
 			job, _, _ := protocol.SplitTask(t.Task)
 			use(g.size(job))
@@ -130,9 +133,10 @@
 	for _, s := range a.starts {
 		if !s.listed && !s.neverSent && !s.forgotten && s.order.Op == protocol.Start {
 			use(s.order.CPUs, s.order.GPUs, s.order.MemoryGB)
+			listedBytes -= protocol.ListedBytes(protocol.TaskNameLength(s.order.Job, s.order.Index))
 		}
 	}
-	return cpus >= -sizeTolerance && gpus >= -sizeTolerance && memory >= -sizeTolerance
+	return listedBytes >= 0 && cpus >= -sizeTolerance && gpus >= -sizeTolerance && memory >= -sizeTolerance
 }
 
 // settled reports whether it is certain that no start command for the attempt can still arrive.
--- a/internal/agents/registry_test.go
+++ b/internal/agents/registry_test.go
@@ -196,3 +196,22 @@
 		t.Error("a heartbeat of an earlier incarnation is accepted as the newest")
 	}
 }
+
+// TestStartThatTheHeartbeatCannotListIsRefused: owners do not know what others order, so a machine's home refuses a start
+// that would make the heartbeat longer than controllers accept (review/2).
+func TestStartThatTheHeartbeatCannotListIsRefused(t *testing.T) {
+	registry := New(func(string) (float64, float64, float64, bool) { return 8, 0, 64, true }, func(string) (float64, float64, float64) { return 0, 0, 0 })
+	registry.SetTerm(1, func(string) bool { return true })
+	h := testHeartbeat(1)
+	room := protocol.MaxListedBytes
+	for name := "job-000001/0"; room >= 3*protocol.ListedBytes(len(name)); room -= protocol.ListedBytes(len(name)) {
+		h.Tasks = append(h.Tasks, protocol.TaskStatus{Task: name, Attempt: uint64(len(h.Tasks) + 10), State: protocol.Exited, Reason: protocol.ReasonDone})
+	}
+	registry.ApplyHeartbeat(h, time.Unix(1, 0))
+	for i, job := range []string{"job-000002", "job-000003", "job-000004"} {
+		registry.QueueOrders(1, "m", []jobstate.Order{startOf(job)})
+		if barred := len(registry.Status("m").Barred); barred != max(0, i-1) {
+			t.Errorf("%d of %d starts are refused beside %d listed tasks", barred, i+1, len(h.Tasks))
+		}
+	}
+}
--- a/internal/controller/autoscaling_inputs.go
+++ b/internal/controller/autoscaling_inputs.go
@@ -60,7 +60,7 @@
 	x := &observed.Machine
 	x.HomeUnreachable = n.homeUnreachable(name, now)
 	x.Type, x.Zone, x.Spot, x.SpotNotice = m.status.Type, m.status.Zone, m.status.Spot, m.status.Notice
-	if host, known := n.scheduler.Room(name, (*schedulerSnapshot)(n)); known {
+	if host, known := n.scheduler.Room(name, (*schedulerSnapshot)(n)); known && host.ListedBytes >= protocol.ListedBytes(0) {
 		x.FreeCPUs, x.FreeGPUs, x.FreeMemory = host.CPUs, host.GPUs, host.MemoryGB
 	}
 	for _, task := range m.status.Tasks {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,6 +17,7 @@
 	CPUs             float64 // free
 	GPUs             float64 // free
 	MemoryGB         float64 // free
+	ListedBytes      int     // free in its agent's heartbeat, which must list all tasks
 	PricePerHour     float64
 	FetchGBPerSecond float64
 	Images           map[string]bool
@@ -31,6 +32,7 @@
 // Request is what a task requires of a machine.
 type Request struct {
 	CPUs, GPUs, MemoryGB float64
+	ListedBytes          int   // that the task takes in a heartbeat
 	Types                []int // indices of the allowed machine types; nil: any
 	Zone                 int   // index of the zone; -1: any
 	Spot                 bool  // may run on spot machines
@@ -68,7 +70,9 @@
 }
 
 // Fits reports whether the free resources of a host suffice.
-func (r *Request) Fits(h *Host) bool { return r.FitsIn(h.CPUs, h.GPUs, h.MemoryGB) }
+func (r *Request) Fits(h *Host) bool {
+	return h.ListedBytes >= r.ListedBytes && r.FitsIn(h.CPUs, h.GPUs, h.MemoryGB)
+}
 
 // FitsIn reports whether free resources suffice.
 func (r *Request) FitsIn(cpus, gpus, memoryGB float64) bool {
@@ -80,7 +84,7 @@
 // no host for such a request once it found none for o.
 func (r *Request) Exceeds(o *Request) bool {
 	return r.Class == o.Class && (o.MayUseLeftover || !r.MayUseLeftover) &&
-		r.CPUs >= o.CPUs && r.GPUs >= o.GPUs && r.MemoryGB >= o.MemoryGB && (o.Spot || !r.Spot) &&
+		r.ListedBytes >= o.ListedBytes && r.CPUs >= o.CPUs && r.GPUs >= o.GPUs && r.MemoryGB >= o.MemoryGB && (o.Spot || !r.Spot) &&
 		(o.Zone < 0 || o.Zone == r.Zone) && (o.Types == nil || slices.Equal(o.Types, r.Types))
 }
 
@@ -143,9 +147,11 @@
 	h.CPUs -= r.CPUs
 	h.GPUs -= r.GPUs
 	h.MemoryGB -= r.MemoryGB
+	h.ListedBytes -= r.ListedBytes
 }
 
-// Release adds to the free resources.
+// Release adds to the free resources. Tasks that are stopped are listed until they are forgotten, so that their place in
+// the heartbeat is not free yet.
 func (h *Host) Release(cpus, gpus, memory float64) {
 	h.CPUs += cpus
 	h.GPUs += gpus
--- a/internal/protocol/agents.go
+++ b/internal/protocol/agents.go
@@ -91,6 +91,20 @@
 	Checkpointed bool       `json:"kept,omitempty"`
 }
 
+const (
+	// heartbeatReserve is the part of a heartbeat's body that is left to everything but the list of tasks.
+	heartbeatReserve = 2 << 10
+	// MaxListedBytes is the size of the list of tasks that a heartbeat has room for. A longer heartbeat is refused, so
+	// that the agent's lease ends and with it all its tasks.
+	MaxListedBytes = MaxBody - heartbeatReserve
+	// listedTaskOverhead is the maximum size of a task in a heartbeat without its name, whatever becomes of the task. It
+	// includes the separator and one space after each.
+	listedTaskOverhead = 112
+)
+
+// ListedBytes returns the maximum size that a task with a name takes in a heartbeat, until it is forgotten.
+func ListedBytes(nameLength int) int { return listedTaskOverhead + nameLength }
+
 // Command orders an agent to execute an operation on one attempt of a task.
 type Command struct {
 	Op           CommandOp `json:"orden"`
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"strings"
 	"testing"
 )
@@ -57,3 +58,28 @@
 		}
 	}
 }
+
+// TestHeartbeatHasRoomForAllListedTasks guards against heartbeats that are refused for their size (review/2): the longest
+// entries that fill MaxListedBytes must leave room for the rest of the longest heartbeat, with a space after each separator.
+func TestHeartbeatHasRoomForAllListedTasks(t *testing.T) {
+	long := strings.Repeat("n", 200)
+	notice := 123456.789
+	h := Heartbeat{Machine: long, Addr: long, Type: long, Zone: long, Incarnation: math.MaxUint64, Seq: math.MaxUint64, FencingToken: math.MaxUint64, NoticeSeconds: &notice}
+	for free := MaxListedBytes; ; {
+		name := TaskName("job-999999", MaxTasks-1)
+		if TaskNameLength("job-999999", MaxTasks-1) != len(name) {
+			t.Fatalf("length of %s: %d", name, TaskNameLength("job-999999", MaxTasks-1))
+		}
+		if free -= ListedBytes(len(name)); free < 0 {
+			break
+		}
+		h.Tasks = append(h.Tasks, TaskStatus{Task: name, Attempt: 1<<53 - 1, State: Exited, Reason: ReasonIncomplete, Checkpointed: true})
+	}
+	body := strings.NewReplacer(",", ", ", ":", ": ").Replace(string(Encode(h)))
+	if len(body) > MaxBody {
+		t.Errorf("a heartbeat with %d tasks takes %d bytes, more than %d", len(h.Tasks), len(body), MaxBody)
+	}
+	if len(h.Tasks) < 400 {
+		t.Errorf("a machine may have only %d tasks", len(h.Tasks))
+	}
+}
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -115,6 +115,15 @@
 // TaskName returns the name of a task on the wire: the job's ID, a slash and the task's index.
 func TaskName(job string, index int) string { return job + "/" + strconv.Itoa(index) }
 
+// TaskNameLength returns the length of TaskName(job, index) for an index that is not negative.
+func TaskNameLength(job string, index int) int {
+	digits := 1
+	for ; index >= 10; index /= 10 {
+		digits++
+	}
+	return len(job) + 1 + digits
+}
+
 // SplitTask parses a name made by TaskName; ok is false if it is malformed.
 func SplitTask(name string) (job string, index int, ok bool) {
 	at := strings.LastIndexByte(name, '/')
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -176,6 +176,7 @@
 		h.PricePerHour = machineType.SpotPricePerHour
 	}
 	h.CPUs, h.GPUs, h.MemoryGB = s.freeRoom(m, assignments)
+	h.ListedBytes = freeListedBytes(status, assignments)
 	m.host, m.roomCurrent = h, true
 	return true
 }
@@ -215,3 +216,20 @@
 	})
 	return cpus, gpus, memory
 }
+
+// freeListedBytes returns how much room a machine's heartbeat has for further tasks. Unlike other resources, it is also
+// taken by tasks that have exited, until they are forgotten.
+func freeListedBytes(status *jobstate.MachineStatus, assignments Assignments) int {
+	free := protocol.MaxListedBytes
+	listed := make(map[jobstate.AttemptRef]bool, len(status.Tasks))
+	for _, t := range status.Tasks {
+		listed[t.Ref()] = true
+		free -= protocol.ListedBytes(protocol.TaskNameLength(t.Job, t.Index))
+	}
+	assignments.AssignmentsOn(status.Machine, func(a jobstate.Assignment) {
+		if !listed[a.Ref()] {
+			free -= protocol.ListedBytes(protocol.TaskNameLength(a.Job, a.Index))
+		}
+	})
+	return free
+}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -220,15 +220,16 @@
 // ask returns the placement request of a job's task.
 func (s *Scheduler) ask(spec *protocol.Submission) *placement.Request {
 	ask := &placement.Request{
-		CPUs:       spec.CPUs,
-		GPUs:       spec.GPUs,
-		MemoryGB:   spec.MemoryGB,
-		Zone:       anyZone,
-		Spot:       spec.Spot,
-		Image:      spec.Image,
-		ImageGB:    spec.ImageGB,
-		RunSeconds: spec.EstimateSeconds,
-		Class:      spec.Class,
+		CPUs:        spec.CPUs,
+		GPUs:        spec.GPUs,
+		MemoryGB:    spec.MemoryGB,
+		Zone:        anyZone,
+		ListedBytes: protocol.ListedBytes(protocol.TaskNameLength(spec.UID, spec.Tasks-1)),
+		Spot:        spec.Spot,
+		Image:       spec.Image,
+		ImageGB:     spec.ImageGB,
+		RunSeconds:  spec.EstimateSeconds,
+		Class:       spec.Class,
 	}
 	if spec.Kind == protocol.Service {
 		ask.RunSeconds = serviceRunSeconds
--- a/internal/scheduler/pass_test.go
+++ b/internal/scheduler/pass_test.go
@@ -168,3 +168,30 @@
 		})
 	}
 }
+
+// TestMachineGetsNoMoreTasksThanItsHeartbeatLists guards against heartbeats that are refused for their size (review/2): with
+// small tasks, the length of the heartbeat bounds the tasks on a machine. Exited tasks count until they are forgotten.
+func TestMachineGetsNoMoreTasksThanItsHeartbeatLists(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.submit(0, 0, protocol.Submission{UID: "job-000001", Kind: protocol.JobArray, Priority: "standard", Tasks: 2000, CPUs: 0.01, MemoryGB: 0.01, Image: "img",
+		EstimateSeconds: 40, Spot: true})
+	each := protocol.ListedBytes(protocol.TaskNameLength("job-000001", 1999))
+	c.pass()
+	list := c.runningOn(c.machines[0])
+	most := protocol.MaxListedBytes / protocol.ListedBytes(protocol.TaskNameLength("job-000001", 0))
+	if len(list) < protocol.MaxListedBytes/each || len(list) > most {
+		t.Fatalf("%d tasks are placed on a machine whose heartbeat lists up to %d", len(list), most)
+	}
+	for i := range list {
+		list[i].State, list[i].Reason = protocol.Exited, protocol.ReasonDone
+	}
+	c.teams[0].Observe(&jobstate.MachineStatus{Machine: c.machines[0], Incarnation: 1, Tasks: list}, c.now, jobDirectory{c})
+	c.observe(0, list...)
+	if c.pass(); len(c.runningOn(c.machines[0])) > 10 {
+		t.Errorf("%d tasks are placed although the heartbeat still lists %d exited ones", len(c.runningOn(c.machines[0])), len(list))
+	}
+	c.observe(0)
+	if c.pass(); len(c.runningOn(c.machines[0])) < 400 {
+		t.Errorf("only %d tasks are placed after the exited ones were forgotten", len(c.runningOn(c.machines[0])))
+	}
+}
