controller: log released attempts that a machine lists again, and each command sent

Operators who looked at a task on two machines had the membership record and the ends of jobs in the logs, but not which command had started and forgotten the attempt under which token, nor that a machine listed an attempt which its owner had released.

- info "released attempt is on its machine again": the owner sees a listed attempt that it created itself and had released on proof.
Counted per shard as returned_attempts in /overview.
- debug "command sent": operation, attempt, term, session, and whether it went by a request or in an answer.

Behaviour is unchanged. TestReturnedAttemptsAreReported.

--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"topazhollow/internal/agents"
@@ -91,10 +92,22 @@
 		return nil
 	}
 	commands := a.TakeForRequest()
+	n.logCommands("request", machine, a.Heartbeat.Incarnation, commands)
 	body := protocol.DirectCommands{FencingToken: n.leadership.Term(), Incarnation: a.Heartbeat.Incarnation, Commands: commands}
 	return &commandRequest{agent: a, commands: commands, addr: a.Heartbeat.Addr, body: protocol.Encode(body)}
 }
 
+// logCommands logs the commands that are about to be sent to an agent under the present term.
+func (n *Node) logCommands(by, machine string, incarnation uint64, commands []protocol.Command) {
+	if !n.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	for _, c := range commands {
+		n.log.Debug("command sent", "by", by, "machine", machine, "incarnation", incarnation, "op", c.Op, "task", c.Task,
+			"attempt", c.Attempt, "term", n.leadership.Term())
+	}
+}
+
 // finishCommands applies an agent's response, or records that there was none, and returns whether there was one. Sent
 // is true if the request may have reached the agent; the agent may then execute the commands although it did not
 // respond.
--- a/internal/controller/golden_overview_test.go
+++ b/internal/controller/golden_overview_test.go
@@ -32,9 +32,14 @@
 	}
 	withWaitingJobs := full
 	withWaitingJobs.WaitingJobs = map[string]int{"vision": 3}
+	withReturnedAttempts := withWaitingJobs
+	vision := full.Shards[shards.ForTeam("vision")]
+	vision.Returned = 7
+	withReturnedAttempts.Shards = map[string]shardOverview{shards.ForTeam("vision"): vision}
 	goldentest.Wire.Check(t, []goldentest.Case{
-		{Name: "overview-full.json", Value: full}, // as before jobs could wait for others
-		{Name: "overview-with-waiting-jobs.json", Value: withWaitingJobs, Full: true},
+		{Name: "overview-full.json", Value: full},                         // as before jobs could wait for others
+		{Name: "overview-with-waiting-jobs.json", Value: withWaitingJobs}, // as before returned attempts were counted
+		{Name: "overview-with-returned-attempts.json", Value: withReturnedAttempts, Full: true},
 		{Name: "overview-empty.json", Value: overview{Shards: map[string]shardOverview{"fleet": {}}, Admission: admission.Status{Keys: []admission.KeyStatus{{}}}, Config: &configOverview{}}},
 	})
 }
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -76,6 +76,7 @@
 	if agent.Heartbeat.ID() == h.ID() { // not a late, older one
 		n.prepareCommands(agent, now)
 		commands = append(commands, agent.TakeForAnswer()...)
+		n.logCommands("answer", h.Machine, h.Incarnation, commands)
 		n.publishStatus(h.Machine)
 	}
 	return agents.Answer{Outcome: agents.Renewed, Commands: commands}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -15,6 +15,7 @@
 	}
 	team, _ := shards.TeamOf(shard.Name())
 	orders := shard.Team().Observe(v, time.Now(), teamJobs{n, team})
+	n.logReturned(team, v, shard.Team().Returned().Take())
 	if len(orders) > 0 {
 		n.sendOrders(v.Machine, orders)
 	}
@@ -23,6 +24,15 @@
 	}
 }
 
+// logReturned logs attempts that a machine lists although they had been proven to be off it.
+func (n *Node) logReturned(team string, v *jobstate.MachineStatus, attempts []jobstate.AttemptRef) {
+	for _, ref := range attempts {
+		n.log.Info("released attempt is on its machine again", "team", team, "job", ref.Job, "index", ref.Index, "attempt", ref.Attempt,
+			"attempt_term", jobstate.TermOf(ref.Attempt), "machine", v.Machine, "incarnation", v.Incarnation, "seq", v.Seq,
+			"fencing_token", v.FencingToken, "home_term", v.Term)
+	}
+}
+
 // reconcileMachinesOf reconciles the machines that list tasks of a job.
 func (n *Node) reconcileMachinesOf(shard *shards.Owned, uid string) {
 	for _, name := range n.taskIndex.Machines(uid) {
--- a/internal/controller/overview.go
+++ b/internal/controller/overview.go
@@ -47,6 +47,7 @@
 	Waiting   int      `json:"waiting_tasks"`
 	Assigned  int      `json:"held_tasks"`
 	Unproven  int      `json:"unproven_starts"`
+	Returned  int      `json:"returned_attempts,omitempty"` // released attempts that a machine listed again
 	CPUs      float64  `json:"cpus_used"`
 	GPUs      float64  `json:"gpus_used"`
 }
@@ -139,6 +140,7 @@
 		x.Waiting += j.Unstarted()
 	})
 	x.Assigned, x.Unproven = shard.Team().Assignments().Count()
+	x.Returned = shard.Team().Returned().Count()
 	used := shard.Team().Quota().Used()
 	x.CPUs, x.GPUs = used.CPUs, used.GPUs
 	return x
--- a/internal/jobstate/jobstate_test.go
+++ b/internal/jobstate/jobstate_test.go
@@ -180,3 +180,27 @@
 		t.Fatalf("demands %+v without a limit, want all tasks and no quota delay", list)
 	}
 }
+
+// TestReturnedAttemptsAreReported checks that a listed attempt counts as returned if the owner had released it, once, and
+// that one of an earlier owner does not.
+func TestReturnedAttemptsAreReported(t *testing.T) {
+	m := newModel(t, 1)
+	m.team.Place(m.team.Job("job-0"), 0, Location{"m0", "z", 1})
+	ref := AttemptRef{TaskID{"job-0", 0}, AttemptID(1, 1)}
+	report := func(seq uint64, attempt uint64, state protocol.TaskState, reason protocol.ExitReason) []AttemptRef {
+		v := &MachineStatus{Machine: "m0", Incarnation: 1, Seq: seq, FencingToken: 1, Term: 1, Tasks: []TaskStatus{{TaskID: ref.TaskID, Attempt: attempt, State: state, Reason: reason}}}
+		m.team.Observe(v, m.now, m)
+		return m.team.Returned().Take()
+	}
+	if got := report(1, ref.Attempt, protocol.Running, ""); len(got) > 0 {
+		t.Errorf("an assigned attempt counts as returned: %v", got)
+	}
+	report(2, ref.Attempt, protocol.Exited, protocol.ReasonError)
+	if got := report(3, ref.Attempt, protocol.Running, ""); !slices.Equal(got, []AttemptRef{ref}) || m.team.Returned().Count() != 1 {
+		t.Errorf("returned attempts %v, want %v", got, ref)
+	}
+	report(4, ref.Attempt, protocol.Exited, protocol.ReasonError)
+	if got := report(5, AttemptID(0, 9), protocol.Running, ""); len(got) > 0 || m.team.Returned().Count() != 1 {
+		t.Errorf("an attempt of an earlier owner counts as returned: %v", got)
+	}
+}
--- a/internal/jobstate/observe.go
+++ b/internal/jobstate/observe.go
@@ -51,8 +51,10 @@
 	case x.State == protocol.Exited:
 		o.observeResult(x, job)
 	case job.Active && o.team.isPlaceable(x.TaskID) && x.Index < job.Spec.Tasks:
+		o.noteReturned(x)
 		o.adopt(x, job.Spec)
 	default:
+		o.noteReturned(x)
 		o.assignOrphan(x, job.Spec)
 		o.order(x, protocol.Stop)
 	}
--- a/internal/jobstate/team.go
+++ b/internal/jobstate/team.go
@@ -19,6 +19,7 @@
 	assignments Assignments
 	quota       Quota
 	changes     changeLog
+	returned    ReturnedAttempts
 
 	term        uint64 // present term of the owner
 	firstTerm   uint64 // in which this Team was created; attempts of this or a later term were created by it
