simulation: copies of answered commands and transactions; agents list each attempt

The simulated agent kept one attempt a task, so a later attempt took the place of an exited one that had not been forgotten, and a start refused as in_use was not listed. It lists each attempt until it is forgotten now, as PROTOCOL has it.

Direct commands and transactions that were executed and answered can be delivered once more after a drawn delay (RepeatCommands, RepeatTransactions), and some tasks of the combined faults fail at their first start. Behaviour of the controllers is unchanged.

--- a/internal/cli/simulate.go
+++ b/internal/cli/simulate.go
@@ -64,11 +64,20 @@
 	return runTrials(r, &c.trialsCmd, "loss", "data losses", faultinjection.Losses, func(t faultinjection.LossTrial) bool { return t.Broken != "" })
 }
 
-type simulateMeetingsCmd struct{ trialsCmd }
+type simulateMeetingsCmd struct {
+	trialsCmd
+	Repeats bool `help:"Deliver copies of answered commands and transactions in every trial."`
+}
 
 // Run simulates combined faults; a violated rule or a job that never ends makes the exit code 1.
 func (c *simulateMeetingsCmd) Run(r *commandContext) error {
-	return runTrials(r, &c.trialsCmd, "meetings", "combined faults", faultinjection.CombinedFaults, func(t faultinjection.CombinedTrial) bool { return t.Broken != "" })
+	runAll := func(ctx context.Context, o faultinjection.TrialOptions) ([]faultinjection.CombinedTrial, error) {
+		if c.Repeats {
+			o.Always = []string{faultinjection.RepeatedCommands, faultinjection.RepeatedWrites}
+		}
+		return faultinjection.CombinedFaults(ctx, o)
+	}
+	return runTrials(r, &c.trialsCmd, "meetings", "combined faults", runAll, func(t faultinjection.CombinedTrial) bool { return t.Broken != "" })
 }
 
 // reportTrials prints the results of trials. If any failed, it returns an error and keeps the directory; otherwise it
--- a/internal/controller/faultscenario_test.go
+++ b/internal/controller/faultscenario_test.go
@@ -62,8 +62,8 @@
 }
 
 // newFaultScenarioWith starts a cluster with the given timeouts of agents.
-func newFaultScenarioWith(t *testing.T, run func(task string) time.Duration, timeouts settings.Agents) *faultScenario {
-	r := newTestClusterRunning(t, run, timeouts)
+func newFaultScenarioWith(t *testing.T, run func(task string) time.Duration, timeouts settings.Agents, prepare ...func(*testCluster)) *faultScenario {
+	r := newTestClusterRunning(t, run, timeouts, prepare...)
 	r.checker.CancelTimeout = settings.Seconds(timeouts.CancelSeconds)
 	s := &faultScenario{testCluster: r, cancelled: map[string]bool{}}
 	var listen []string
--- a/internal/controller/node_test.go
+++ b/internal/controller/node_test.go
@@ -32,7 +32,9 @@
 	rng            *rand.Rand
 	httpc          *http.Client
 
-	copyWait    float64 // options of the controllers that are started after they are set
+	taskFails   func(task string) bool    // see simulation.AgentConfig
+	newAgent    func(a *simulation.Agent) // called for each machine that is rented, if set
+	copyWait    float64                   // options of the controllers that are started after they are set
 	configBound float64
 	stateLimits settings.KVStore // of the state service, as the controllers know them
 }
@@ -76,10 +78,14 @@
 			}
 		}
 	}
-	per := simulation.AgentConfig{Heartbeat: settings.Seconds(timeouts.HeartbeatSeconds), Lease: settings.Seconds(timeouts.LeaseSeconds), Run: run}
+	per := simulation.AgentConfig{Heartbeat: settings.Seconds(timeouts.HeartbeatSeconds), Lease: settings.Seconds(timeouts.LeaseSeconds), Run: run, Fails: r.taskFails}
 	types := []protocol.MachineType{{Name: "m8", CPUs: 8, MemoryGB: 64, PricePerHour: 2, SpotPricePerHour: 1, BootSeconds: 1, Zones: []string{"east", "west"}}}
 	r.cloud, err = simulation.NewCloud(types, 6, func(name, typ, zone string, spot bool) (*simulation.Agent, error) {
-		return simulation.NewAgent(name, typ, zone, spot, listen, names, per, r.checker)
+		a, err := simulation.NewAgent(name, typ, zone, spot, listen, names, per, r.checker)
+		if err == nil && r.newAgent != nil {
+			r.newAgent(a)
+		}
+		return a, err
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/faultinjection/combinedfaults.go
+++ b/internal/faultinjection/combinedfaults.go
@@ -7,7 +7,9 @@
 	"math/rand/v2"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -50,10 +52,10 @@
 		dir := filepath.Join(o.Dir, fmt.Sprint(t.Seed))
 		rng := rand.New(rand.NewPCG(t.Seed, 29))
 		g := &region{dir: dir, program: o.Program, rng: rng, size: combinedFaultRegion(), client: &http.Client{Timeout: 3 * time.Second},
-			checker: simulation.NewChecker(map[string]float64{"red": 24, "blue": 16}), taskDuration: combinedTaskDuration}
+			checker: simulation.NewChecker(map[string]float64{"red": 24, "blue": 16}), taskDuration: combinedTaskDuration, taskFails: failFirstStarts()}
 		g.checker.CancelTimeout = time.Duration(g.size.cancelSeconds*float64(time.Second)) + cancelSlack
 		var err error
-		if t.Broken, err = g.runTrial(ctx, func() error { return g.runCombined(ctx, t) }); err != nil {
+		if t.Broken, err = g.runTrial(ctx, func() error { return g.runCombined(ctx, t, o.Always) }); err != nil {
 			return "", err
 		}
 		t.BrokenRules = g.checker.BrokenRuleNames()
@@ -89,10 +91,27 @@
 	return time.Second + time.Duration(index%3)*4*time.Second
 }
 
+// failingIndex is the index of the tasks that fail at their first start.
+const failingIndex = 1
+
+// failFirstStarts returns a function that lets the first start of some tasks fail.
+func failFirstStarts() func(task string) bool {
+	var mu sync.Mutex
+	started := map[string]bool{}
+	return func(task string) bool {
+		_, index, _ := protocol.SplitTask(task)
+		mu.Lock()
+		defer mu.Unlock()
+		first := !started[task]
+		started[task] = true
+		return first && index%3 == failingIndex
+	}
+}
+
 // runCombined submits jobs, injects overlapping faults while users cancel and query jobs, waits until all jobs have
 // ended, and checks the answers against each other.
-func (g *region) runCombined(ctx context.Context, t *CombinedTrial) error {
-	f := &combinedFaults{region: g, users: simulation.NewUsers(g.listen, g.checker), seed: t.Seed}
+func (g *region) runCombined(ctx context.Context, t *CombinedTrial, always []string) error {
+	f := &combinedFaults{region: g, users: simulation.NewUsers(g.listen, g.checker), seed: t.Seed, always: always}
 	defer f.users.Close()
 	for i := range 4 {
 		f.short, f.long = append(f.short, arrayJob(i, 2+i%2)), append(f.long, arrayJob(firstLongJob+i, 2))
@@ -126,6 +145,7 @@
 	*region
 	users       *simulation.Users
 	seed        uint64
+	always      []string               // names of faults that are injected beside the drawn ones
 	short, long []*protocol.Submission // jobs that end by themselves, and jobs that are cancelled
 	pipelines   []*pipelineUser
 }
@@ -158,8 +178,7 @@
 func (f *combinedFaults) injectFaults(ctx context.Context, t *CombinedTrial) error {
 	group, during := errgroup.WithContext(ctx)
 	draw := rand.New(rand.NewPCG(f.seed, 37))
-	count := 2 + draw.IntN(2)
-	for _, k := range draw.Perm(len(combinedFaultKinds))[:count] {
+	for _, k := range f.drawFaults(draw) {
 		x := combinedFaultKinds[k]
 		t.Faults = append(t.Faults, x.name)
 		own := rand.New(rand.NewPCG(f.seed, uint64(k)))
@@ -185,6 +204,18 @@
 	return group.Wait()
 }
 
+// drawFaults returns the indices of two or three drawn faults, and of those that are always injected.
+func (f *combinedFaults) drawFaults(draw *rand.Rand) []int {
+	count := 2 + draw.IntN(2)
+	kinds := draw.Perm(len(combinedFaultKinds))[:count]
+	for k, x := range combinedFaultKinds {
+		if slices.Contains(f.always, x.name) && !slices.Contains(kinds, k) {
+			kinds = append(kinds, k)
+		}
+	}
+	return kinds
+}
+
 // queriesPerController is how often each controller is queried in immediate succession.
 const queriesPerController = 3
 
--- a/internal/faultinjection/faultkinds.go
+++ b/internal/faultinjection/faultkinds.go
@@ -8,10 +8,34 @@
 	"time"
 
 	"topazhollow/internal/protocol"
+	"topazhollow/internal/settings"
 	"topazhollow/internal/simulation"
 	"topazhollow/internal/wait"
 )
 
+// Faults of which a trial can be told to have them always: copies of messages that were executed and answered arrive again.
+const (
+	RepeatedCommands = "repeated commands"
+	RepeatedWrites   = "repeated writes"
+)
+
+// lateCopy is how late a copy of a message may arrive: half as long again as an agent's lease.
+func (g *region) lateCopy() time.Duration { return settings.Seconds(1.5 * g.size.leaseSeconds) }
+
+// drawDelays returns a function that draws a delay of up to a limit in one of the given number of calls on average, and 0
+// otherwise. The function is safe for concurrent use.
+func drawDelays(rng *rand.Rand, of int, limit time.Duration) func() time.Duration {
+	var mu sync.Mutex
+	return func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		if rng.IntN(of) > 0 {
+			return 0
+		}
+		return time.Duration(1 + rng.Int64N(int64(limit)))
+	}
+}
+
 // combinedFaultKinds are the faults that a trial draws from. play injects the fault, waits for its duration and removes
 // it; one is the index of the affected controller. Some faults have a duration of their own or affect all controllers.
 var combinedFaultKinds = []struct {
@@ -98,6 +122,24 @@
 		wait.For(ctx, duration)
 		return nil
 	}},
+	{RepeatedCommands, func(ctx context.Context, g *region, rng *rand.Rand, _ int, duration time.Duration) error {
+		delay := drawDelays(rng, 2, g.lateCopy())
+		for _, w := range g.cloud.Agents() {
+			w.RepeatCommands(func(*protocol.DirectCommands) time.Duration { return delay() })
+			defer w.RepeatCommands(nil)
+		}
+		wait.For(ctx, duration)
+		return nil
+	}},
+	{RepeatedWrites, func(ctx context.Context, g *region, rng *rand.Rand, _ int, duration time.Duration) error {
+		delay := drawDelays(rng, 2, g.lateCopy())
+		for _, d := range g.endpoints {
+			d.RepeatTransactions(delay)
+			defer d.RepeatTransactions(nil)
+		}
+		wait.For(ctx, duration)
+		return nil
+	}},
 	{"reports for the next leader", func(ctx context.Context, g *region, rng *rand.Rand, one int, _ time.Duration) error {
 		machines := g.cloud.Agents()
 		for _, w := range machines {
--- a/internal/faultinjection/region.go
+++ b/internal/faultinjection/region.go
@@ -26,6 +26,7 @@
 	dir, program string
 	script       string                          // content of the controllers' options file
 	taskDuration func(task string) time.Duration // overrides size.taskDuration if set
+	taskFails    func(task string) bool          // see simulation.AgentConfig
 	store        *simulation.KVStore
 	endpoints    []*simulation.Endpoint // each controller's endpoint of the state service
 	pipes        simulation.Paths       // from one controller to another
@@ -131,6 +132,7 @@
 		Heartbeat: settings.Seconds(g.size.heartbeatSeconds),
 		Lease:     settings.Seconds(g.size.leaseSeconds),
 		Run:       g.taskDuration,
+		Fails:     g.taskFails,
 	}
 	types := []protocol.MachineType{{
 		Name: "m8", CPUs: g.size.cpus, MemoryGB: 8 * g.size.cpus,
--- a/internal/faultinjection/trials.go
+++ b/internal/faultinjection/trials.go
@@ -19,6 +19,7 @@
 	Seed    uint64
 	Trials  int
 	AtOnce  int       // concurrent regions; one if 0
+	Always  []string  // names of faults that every trial has, beside the drawn ones
 	Out     io.Writer // receives a line about each trial
 }
 
--- a/internal/simulation/agent.go
+++ b/internal/simulation/agent.go
@@ -18,6 +18,7 @@
 type AgentConfig struct {
 	Heartbeat, Lease time.Duration                   // interval between heartbeats, and duration of the lease
 	Run              func(task string) time.Duration // returns how long a task runs
+	Fails            func(task string) bool          // if set, called before Run: whether the task ends with an error
 	// Exec, if set, executes a task instead of waiting for the duration from Run, and returns whether the task
 	// completed. Its context ends when the task is stopped or lost.
 	Exec func(ctx context.Context, machine string, incarnation uint64, task string, attempt uint64) (done bool)
@@ -40,20 +41,26 @@
 	faults       faults
 	incarnation  uint64
 	seq          uint64
-	fencingToken uint64                          // highest token received
-	tasks        map[string]*protocol.TaskStatus // the attempt on the machine, or its kept exit status, by task
-	completed    map[string]bool                 // tasks that completed here
-	lastAnswered time.Time                       // when the last answered heartbeat was sent
-	timers       map[string]*time.Timer
-	execCancels  map[string]context.CancelFunc // stop tasks that run in Exec
+	fencingToken uint64                             // highest token received
+	tasks        map[attemptID]*protocol.TaskStatus // each attempt until it is forgotten
+	completed    map[string]bool                    // tasks that completed here
+	lastAnswered time.Time                          // when the last answered heartbeat was sent
+	timers       map[attemptID]*time.Timer
+	execCancels  map[attemptID]context.CancelFunc // stop tasks that run in Exec
+}
+
+// attemptID identifies an attempt on a machine.
+type attemptID struct {
+	task    string
+	attempt uint64
 }
 
 // NewAgent starts an agent that sends heartbeats to one of the controllers. nodes holds the controllers' addresses by
 // name, and order the names in the order in which the agent tries them.
 func NewAgent(name, typ, zone string, spot bool, nodes map[string]string, order []string, per AgentConfig, check *Checker) (*Agent, error) {
 	a := &Agent{name: name, machineType: typ, zone: zone, spot: spot, controllers: nodes, controllerOrder: order, config: per, checker: check,
-		incarnation: 1, tasks: map[string]*protocol.TaskStatus{}, completed: map[string]bool{}, lastAnswered: time.Now(),
-		timers: map[string]*time.Timer{}, execCancels: map[string]context.CancelFunc{}, wake: make(chan struct{}, 1)}
+		incarnation: 1, tasks: map[attemptID]*protocol.TaskStatus{}, completed: map[string]bool{}, lastAnswered: time.Now(),
+		timers: map[attemptID]*time.Timer{}, execCancels: map[attemptID]context.CancelFunc{}, wake: make(chan struct{}, 1)}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -92,9 +99,9 @@
 func (a *Agent) RunningTasks() (tasks []string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for task, t := range a.tasks {
+	for id, t := range a.tasks {
 		if t.State != protocol.Exited {
-			tasks = append(tasks, task)
+			tasks = append(tasks, id.task)
 		}
 	}
 	return tasks
@@ -112,18 +119,25 @@
 
 // killAll kills all tasks and drops their exit statuses. The caller holds the lock.
 func (a *Agent) killAll() {
-	for task, t := range a.tasks {
+	for id, t := range a.tasks {
 		if t.State != protocol.Exited {
-			a.checker.RecordEnd(task, false)
-		}
-		if timer := a.timers[task]; timer != nil {
-			timer.Stop()
-		}
-		if stop := a.execCancels[task]; stop != nil {
-			stop()
+			a.checker.RecordEnd(id.task, false)
 		}
+		a.endRun(id)
+	}
+	a.tasks = map[attemptID]*protocol.TaskStatus{}
+}
+
+// endRun ends what the machine still does for an attempt.
+func (a *Agent) endRun(id attemptID) {
+	if timer := a.timers[id]; timer != nil {
+		timer.Stop()
+		delete(a.timers, id)
+	}
+	if stop := a.execCancels[id]; stop != nil {
+		stop()
+		delete(a.execCancels, id)
 	}
-	a.tasks = map[string]*protocol.TaskStatus{}
 }
 
 func (a *Agent) heartbeat() protocol.Heartbeat {
@@ -156,6 +170,7 @@
 		reply(rw, 409, a.heartbeat())
 		return
 	}
+	a.scheduleCommandCopy(&d)
 	reply(rw, 200, a.heartbeat())
 }
 
@@ -181,36 +196,56 @@
 	reply(rw, 200, a.heartbeat())
 }
 
-// execute executes commands; one that does not match a task's state has no effect.
+// execute executes commands; one that does not match an attempt's state has no effect.
 func (a *Agent) execute(cmds []protocol.Command) {
 	for _, c := range cmds {
-		t := a.tasks[c.Task]
+		id := attemptID{c.Task, c.Attempt}
+		t := a.tasks[id]
 		switch c.Op {
 		case protocol.Start:
-			uid, _, _ := protocol.SplitTask(c.Task)
-			switch {
-			case t != nil && t.Attempt == c.Attempt: // a repeated command
-			case t != nil && t.State != protocol.Exited:
-				continue // refused as in_use; the current attempt stays
-			case a.checker.Spec(uid) == nil:
-				a.tasks[c.Task] = &protocol.TaskStatus{Task: c.Task, Attempt: c.Attempt, State: protocol.Exited, Reason: protocol.ReasonNoSuch}
-			default:
-				a.tasks[c.Task] = &protocol.TaskStatus{Task: c.Task, Attempt: c.Attempt, State: protocol.Running}
-				a.checker.RecordStart(c.Task, a.name, a.machineType, a.zone, a.spot)
-				a.finishLater(c.Task, c.Attempt)
+			if t == nil {
+				a.startAttempt(id)
 			}
 		case protocol.Stop:
-			if t != nil && t.Attempt == c.Attempt && t.State != protocol.Exited {
+			if t != nil && t.State != protocol.Exited {
 				a.stopTask(t, c.GraceSeconds)
 			}
 		case protocol.Forget:
-			if t != nil && t.Attempt == c.Attempt && t.State == protocol.Exited {
-				delete(a.tasks, c.Task)
+			if t != nil && t.State == protocol.Exited {
+				delete(a.tasks, id)
 			}
 		}
 	}
 }
 
+// startAttempt starts or refuses an attempt that the agent does not list.
+func (a *Agent) startAttempt(id attemptID) {
+	uid, _, _ := protocol.SplitTask(id.task)
+	status := &protocol.TaskStatus{Task: id.task, Attempt: id.attempt, State: protocol.Exited}
+	inUse := a.isOnMachine(id.task)
+	a.tasks[id] = status
+	switch {
+	case inUse:
+		status.Reason = protocol.ReasonInUse
+	case a.checker.Spec(uid) == nil:
+		status.Reason = protocol.ReasonNoSuch
+	default:
+		status.State = protocol.Running
+		a.checker.RecordStart(id.task, a.name, a.machineType, a.zone, a.spot)
+		a.finishLater(id)
+	}
+}
+
+// isOnMachine reports whether any attempt of a task has not exited.
+func (a *Agent) isOnMachine(task string) bool {
+	for id, t := range a.tasks {
+		if id.task == task && t.State != protocol.Exited {
+			return true
+		}
+	}
+	return false
+}
+
 // stopTask ends a task. If the task supports checkpoints and the grace period suffices, it saves one first; a second
 // stop without grace ends a task that is saving immediately.
 func (a *Agent) stopTask(t *protocol.TaskStatus, grace *float64) {
@@ -233,10 +268,11 @@
 // saveCheckpoint lets a task save a checkpoint, after which it exits.
 func (a *Agent) saveCheckpoint(t *protocol.TaskStatus, duration time.Duration) {
 	t.State = protocol.Saving
-	if timer := a.timers[t.Task]; timer != nil {
+	id := attemptID{t.Task, t.Attempt}
+	if timer := a.timers[id]; timer != nil {
 		timer.Stop()
 	}
-	a.schedule(t.Task, t.Attempt, duration, func(t *protocol.TaskStatus) {
+	a.schedule(id, duration, func(t *protocol.TaskStatus) {
 		if t.State == protocol.Saving {
 			t.Checkpointed = true
 			a.exit(t, protocol.ReasonStopped)
@@ -246,15 +282,15 @@
 
 // schedule runs a function on an attempt after a delay, unless the attempt is gone by then. On a hanging machine the
 // function runs once the machine resumes.
-func (a *Agent) schedule(task string, attempt uint64, delay time.Duration, do func(t *protocol.TaskStatus)) {
-	a.timers[task] = time.AfterFunc(delay, func() {
+func (a *Agent) schedule(id attemptID, delay time.Duration, do func(t *protocol.TaskStatus)) {
+	a.timers[id] = time.AfterFunc(delay, func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		t := a.tasks[task]
+		t := a.tasks[id]
 		switch {
-		case t == nil || t.Attempt != attempt:
+		case t == nil:
 		case a.faults.hanging:
-			a.schedule(task, attempt, hangPollInterval, do)
+			a.schedule(id, hangPollInterval, do)
 		default:
 			do(t)
 		}
@@ -264,12 +300,7 @@
 func (a *Agent) exit(t *protocol.TaskStatus, why protocol.ExitReason) {
 	t.State, t.Reason = protocol.Exited, why
 	a.checker.RecordEnd(t.Task, why == protocol.ReasonDone)
-	if timer := a.timers[t.Task]; timer != nil {
-		timer.Stop()
-	}
-	if stop := a.execCancels[t.Task]; stop != nil {
-		stop()
-	}
+	a.endRun(attemptID{t.Task, t.Attempt})
 	select {
 	case a.wake <- struct{}{}:
 	default:
@@ -278,38 +309,49 @@
 
 // finishLater ends a task when its run time has passed, or when Exec returns. A task that completed on this agent
 // before ends at once.
-func (a *Agent) finishLater(task string, attempt uint64) {
+func (a *Agent) finishLater(id attemptID) {
 	if a.config.Exec != nil {
-		ctx, stop := context.WithCancel(context.Background())
-		a.execCancels[task] = stop
-		incarnation := a.incarnation
-		go func() {
-			defer stop()
-			done := a.config.Exec(ctx, a.name, incarnation, task, attempt)
-			a.mu.Lock()
-			defer a.mu.Unlock()
-			if t := a.tasks[task]; t != nil && t.Attempt == attempt && t.State == protocol.Running && a.incarnation == incarnation {
-				if a.completed[task] = done; done {
-					a.exit(t, protocol.ReasonDone)
-				} else {
-					a.exit(t, protocol.ReasonError)
-				}
-			}
-		}()
+		a.runExec(id)
 		return
 	}
-	run := a.config.Run(task)
-	if a.completed[task] {
+	fails := a.config.Fails != nil && a.config.Fails(id.task)
+	run := a.config.Run(id.task)
+	if a.completed[id.task] {
 		run = 0
 	}
-	a.schedule(task, attempt, run, func(t *protocol.TaskStatus) {
+	a.schedule(id, run, func(t *protocol.TaskStatus) {
 		if t.State == protocol.Running {
-			a.completed[task] = true
-			a.exit(t, protocol.ReasonDone)
+			a.finish(t, !fails)
 		}
 	})
 }
 
+// finish ends a running task, which completed or failed.
+func (a *Agent) finish(t *protocol.TaskStatus, completed bool) {
+	a.completed[t.Task] = completed
+	if completed {
+		a.exit(t, protocol.ReasonDone)
+	} else {
+		a.exit(t, protocol.ReasonError)
+	}
+}
+
+// runExec executes a task with Exec.
+func (a *Agent) runExec(id attemptID) {
+	ctx, stop := context.WithCancel(context.Background())
+	a.execCancels[id] = stop
+	incarnation := a.incarnation
+	go func() {
+		defer stop()
+		done := a.config.Exec(ctx, a.name, incarnation, id.task, id.attempt)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if t := a.tasks[id]; t != nil && t.State == protocol.Running && a.incarnation == incarnation {
+			a.finish(t, done)
+		}
+	}()
+}
+
 // sendHeartbeats sends heartbeats to one controller after another until one answers, and then only to that one until it
 // fails to answer or redirects the agent.
 func (a *Agent) sendHeartbeats(ctx context.Context) {
--- a/internal/simulation/agentfaults.go
+++ b/internal/simulation/agentfaults.go
@@ -36,7 +36,8 @@
 	heldHeartbeats [][]byte
 
 	commandDelay    func(d *protocol.DirectCommands) time.Duration // draws the delay of direct commands
-	delayedCommands []*protocol.DirectCommands                     // currently delayed
+	commandRepeat   func(d *protocol.DirectCommands) time.Duration // draws after what delay answered commands arrive again
+	delayedCommands []*protocol.DirectCommands                     // currently delayed, copies of answered ones included
 	hangCommands    []protocol.DirectCommands                      // received while the machine hangs
 	delayedCount    int                                            // all requests that were delayed, executed or not
 	executedCount   int                                            // delayed requests that were executed
@@ -178,6 +179,33 @@
 	a.faults.commandDelay = delay
 }
 
+// RepeatCommands delivers direct commands that were executed and answered once more after a drawn delay, under the same
+// token and incarnation. 0: not this request, UntilReleased: with ReleaseCommands, nil: none.
+func (a *Agent) RepeatCommands(delay func(d *protocol.DirectCommands) time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.faults.commandRepeat = delay
+}
+
+// scheduleCommandCopy schedules the repeated delivery of commands that were executed. The caller holds the lock.
+func (a *Agent) scheduleCommandCopy(d *protocol.DirectCommands) {
+	if a.faults.commandRepeat == nil {
+		return
+	}
+	if delay := a.faults.commandRepeat(d); delay > 0 {
+		a.holdCommands(d, delay)
+	}
+}
+
+// holdCommands keeps commands until they are released, at the latest after a delay. The caller holds the lock.
+func (a *Agent) holdCommands(d *protocol.DirectCommands, delay time.Duration) {
+	a.faults.delayedCount++
+	a.faults.delayedCommands = append(a.faults.delayedCommands, d)
+	if delay < UntilReleased {
+		time.AfterFunc(delay, func() { a.releaseCommands(d) })
+	}
+}
+
 // ReleaseCommands executes or rejects all commands that are currently delayed.
 func (a *Agent) ReleaseCommands() {
 	a.mu.Lock()
@@ -239,14 +267,11 @@
 		return true
 	}
 	delay := a.faults.commandDelay(d)
-	if delay > 0 {
-		a.faults.delayedCount++
-		a.faults.delayedCommands = append(a.faults.delayedCommands, d)
-	}
-	if delay > 0 && delay < UntilReleased {
-		time.AfterFunc(delay, func() { a.releaseCommands(d) })
+	if delay <= 0 {
+		return true
 	}
-	return delay <= 0
+	a.holdCommands(d, delay)
+	return false
 }
 
 // releaseCommands executes delayed commands, or queues them if the machine hangs. It has no effect on commands that were
--- a/internal/simulation/endpoint.go
+++ b/internal/simulation/endpoint.go
@@ -19,6 +19,7 @@
 	addr             string
 	refusing         bool
 	transactionDelay func() time.Duration // draws a transaction's delay; 0: none
+	repeatDelay      func() time.Duration // draws after what delay an answered transaction arrives again; 0: not again
 	delayedApplied   int                  // delayed transactions that changed something
 	delayedConflicts int                  // delayed transactions whose conditions no longer held
 
@@ -90,6 +91,15 @@
 	e.transactionDelay = delay
 }
 
+// RepeatTransactions makes the endpoint apply transactions that succeeded and were answered once more after a drawn delay,
+// if their conditions still hold then; CountDelayed counts these too. A delay of 0 does not repeat the transaction; nil
+// ends the fault.
+func (e *Endpoint) RepeatTransactions(delay func() time.Duration) {
+	e.store.mu.Lock()
+	defer e.store.mu.Unlock()
+	e.repeatDelay = delay
+}
+
 // HoldTransactions makes the endpoint hold the selected transactions, unanswered, until ReleaseTransactions; nil: none
 // from now on.
 func (e *Endpoint) HoldTransactions(pick func(t *protocol.Txn) bool) {
@@ -183,15 +193,20 @@
 	if e.transactionDelay == nil {
 		return false
 	}
-	delay := e.transactionDelay()
-	if delay > 0 {
-		time.AfterFunc(delay, func() {
-			e.store.mu.Lock()
-			defer e.store.mu.Unlock()
-			e.applyDelayed(t)
-		})
+	return e.applyAfter(t, e.transactionDelay())
+}
+
+// applyAfter applies a transaction after a delay, and reports whether there is one. The caller holds the store's lock.
+func (e *Endpoint) applyAfter(t *protocol.Txn, delay time.Duration) bool {
+	if delay <= 0 {
+		return false
 	}
-	return delay > 0
+	time.AfterFunc(delay, func() {
+		e.store.mu.Lock()
+		defer e.store.mu.Unlock()
+		e.applyDelayed(t)
+	})
+	return true
 }
 
 // applyDelayed applies a delayed transaction. The caller holds the store's lock.
@@ -210,8 +225,13 @@
 	defer e.store.mu.Unlock()
 	lost = e.dropAnswer != nil && e.dropAnswer(t)
 	status, answer = e.store.apply(t)
-	if lost && status == 200 && len(t.Then) > 0 {
-		e.unanswered = append(e.unanswered, *t)
+	if status == 200 && len(t.Then) > 0 {
+		if lost {
+			e.unanswered = append(e.unanswered, *t)
+		}
+		if e.repeatDelay != nil {
+			e.applyAfter(t, e.repeatDelay())
+		}
 	}
 	return status, answer, lost
 }
