agents: an exited attempt is forgotten under a later term than its start's only

Cause: a message was taken for used up because its answer had come. A home let an attempt be forgotten once each start of it was answered. A copy of the start needs no answer, and under its own term and session nothing else refuses it: PROTOCOL, "the worker no longer knows an attempt after forget, so a repeated start starts it again".

Change: jobstate.MayForget is the rule, in one place: an attempt is forgotten under a later term than its own. Starts go out under the attempt's own term only, and the agent knows the later one at the latest with the order itself. The home enforces it whatever it remembers (another process, a new session, an order of another owner); owners and homes do not order sooner what it would drop. 'forgotten' at the home is gone. So that lists stay short, a home proposes a later term when it is 30 s old and an agent lists exits that it may not forget, and after 5 s when they take more than half of a list. No term can be raised during an outage of the state service; starts are then refused for want of room on the list, as before.

A raised term must not delay starts: an owner releases what it had not sent, and a home reports what it had not sent as never sent, instead of waiting for the agent's report under the new term. Exits are listed longer now, so an outcome counts for the quarantine when it is first listed, not with each report.

Two tests of unanswered starts name the attempt's term now (AttemptID(1, 5) for 5, which was of term 0): a start is sent under its own term only, and under term 0 they would check nothing. TestForgetWaitsForSavedBitmap also checks that nothing is forgotten before the later term.

--- a/internal/agents/commands.go
+++ b/internal/agents/commands.go
@@ -32,7 +32,7 @@
 		case protocol.Stop:
 			g.queueStop(a, o)
 		case protocol.Forget:
-			a.queueForget(o)
+			g.queueForget(a, o)
 		}
 	}
 	return a.sendNow
@@ -60,7 +60,7 @@
 // maySendAgain reports whether a start may be sent again: only after the outcome of its last transmission is known. An
 // unanswered request does not prevent it, since a late duplicate is harmless.
 func (a *Agent) maySendAgain(s *start) bool {
-	return !s.neverSent && !s.forgotten && !s.listed && !s.queued && !s.inRequest && !a.inOpenAnswer(s)
+	return !s.neverSent && !s.listed && !s.queued && !s.inRequest && !a.inOpenAnswer(s)
 }
 
 // queueStop queues the stop of a listed attempt. If the attempt is not listed and its start was certainly not sent, the
@@ -92,21 +92,13 @@
 	}
 }
 
-// queueForget queues a command that makes an agent delete its record of an attempt. The attempt is never started again
-// afterwards.
-func (a *Agent) queueForget(o jobstate.Order) {
-	s := a.starts[o.Ref()]
-	if s != nil && !a.settled(s) {
-		return // a start that arrives after the forget command would run the task again
-	}
-	if s == nil {
-		s = &start{order: o}
-		a.starts[o.Ref()] = s
-	}
-	s.forgotten = true
-	if a.lists(o.Ref()) && !a.isQueued(protocol.Forget, o.Ref()) {
-		a.queue = append(a.queue, command(o))
+// queueForget queues a command that makes an agent delete its record of an attempt. The order is ignored while a copy of
+// the attempt's start could run the task again.
+func (g *Registry) queueForget(a *Agent, o jobstate.Order) {
+	if !jobstate.MayForget(o.Attempt, g.term) || !a.lists(o.Ref()) || a.isQueued(protocol.Forget, o.Ref()) {
+		return
 	}
+	a.queue = append(a.queue, command(o))
 }
 
 // command converts an order to a command.
@@ -131,7 +123,7 @@
 		}
 	}
 	for _, s := range a.starts {
-		if !s.listed && !s.neverSent && !s.forgotten && s.order.Op == protocol.Start {
+		if !s.listed && !s.neverSent && s.order.Op == protocol.Start {
 			use(s.order.CPUs, s.order.GPUs, s.order.MemoryGB)
 			listedBytes -= protocol.ListedBytes(protocol.TaskNameLength(s.order.Job, s.order.Index))
 		}
@@ -139,7 +131,8 @@
 	return listedBytes >= 0 && cpus >= -sizeTolerance && gpus >= -sizeTolerance && memory >= -sizeTolerance
 }
 
-// settled reports whether it is certain that no start command for the attempt can still arrive.
+// settled reports whether the outcome of every transmission of the start is known. A copy of an answered start may still
+// arrive, but has no effect: the agent lists the attempt until it is forgotten, or refused the request as it will the copy.
 func (a *Agent) settled(s *start) bool {
 	return !s.inRequest && !s.unanswered && !a.inOpenAnswer(s)
 }
@@ -174,15 +167,27 @@
 
 // isCommand reports whether c is the command op for an attempt.
 func isCommand(c protocol.Command, op protocol.CommandOp, ref jobstate.AttemptRef) bool {
-	return c.Op == op && parseAttempt(c.Task, c.Attempt) == ref
+	return c.Op == op && c.Attempt == ref.Attempt && parseAttempt(c.Task, c.Attempt) == ref
 }
 
-// dropCommands drops all orders and queued commands, as in a new term or for a new incarnation of the agent.
+// dropCommands drops all orders and queued commands, as for a new incarnation of the agent.
 func (a *Agent) dropCommands() {
 	a.starts = map[jobstate.AttemptRef]*start{}
 	a.queue, a.sendNow = nil, false
 }
 
+// beginTerm drops all orders and queued commands of the earlier term. Starts that were not sent are recorded as never sent,
+// so that their owners place the tasks again without waiting for the agent.
+func (a *Agent) beginTerm() {
+	earlier := a.starts
+	a.dropCommands()
+	for ref, s := range earlier {
+		if s.queued && s.sentAt.IsZero() {
+			a.starts[ref] = &start{order: s.order, neverSent: true}
+		}
+	}
+}
+
 // ShouldSend reports whether queued commands should be sent by a request now.
 func (a *Agent) ShouldSend() bool {
 	return a.sendNow && !a.requestOpen && !a.unresponsive && len(a.queue) > 0
--- a/internal/agents/machinestatus.go
+++ b/internal/agents/machinestatus.go
@@ -49,7 +49,7 @@
 		switch {
 		case s.neverSent:
 			status.Barred = append(status.Barred, ref)
-		case !s.listed && !s.forgotten && s.order.Op == protocol.Start:
+		case !s.listed && s.order.Op == protocol.Start:
 			status.Tasks = append(status.Tasks, jobstate.TaskStatus{
 				TaskID: s.order.TaskID, Attempt: ref.Attempt, State: jobstate.Ordered,
 			})
--- a/internal/agents/registry.go
+++ b/internal/agents/registry.go
@@ -46,7 +46,6 @@
 	answeredSeq uint64 // sequence number of that heartbeat; a later one from the agent itself settles the answer's outcome
 	listed      bool   // a heartbeat listed the attempt
 	neverSent   bool   // refused or canceled: it will never be sent, and the owner is informed
-	forgotten   bool   // a forget command was queued, so it must never be sent again
 
 	sentAt        time.Time // when it was first sent
 	sentWatermark time.Time // every cancellation confirmed before this time was known here then
@@ -62,6 +61,7 @@
 type Registry struct {
 	term     uint64
 	agents   map[string]*Agent
+	retained map[string]int  // by machine: size of the list's exited attempts that must not be forgotten in this term
 	changed  map[string]bool // machines whose status is to be sent to the peers
 	capacity Capacity
 	size     Size
@@ -69,7 +69,7 @@
 
 // New returns a Registry without agents.
 func New(capacity Capacity, size Size) *Registry {
-	return &Registry{agents: map[string]*Agent{}, changed: map[string]bool{}, capacity: capacity, size: size}
+	return &Registry{agents: map[string]*Agent{}, retained: map[string]int{}, changed: map[string]bool{}, capacity: capacity, size: size}
 }
 
 // SetTerm begins a later term. It drops the agents whose home is another controller and all orders of the earlier term,
@@ -81,11 +81,12 @@
 	g.term = term
 	for name, a := range g.agents {
 		if !isHome(name) {
-			delete(g.agents, name)
+			g.Drop(name)
 			continue
 		}
-		a.dropCommands()
+		a.beginTerm()
 		a.invalidateStatus()
+		g.updateRetained(name, a)
 	}
 }
 
@@ -96,7 +97,10 @@
 func (g *Registry) All() map[string]*Agent { return g.agents }
 
 // Drop removes an agent whose machine is gone or has another home.
-func (g *Registry) Drop(machine string) { delete(g.agents, machine) }
+func (g *Registry) Drop(machine string) {
+	delete(g.agents, machine)
+	delete(g.retained, machine)
+}
 
 // ApplyHeartbeat applies a heartbeat that the agent itself sent. It reports whether the heartbeat is newer than the
 // last known one and whether its contents changed. An agent has at most one heartbeat in flight, so it has executed the
@@ -131,6 +135,7 @@
 		}
 	}
 	if changed {
+		g.updateRetained(h.Machine, a)
 		a.invalidateStatus()
 	}
 	return true, changed
@@ -157,6 +162,6 @@
 // lists reports whether the newest heartbeat lists an attempt.
 func (a *Agent) lists(ref jobstate.AttemptRef) bool {
 	return slices.ContainsFunc(a.Heartbeat.Tasks, func(t protocol.TaskStatus) bool {
-		return parseAttempt(t.Task, t.Attempt) == ref
+		return t.Attempt == ref.Attempt && parseAttempt(t.Task, t.Attempt) == ref
 	})
 }
--- a/internal/agents/registry_test.go
+++ b/internal/agents/registry_test.go
@@ -42,9 +42,10 @@
 func TestUnansweredStartIsNotForgotten(t *testing.T) {
 	registry, agent := newTestRegistry(t)
 	o := startOf("job-1")
+	o.Attempt = jobstate.AttemptID(1, 5)
 	registry.QueueOrders(1, "m", []jobstate.Order{o})
 	agent.FinishRequest(agent.TakeForRequest(), false, true)
-	registry.ApplyHeartbeat(testHeartbeat(2, protocol.TaskStatus{Task: "job-1/0", Attempt: 5, State: protocol.Exited, Reason: protocol.ReasonDone}), time.Unix(2, 0))
+	registry.ApplyHeartbeat(testHeartbeat(2, protocol.TaskStatus{Task: "job-1/0", Attempt: o.Attempt, State: protocol.Exited, Reason: protocol.ReasonDone}), time.Unix(2, 0))
 	o.Op = protocol.Forget
 	registry.QueueOrders(1, "m", []jobstate.Order{o})
 	if cmds := agent.TakeForAnswer(); len(cmds) != 0 {
@@ -118,6 +119,7 @@
 func TestStartInAnAnswerIsSettledByTheNextHeartbeat(t *testing.T) {
 	registry, agent := newTestRegistry(t)
 	o := startOf("job-1")
+	o.Attempt = jobstate.AttemptID(1, 5)
 	registry.QueueOrders(1, "m", []jobstate.Order{o})
 	if cmds := agent.TakeForAnswer(); len(cmds) != 1 {
 		t.Fatalf("answers %v", cmds)
@@ -130,7 +132,7 @@
 	}
 	forget := o
 	forget.Op = protocol.Forget
-	registry.ApplyResponse(testHeartbeat(3, protocol.TaskStatus{Task: "job-1/0", Attempt: 5, State: protocol.Exited, Reason: protocol.ReasonError}), time.Unix(3, 0))
+	registry.ApplyResponse(testHeartbeat(3, protocol.TaskStatus{Task: "job-1/0", Attempt: o.Attempt, State: protocol.Exited, Reason: protocol.ReasonError}), time.Unix(3, 0))
 	registry.QueueOrders(1, "m", []jobstate.Order{forget})
 	if cmds := agent.TakeForAnswer(); len(cmds) != 0 {
 		t.Fatalf("answers %v while a start is in flight", cmds)
--- a/internal/controller/machinestatus.go
+++ b/internal/controller/machinestatus.go
@@ -91,11 +91,12 @@
 			return
 		}
 	}
+	n.recordOutcomes(v, m.status, now)
 	n.replaceStatus(m, v)
 	n.recordStartedTasks(v)
 	m.HeardAt = now
 	n.recordRunTimes(n.scheduler.ObserveMachine(v, (*schedulerSnapshot)(n), now), now)
-	n.recordTasks(m, v, now)
+	n.recordIdleness(m, v, now)
 	n.reconcileShards(v)
 	n.stopOrphanedTasks(v)
 	n.wake()
@@ -147,17 +148,17 @@
 	_ = n.startLatency.RecordValue(min(latency, maxStartLatency.Milliseconds()))
 }
 
-// recordTasks records the outcome of exited tasks, and since when the machine is idle. A machine does not become idle by a
-// heartbeat that does not know its home's term: that may be a copy of an old one, sent before tasks started.
-func (n *Node) recordTasks(m *machine, v *jobstate.MachineStatus, now time.Time) {
-	busy := false
-	for _, t := range v.Tasks {
-		if t.State != protocol.Exited {
-			busy = true
-		} else {
-			n.recordOutcome(t, v.Machine, now)
-		}
+// recordOutcomes records the outcomes of the tasks that a machine lists as exited for the first time.
+func (n *Node) recordOutcomes(v, earlier *jobstate.MachineStatus, now time.Time) {
+	for t := range v.NewlyExited(earlier) {
+		n.recordOutcome(t, v.Machine, now)
 	}
+}
+
+// recordIdleness records since when a machine is idle. It does not become idle by a heartbeat that does not know its home's
+// term: that may be a copy of an old one, sent before tasks started.
+func (n *Node) recordIdleness(m *machine, v *jobstate.MachineStatus, now time.Time) {
+	busy := slices.ContainsFunc(v.Tasks, func(t jobstate.TaskStatus) bool { return t.State != protocol.Exited })
 	switch {
 	case busy:
 		m.idleSince = time.Time{}
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -156,6 +156,9 @@
 		}
 		o := jobstate.Order{Op: protocol.Stop, TaskID: t.TaskID, Attempt: t.Attempt, Incarnation: v.Incarnation}
 		if t.State == protocol.Exited {
+			if !jobstate.MayForget(t.Attempt, n.leadership.Term()) {
+				continue
+			}
 			o.Op = protocol.Forget
 		}
 		orders = append(orders, o)
--- a/internal/controller/recordchange.go
+++ b/internal/controller/recordchange.go
@@ -156,6 +156,8 @@
 func (r recordChangeView) Controllers() int      { return len(r.node.settings.Peers) + 1 }
 func (r recordChangeView) ShardNames() []string  { return r.node.shardNames() }
 func (r recordChangeView) OwnsFleet() bool       { return r.node.shards.OwnsFleet() }
+func (r recordChangeView) RetainsExits() bool    { return r.node.agents.RetainsExits() }
+func (r recordChangeView) HasCrowdedList() bool  { return r.node.agents.HasCrowdedList() }
 func (r recordChangeView) RosterComplete() bool  { return r.node.recovery.census.rosterComplete() }
 func (r recordChangeView) RandomStoreID() string { return randomStoreID() }
 
--- a/internal/jobstate/assignments.go
+++ b/internal/jobstate/assignments.go
@@ -62,6 +62,19 @@
 	s.changedMachines[a.Machine] = true
 }
 
+// neverOrdered lists the attempts that this owner created and whose starts it has not sent, in order of their tasks.
+func (s *Assignments) neverOrdered() (list []*attempt) {
+	for a := range s.openOrders {
+		if a.placedSeq > 0 && a.startsInFlight == 0 && a.state == "" {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, func(a, b *attempt) int {
+		return a.compare(b.TaskID)
+	})
+	return list
+}
+
 // find returns the attempt with this task and number; nil if it is not assigned.
 func (s *Assignments) find(ref AttemptRef) *attempt {
 	if a := s.byTask[ref.TaskID]; a != nil && a.Attempt == ref.Attempt {
--- a/internal/jobstate/jobstate_test.go
+++ b/internal/jobstate/jobstate_test.go
@@ -82,7 +82,7 @@
 		t.Fatal("no task was done in any run")
 	}
 	for _, what := range []string{"a message waits for a hung machine", "quota is reserved for orphaned tasks", "a barrier is passed",
-		"a failover without a replica", "an old heartbeat arrives under a later term than a newer one", "the term is raised during a barrier"} {
+		"a failover without a replica", "an attempt is forgotten", "an old heartbeat arrives under a later term than a newer one", "the term is raised during a barrier"} {
 		if !reached[what] {
 			t.Errorf("not covered by any run: %s", what)
 		}
@@ -134,11 +134,59 @@
 		t.Fatalf("ordered %v before the bitmap was saved", orders)
 	}
 	m.team.Job(spec.UID).RecordSaved(bitset.New(1).Set(0))
+	if orders := m.team.Observe(v, m.now, m); len(orders) != 0 {
+		t.Fatalf("ordered %v while a copy of the start may arrive", orders)
+	}
+	m.team.SetTerm(2)
 	if orders := m.team.Observe(v, m.now, m); len(orders) != 1 || orders[0].Op != protocol.Forget {
 		t.Fatalf("ordered %v after the bitmap was saved", orders)
 	}
 }
 
+// TestUnsentAttemptsAreReleasedInTheNextTerm checks that a raised term releases the attempts whose starts were not sent, and
+// keeps those that were sent and those of an earlier owner.
+func TestUnsentAttemptsAreReleasedInTheNextTerm(t *testing.T) {
+	m := newModel(t, 1)
+	job := m.team.Job("job-0")
+	m.team.Place(job, 0, Location{"m0", "z", 1})
+	m.replicate()
+	m.term++
+	m.failOver(false)
+	job = m.team.Job("job-0")
+	m.team.Place(job, 1, Location{"m1", "z", 1})
+	m.replicate()
+	m.team.TakeDueOrders(m.replica.Seq, m.now, func(string, uint64) bool { return true })
+	m.team.Place(job, 2, Location{"m2", "z", 1})
+	m.team.SetTerm(3)
+	for index, want := range []bool{true, true, false} {
+		if assigned := m.team.assignments.byTask[TaskID{"job-0", index}] != nil; assigned != want {
+			t.Errorf("task %d: assigned %v, want %v", index, assigned, want)
+		}
+	}
+}
+
+// TestNewlyExited checks which exits a status lists first, also if the order of the list changes.
+func TestNewlyExited(t *testing.T) {
+	list := func(tasks ...TaskStatus) *MachineStatus { return &MachineStatus{Tasks: tasks} }
+	task := func(index int, state protocol.TaskState) TaskStatus {
+		return TaskStatus{TaskID: TaskID{"job-0", index}, Attempt: uint64(index), State: state}
+	}
+	before := list(task(0, protocol.Exited), task(1, protocol.Running), task(2, protocol.Exited))
+	now := list(task(2, protocol.Exited), task(3, protocol.Exited), task(1, protocol.Exited), task(0, protocol.Exited), task(4, protocol.Running))
+	for _, c := range []struct {
+		earlier *MachineStatus
+		want    []int
+	}{{before, []int{3, 1}}, {nil, []int{2, 3, 1, 0}}, {now, nil}, {list(), []int{2, 3, 1, 0}}} {
+		var got []int
+		for x := range now.NewlyExited(c.earlier) {
+			got = append(got, x.Index)
+		}
+		if !slices.Equal(got, c.want) {
+			t.Errorf("after %v: %v, want %v", c.earlier, got, c.want)
+		}
+	}
+}
+
 // TestAttemptsStayBelow2to53 checks that JSON numbers represent all attempt numbers exactly, and that the numbers of a
 // later term are higher.
 func TestAttemptsStayBelow2to53(t *testing.T) {
--- a/internal/jobstate/machinestatus.go
+++ b/internal/jobstate/machinestatus.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 
 	"topazhollow/internal/protocol"
 )
@@ -20,6 +21,12 @@
 // TermOf returns the term that an attempt was created in, under which its start is sent.
 func TermOf(attempt uint64) uint64 { return attempt >> termShift }
 
+// MayForget reports whether an agent may be told, under a term, to forget an exited attempt. An agent that does not list an
+// attempt executes any start of it, and a copy of the start may arrive at any time. Starts go out under the attempt's own
+// term only, so the agent refuses all of them from the moment at which it learns a later term, at the latest together with
+// the order to forget the attempt.
+func MayForget(attempt, term uint64) bool { return TermOf(attempt) < term }
+
 // Ordered is the state of a task whose start the machine's home has accepted and that the agent has not listed yet.
 const Ordered = "ordered"
 
@@ -63,6 +70,40 @@
 	return cmp.Or(v.HeartbeatID().Compare(old.HeartbeatID()), cmp.Compare(v.Term, old.Term), cmp.Compare(v.Revision, old.Revision)) > 0
 }
 
+// NewlyExited yields the exited tasks that an earlier status of the machine, nil if there is none, does not list as exited.
+func (v *MachineStatus) NewlyExited(earlier *MachineStatus) iter.Seq[TaskStatus] {
+	return func(yield func(TaskStatus) bool) {
+		next := 0
+		for _, t := range v.Tasks {
+			if t.State != protocol.Exited {
+				continue
+			}
+			if at := earlier.findFrom(next, t.Ref()); at >= 0 && earlier.Tasks[at].State == protocol.Exited {
+				next = at + 1
+				continue
+			}
+			if !yield(t) {
+				return
+			}
+		}
+	}
+}
+
+// findFrom returns the index of the task that is listed as an attempt, -1 if there is none. It begins at an index, where
+// the task is usually found, since agents keep the order of their lists.
+func (v *MachineStatus) findFrom(start int, ref AttemptRef) int {
+	if v == nil {
+		return -1
+	}
+	for i := range v.Tasks {
+		at := (start + i) % len(v.Tasks)
+		if t := &v.Tasks[at]; t.Attempt == ref.Attempt && t.TaskID == ref.TaskID {
+			return at
+		}
+	}
+	return -1
+}
+
 // Order is a command of an owner for a machine, which the machine's home forwards.
 type Order struct {
 	Op protocol.CommandOp `json:"o"`
--- a/internal/jobstate/model_test.go
+++ b/internal/jobstate/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"reflect"
 	"slices"
@@ -17,11 +18,21 @@
 	incarnation  uint64
 	seq          uint64
 	fencingToken uint64
-	tasks        map[TaskID]TaskStatus
+	tasks        map[AttemptRef]TaskStatus
 	dead         bool
 	hung         bool // neither executes nor sends anything until it resumes
 }
 
+// runs reports whether an attempt of a task is on a machine.
+func (a *modelAgent) runs(id TaskID) bool {
+	for ref, x := range a.tasks {
+		if ref.TaskID == id && !a.dead && x.State != protocol.Exited {
+			return true
+		}
+	}
+	return false
+}
+
 // modelMachineCPUs is the number of CPUs of each machine of the model.
 const modelMachineCPUs = 6
 
@@ -35,8 +46,8 @@
 	return cpus
 }
 
-// message is a start or stop in flight. It may arrive late, even after its sender has been replaced, as packets that
-// are delayed in the network do.
+// message is a command in flight. It may arrive late, even after its sender has been replaced, and once more after it was
+// executed, as packets that are delayed in the network do.
 type message struct {
 	to    *modelAgent
 	term  uint64
@@ -117,43 +128,48 @@
 	if agent.dead || x.term < agent.fencingToken || x.order.Incarnation != agent.incarnation {
 		return ""
 	}
-	if x.order.Op == protocol.Start && m.used(agent, false)+m.specs[x.order.Job].CPUs > modelMachineCPUs {
-		if _, there := agent.tasks[x.order.TaskID]; !there {
-			agent.fencingToken = x.term
-			agent.tasks[x.order.TaskID] = TaskStatus{TaskID: x.order.TaskID, Attempt: x.order.Attempt, State: protocol.Exited, Reason: protocol.ReasonFull}
-		}
-		return ""
-	}
 	agent.fencingToken = x.term
-	have, there := agent.tasks[x.order.TaskID]
-	switch x.order.Op {
-	case protocol.Start:
-		if there {
+	ref := x.order.Ref()
+	have, there := agent.tasks[ref]
+	switch {
+	case x.order.Op == protocol.Start && !there:
+		return m.start(agent, ref)
+	case x.order.Op == protocol.Stop && there && have.State != protocol.Exited:
+		have.State, have.Reason = protocol.Exited, protocol.ReasonStopped
+		agent.tasks[ref] = have
+	case x.order.Op == protocol.Forget && there && have.State == protocol.Exited:
+		m.reached["an attempt is forgotten"] = true
+		delete(agent.tasks, ref)
+	}
+	return ""
+}
+
+// start makes an agent start or refuse an attempt that it does not list.
+func (m *model) start(agent *modelAgent, ref AttemptRef) (violation string) {
+	refused := TaskStatus{TaskID: ref.TaskID, Attempt: ref.Attempt, State: protocol.Exited, Reason: protocol.ReasonFull}
+	for _, o := range m.agents {
+		switch {
+		case !o.runs(ref.TaskID):
+		case o == agent:
+			refused.Reason = protocol.ReasonInUse
+			agent.tasks[ref] = refused
 			return ""
-		}
-		for _, o := range m.agents {
-			if t, ok := o.tasks[x.order.TaskID]; ok && !o.dead && t.State != protocol.Exited {
-				violation = fmt.Sprintf("%v on %s and %s", x.order.TaskID, o.name, agent.name)
-			}
-		}
-		agent.tasks[x.order.TaskID] = TaskStatus{TaskID: x.order.TaskID, Attempt: x.order.Attempt, State: protocol.Running}
-		used := 0.0
-		for _, o := range m.agents {
-			used += m.used(o, true)
-		}
-		if used > m.team.quota.limits.Max.CPUs+roundingTolerance {
-			violation = fmt.Sprintf("%g CPUs used, beyond the quota", used)
-		}
-	case protocol.Stop:
-		if there && have.Attempt == x.order.Attempt && have.State != protocol.Exited {
-			have.State, have.Reason = protocol.Exited, protocol.ReasonStopped
-			agent.tasks[x.order.TaskID] = have
-		}
-	case protocol.Forget:
-		if there && have.Attempt == x.order.Attempt && have.State == protocol.Exited {
-			delete(agent.tasks, x.order.TaskID)
+		default:
+			violation = fmt.Sprintf("%v on %s and %s", ref.TaskID, o.name, agent.name)
 		}
 	}
+	if m.used(agent, false)+m.specs[ref.Job].CPUs > modelMachineCPUs {
+		agent.tasks[ref] = refused
+		return ""
+	}
+	agent.tasks[ref] = TaskStatus{TaskID: ref.TaskID, Attempt: ref.Attempt, State: protocol.Running}
+	used := 0.0
+	for _, o := range m.agents {
+		used += m.used(o, true)
+	}
+	if used > m.team.quota.limits.Max.CPUs+roundingTolerance {
+		violation = fmt.Sprintf("%g CPUs used, beyond the quota", used)
+	}
 	return violation
 }
 
@@ -173,9 +189,7 @@
 func (m *model) send(agent *modelAgent, orders []Order) {
 	for _, o := range orders {
 		x := message{agent, m.term, o}
-		// A home does not send forgets while starts are unconfirmed, and repeats an order only after the previous one
-		// is resolved.
-		if o.Op != protocol.Forget && !slices.Contains(m.inFlight, x) {
+		if !slices.Contains(m.inFlight, x) {
 			m.inFlight = append(m.inFlight, x)
 		}
 	}
@@ -213,13 +227,13 @@
 	case 15: // the agent's lease expires
 		if m.rng.IntN(8) == 0 {
 			agent.incarnation++
-			agent.tasks, agent.hung = map[TaskID]TaskStatus{}, false
+			agent.tasks, agent.hung = map[AttemptRef]TaskStatus{}, false
 		}
 	case 16: // a machine dies, and the cloud confirms its return
 		if m.rng.IntN(12) == 0 {
 			agent.dead = true
 			m.returnMachine(agent.name)
-			m.agents[at] = &modelAgent{name: agent.name + "+", incarnation: 1, tasks: map[TaskID]TaskStatus{}}
+			m.agents[at] = &modelAgent{name: agent.name + "+", incarnation: 1, tasks: map[AttemptRef]TaskStatus{}}
 		} else if m.releasesWithoutProof {
 			m.team.MachineReturned(agent.name) // treats a silent machine as returned
 		}
@@ -291,7 +305,9 @@
 		m.reached["a message waits for a hung machine"] = true
 		return ""
 	}
-	m.inFlight = slices.Delete(m.inFlight, i, i+1)
+	if m.rng.IntN(3) > 0 { // otherwise a copy of it arrives once more
+		m.inFlight = slices.Delete(m.inFlight, i, i+1)
+	}
 	return m.deliver(x)
 }
 
@@ -357,7 +373,7 @@
 		if x.State == protocol.Running && !agent.dead && !agent.hung && m.specs[k.Job].Team == "team" {
 			x.State, x.Reason = protocol.Exited, protocol.ReasonDone
 			agent.tasks[k] = x
-			m.done[k] = true
+			m.done[k.TaskID] = true
 			break
 		}
 	}
@@ -430,10 +446,11 @@
 		return
 	}
 	k := TaskID{"foreign", m.rng.IntN(3)}
-	if _, there := agent.tasks[k]; there {
-		delete(agent.tasks, k)
+	if agent.runs(k) {
+		maps.DeleteFunc(agent.tasks, func(ref AttemptRef, _ TaskStatus) bool { return ref.TaskID == k })
 	} else if m.used(agent, false)+m.specs[k.Job].CPUs <= modelMachineCPUs {
-		agent.tasks[k] = TaskStatus{TaskID: k, Attempt: AttemptID(m.term, 1<<20), State: protocol.Running}
+		ref := AttemptRef{k, AttemptID(m.term, 1<<20)}
+		agent.tasks[ref] = TaskStatus{TaskID: k, Attempt: ref.Attempt, State: protocol.Running}
 	}
 }
 
@@ -510,7 +527,7 @@
 	m := &model{t: t, rng: rand.New(rand.NewPCG(seed, 7)), seed: seed, now: time.Unix(1000, 0), term: 1, replica: NewReplica(),
 		specs: map[string]*protocol.Submission{}, active: map[string]bool{}, done: map[TaskID]bool{}}
 	for i := range 4 {
-		m.agents = append(m.agents, &modelAgent{name: fmt.Sprintf("m%d", i), incarnation: 1, tasks: map[TaskID]TaskStatus{}})
+		m.agents = append(m.agents, &modelAgent{name: fmt.Sprintf("m%d", i), incarnation: 1, tasks: map[AttemptRef]TaskStatus{}})
 	}
 	m.knowledge, m.newestStatus, m.reached = map[string]endKnowledge{}, map[string]*MachineStatus{}, map[string]bool{}
 	for i := range 3 {
--- a/internal/jobstate/observe.go
+++ b/internal/jobstate/observe.go
@@ -76,8 +76,8 @@
 	return true
 }
 
-// observeResult orders the machine to forget the result of an exited task. A success is recorded, and forgotten only
-// once it is saved in the state service.
+// observeResult orders the machine to forget the result of an exited task, once MayForget allows it. A success is recorded,
+// and forgotten only once it is saved in the state service.
 func (o *observation) observeResult(x *TaskStatus, job JobInfo) {
 	if x.Reason == protocol.ReasonDone && job.Active && x.Index < job.Spec.Tasks {
 		o.team.completeTask(x.TaskID)
@@ -85,7 +85,9 @@
 			return
 		}
 	}
-	o.order(x, protocol.Forget)
+	if MayForget(x.Attempt, o.team.term) {
+		o.order(x, protocol.Forget)
+	}
 }
 
 // order adds an order for a listed task.
--- a/internal/jobstate/team.go
+++ b/internal/jobstate/team.go
@@ -56,10 +56,15 @@
 	return t
 }
 
-// SetTerm sets a later term of the same owner; an earlier one is ignored.
+// SetTerm sets a later term of the same owner; an earlier one is ignored. Attempts whose starts were not sent under their
+// term are released, since they never will be.
 func (t *Team) SetTerm(term uint64) {
-	if term > t.term {
-		t.term, t.lastAttempt = term, 0
+	if term <= t.term {
+		return
+	}
+	t.term, t.lastAttempt = term, 0
+	for _, a := range t.assignments.neverOrdered() {
+		t.release(a, "never sent")
 	}
 }
 
--- a/internal/leadership/change.go
+++ b/internal/leadership/change.go
@@ -19,6 +19,8 @@
 	RosterCompleted   Reason = "every machine is on the roster"
 	SearchGivenUp     Reason = "no backup was restored in time: jobs that no controller remembers are lost for good"
 	UnprovenAttempts  Reason = "unproven attempts"
+	CrowdedList       Reason = "exited attempts fill a machine's list"
+	RetainedExits     Reason = "exited attempts to be forgotten"
 )
 
 // RecordChange is a record that should replace another one by compare-and-swap.
@@ -60,6 +62,11 @@
 	// NeedsRaisedTerm reports whether some attempts in this controller's shards can be settled only by raising the
 	// term.
 	NeedsRaisedTerm(now time.Time) bool
+	// RetainsExits reports whether agents homed at this controller list exited attempts that they may forget only under a
+	// later term.
+	RetainsExits() bool
+	// HasCrowdedList reports whether such attempts take up much of an agent's list.
+	HasCrowdedList() bool
 	// RandomTerm returns a random first term, so that agents' fencing tokens distinguish an earlier store's terms from
 	// those of this one.
 	RandomTerm() uint64
@@ -74,6 +81,7 @@
 	rebalanceDelay    = 3 * time.Second         // since StableSince
 	unreachableDelay  = 3 * time.Second         // since the term changed
 	unprovenTermDelay = 5 * time.Second         // since the term changed
+	retentionPeriod   = 30 * time.Second        // since the term changed
 )
 
 // NextChange returns the change of the record that this controller should attempt now, or nil if there is none. It must
@@ -156,8 +164,14 @@
 	if s.membersOutdatedSince.IsZero() {
 		s.membersOutdatedSince = now
 	}
+	return now.Sub(s.membersOutdatedSince) >= s.ownTurnDelay()
+}
+
+// ownTurnDelay is how long this controller leaves a change that any controller may make to those whose names sort before
+// its own.
+func (s *State) ownTurnDelay() time.Duration {
 	turn := slices.Index(slices.Sorted(maps.Keys(s.presences)), s.self)
-	return now.Sub(s.membersOutdatedSince) >= time.Duration(turn)*turnDelay
+	return time.Duration(turn) * turnDelay
 }
 
 // settleUnanswered writes the known record again while a change that got no answer may still be applied to it.
@@ -225,14 +239,28 @@
 	return &RecordChange{Record: next, Reason: SearchGivenUp}
 }
 
-// raiseTerm raises the term if some attempts can be settled in no other way.
+// raiseTerm raises the term if that alone settles some attempts, or lets agents forget exited ones.
 func (in *changeInputs) raiseTerm() *RecordChange {
-	if !in.view.NeedsRaisedTerm(in.now) || in.now.Sub(in.termChangedAt) <= unprovenTermDelay {
+	unchangedFor := in.now.Sub(in.termChangedAt)
+	if unchangedFor <= unprovenTermDelay {
 		return nil
 	}
+	switch {
+	case in.view.NeedsRaisedTerm(in.now):
+		return in.withRaisedTerm(UnprovenAttempts)
+	case in.view.HasCrowdedList():
+		return in.withRaisedTerm(CrowdedList)
+	case unchangedFor > retentionPeriod+in.ownTurnDelay() && in.view.RetainsExits():
+		return in.withRaisedTerm(RetainedExits)
+	}
+	return nil
+}
+
+// withRaisedTerm returns the change that only raises the term.
+func (in *changeInputs) withRaisedTerm(reason Reason) *RecordChange {
 	next := in.record.Clone()
 	next.Term++
-	return &RecordChange{Record: next, Reason: UnprovenAttempts}
+	return &RecordChange{Record: next, Reason: reason}
 }
 
 // AgentsReached records that agents reach this controller, even if the record lists it as unreachable.
--- a/internal/leadership/change_test.go
+++ b/internal/leadership/change_test.go
@@ -14,6 +14,8 @@
 	complete        bool
 	givesUpSearch   bool
 	needsRaisedTerm bool
+	retainsExits    bool
+	crowdedList     bool
 }
 
 func (q *fakeController) Controllers() int                               { return 2 }
@@ -23,6 +25,8 @@
 func (q *fakeController) OwnsFleet() bool                                { return q.ownsFleet }
 func (q *fakeController) RosterComplete() bool                           { return q.complete }
 func (q *fakeController) NeedsRaisedTerm(time.Time) bool                 { return q.needsRaisedTerm }
+func (q *fakeController) RetainsExits() bool                             { return q.retainsExits }
+func (q *fakeController) HasCrowdedList() bool                           { return q.crowdedList }
 func (q *fakeController) RandomTerm() uint64                             { return 5000 }
 func (q *fakeController) RandomStoreID() string                          { return "drawn" }
 func (q *fakeController) GiveUpSearch(r *Record, _ time.Time) *Record {
@@ -80,6 +84,20 @@
 		{"the search takes too long", func(_ *State, q *fakeController) { q.ownsFleet, q.givesUpSearch = true, true }, "no backup was restored in time: jobs that no controller remembers are lost for good", 3},
 		{"attempts are unproven", func(_ *State, q *fakeController) { q.needsRaisedTerm = true }, "unproven attempts", 4},
 		{"attempts are unproven, shortly after a change of term", func(s *State, q *fakeController) { q.needsRaisedTerm, s.termChangedAt = true, now.Add(-4*time.Second) }, "", 0},
+		{"exited attempts are retained", func(_ *State, q *fakeController) { q.retainsExits = true }, "exited attempts to be forgotten", 4},
+		{"exited attempts are retained, not long after a change of term", func(s *State, q *fakeController) {
+			q.retainsExits, s.termChangedAt = true, now.Add(-retentionPeriod)
+		}, "", 0},
+		{"exited attempts are retained, and it is another controller's turn", func(s *State, q *fakeController) {
+			s.LearnPresence("0", Presence{Incarnation: 1, Version: 3})
+			s.record.Nodes["0"], q.retainsExits, s.termChangedAt = 1, true, now.Add(-retentionPeriod-turnDelay)
+		}, "", 0},
+		{"exited attempts fill a list", func(s *State, q *fakeController) {
+			q.crowdedList, s.termChangedAt = true, now.Add(-6*time.Second)
+		}, "exited attempts fill a machine's list", 4},
+		{"exited attempts fill a list, shortly after a change of term", func(s *State, q *fakeController) {
+			q.crowdedList, s.termChangedAt = true, now.Add(-4*time.Second)
+		}, "", 0},
 	} {
 		s, q := newMemberState(now), &fakeController{shards: []string{FleetShard}}
 		c.before(s, q)
--- a/internal/leasegrant/model_agents_test.go
+++ b/internal/leasegrant/model_agents_test.go
@@ -68,6 +68,9 @@
 			continue
 		}
 		w.receiveCommands(d)
+		if w.keepsCopies && slices.ContainsFunc(d.commands, func(x protocol.Command) bool { return x.Op == protocol.Start }) {
+			w.answered = append(w.answered, d)
+		}
 		r := m.heartbeat()
 		c.home.ApplyHeartbeat(&r, w.now)
 		at.FinishRequest(d.commands, true, true)
@@ -156,6 +159,9 @@
 			if a.token >= m.token && a.token > 0 {
 				m.token, m.leaseRenewedAt = a.token, w.now
 				w.execute(m, a.commands)
+				if w.mutant == "attempts are forgotten under the term of their starts" {
+					m.tasks = slices.DeleteFunc(m.tasks, func(t protocol.TaskStatus) bool { return t.State == protocol.Exited })
+				}
 			}
 			return
 		case a.status == 421:
--- a/internal/leasegrant/model_explore_test.go
+++ b/internal/leasegrant/model_explore_test.go
@@ -10,6 +10,7 @@
 
 	"topazhollow/internal/jobstate"
 	"topazhollow/internal/leadership"
+	"topazhollow/internal/protocol"
 )
 
 // event is a failure, a recovery or an action between two steps of time. Each event occurs at most once in a history.
@@ -84,6 +85,39 @@
 	{"delayed start arrives", func(w *world) bool { return len(w.heldUp) > 0 && w.heldUp[0].late }, func(w *world) {
 		w.releaseHeldUp(func(d *commandRequest) bool { return d.late })
 	}},
+	{"the task fails", func(w *world) bool { return w.runningTask() != nil }, func(w *world) {
+		x := w.runningTask()
+		x.State, x.Reason = protocol.Exited, protocol.ReasonError
+	}},
+	{"copies of answered starts arrive", func(w *world) bool { return len(w.answered) > 0 }, (*world).deliverCopies},
+	{"the copies arrive again", func(w *world) bool { return len(w.answered) > 0 }, (*world).deliverCopies},
+	{"b raises the term", func(w *world) bool {
+		b := w.controllers[1]
+		return b.teamState != nil && w.entitled(b) && w.served(1) && b.version == w.store.version
+	}, func(w *world) {
+		next := w.store.record.Clone()
+		next.Term++
+		w.writeRecord(next)
+	}},
+}
+
+// runningTask returns the task on a machine that runs, nil if none does.
+func (w *world) runningTask() *protocol.TaskStatus {
+	for _, m := range w.machines {
+		for i := range m.tasks {
+			if m.tasks[i].State != protocol.Exited {
+				return &m.tasks[i]
+			}
+		}
+	}
+	return nil
+}
+
+// deliverCopies delivers copies of the requests with starts that were executed and answered.
+func (w *world) deliverCopies() {
+	for _, d := range w.answered {
+		w.receiveCommands(d)
+	}
 }
 
 // readLate returns the effect of a read by a controller whose answer is delayed.
@@ -181,6 +215,7 @@
 	events      []string
 	mutants     []mutant
 	longerLease time.Duration // how much longer an agent's lease is than in the other families
+	keepsCopies bool          // copies of answered requests may arrive
 }
 
 // cancels reports whether a history of the family may cancel the job.
@@ -190,7 +225,7 @@
 
 // explore runs all histories of a family, breadth-first.
 func explore(f *family, m mutant) outcome {
-	level := []*node{{w: newWorld(m, f.running, agentLease+f.longerLease)}}
+	level := []*node{{w: newWorld(m, f)}}
 	seen := map[uint64]bool{}
 	result := outcome{}
 	for len(level) > 0 {
@@ -229,18 +264,20 @@
 
 var families = []family{
 	{"refusals and outages", true, 4, []string{"c cancels", "machine reaches only a", "paths recover", "store refuses a", "outage", "outage ends", "a disconnected"},
-		[]mutant{"cancellations are not numbered", "renewals need no watermark"}, 0},
+		[]mutant{"cancellations are not numbered", "renewals need no watermark"}, 0, false},
 	{"crashes and disconnections", true, 5, []string{"c disconnected", "c reconnects", "c cancels", "c crashes", "outage"},
-		[]mutant{"a peer's restart goes unnoticed"}, 0},
+		[]mutant{"a peer's restart goes unnoticed"}, 0, false},
 	{"a delayed path", false, 5, []string{"c cancels", "path to a delayed", "paths recover", "outage", "outage ends", "a crashes"},
-		[]mutant{"other controllers need no watermark of the home", "ended jobs are not stopped"}, 0},
+		[]mutant{"other controllers need no watermark of the home", "ended jobs are not stopped"}, 0, false},
 	{"a delayed start", false, 6, []string{"next start is delayed", "delayed start arrives", "c cancels", "outage", "machine hangs", "a disconnected"},
-		[]mutant{"starts in flight do not bound renewals", "home watermarks ignore starts in flight"}, 0},
+		[]mutant{"starts in flight do not bound renewals", "home watermarks ignore starts in flight"}, 0, false},
 	{"delayed reads", false, 6, []string{"b reads, answer delayed", "c cancels", "b cancels", "outage", "b receives the delayed answer", "b crashes", "outage ends"},
-		[]mutant{"a late read revives an ended job"}, 0},
-	{"cancellation found by another controller", true, 4, []string{"c writes the cancellation and crashes", "a confirms the cancellation", "b confirms the cancellation", "store refuses a", "outage", "machine reaches only a", "machine hangs"}, nil, 0},
-	{"a delayed start across a crash", false, 5, []string{"next start is delayed", "delayed start arrives", "a crashes", "machine unreachable", "b migrates the task"}, nil, step},
-	{"machine failures", true, 4, []string{"machine reaches no controller", "paths recover", "machine hangs", "machine resumes", "a cancels", "a crashes", "outage"}, nil, 0},
+		[]mutant{"a late read revives an ended job"}, 0, false},
+	{"cancellation found by another controller", true, 4, []string{"c writes the cancellation and crashes", "a confirms the cancellation", "b confirms the cancellation", "store refuses a", "outage", "machine reaches only a", "machine hangs"}, nil, 0, false},
+	{"a delayed start across a crash", false, 5, []string{"next start is delayed", "delayed start arrives", "a crashes", "machine unreachable", "b migrates the task"}, nil, step, false},
+	{"machine failures", true, 4, []string{"machine reaches no controller", "paths recover", "machine hangs", "machine resumes", "a cancels", "a crashes", "outage"}, nil, 0, false},
+	{"copies of answered starts", true, 5, []string{"the task fails", "copies of answered starts arrive", "the copies arrive again", "b raises the term", "b migrates the task", "c cancels", "a crashes", "b crashes"},
+		[]mutant{"attempts are forgotten under the term of their starts"}, 0, true},
 }
 
 // TestModel guards that in no history of any family a task of the job is on a machine, or starts, later than cancelTime
--- a/internal/leasegrant/model_test.go
+++ b/internal/leasegrant/model_test.go
@@ -49,8 +49,10 @@
 	unlinked      [3]bool           // a controller's links to its peers are down
 	nextStartLate bool              // the next start is delayed in flight
 	heldUp        []commandRequest
-	cancelled     bool      // the cancellation is written to the store
-	confirmedAt   time.Time // to the user; zero: not yet
+	keepsCopies   bool
+	answered      []commandRequest // with starts, executed and answered, if keepsCopies
+	cancelled     bool             // the cancellation is written to the store
+	confirmedAt   time.Time        // to the user; zero: not yet
 	steps         int
 	events        int    // number of events that occurred
 	usedEvents    uint64 // bit set of the indices of these events
@@ -123,9 +125,9 @@
 
 func machineName(i int) string { return [2]string{"n-000000", "n-000004"}[i] }
 
-// newWorld returns a running deployment with an accepted job. If running is set, the job's task already runs.
-func newWorld(m mutant, running bool, lease time.Duration) *world {
-	w := &world{mutant: m, agentLease: lease, now: time.Unix(10000, 0).UTC(), replica: jobstate.NewReplica()}
+// newWorld returns a running deployment with an accepted job, as a family's histories begin.
+func newWorld(m mutant, f *family) *world {
+	w := &world{mutant: m, agentLease: agentLease + f.longerLease, now: time.Unix(10000, 0).UTC(), replica: jobstate.NewReplica(), keepsCopies: f.keepsCopies}
 	w.store = store{live: map[string]leadership.Presence{}, expires: map[string]time.Time{}}
 	for i := range names {
 		w.startController(i)
@@ -142,7 +144,7 @@
 		w.machines[i] = &machine{index: i, incarnation: 1, leaseRenewedAt: w.now, reportsTo: i}
 	}
 	w.advance()
-	if running {
+	if f.running {
 		w.acceptJob()
 		for range 3 {
 			w.advance()
