loadtest: hollow agents list each attempt until it is forgotten

A later attempt took the place of an exited one of the same task, so reports were shorter than a worker's would be, and a start refused as in_use was not listed.

--- a/internal/loadtest/agent.go
+++ b/internal/loadtest/agent.go
@@ -70,39 +70,37 @@
 	a.fencingToken = token
 }
 
-func (a *simulatedAgent) find(task string) int {
-	return slices.IndexFunc(a.tasks, func(t protocol.TaskStatus) bool { return t.Task == task })
+func (a *simulatedAgent) find(task string, attempt uint64) int {
+	return slices.IndexFunc(a.tasks, func(t protocol.TaskStatus) bool { return t.Task == task && t.Attempt == attempt })
 }
 
 func (a *simulatedAgent) execute(commands []protocol.Command) {
 	for _, c := range commands {
-		at := a.find(c.Task)
-		known := at >= 0 && a.tasks[at].Attempt == c.Attempt
+		at := a.find(c.Task, c.Attempt)
+		exited := at >= 0 && a.tasks[at].State == protocol.Exited
 		switch {
-		case c.Op == protocol.Start && !known:
-			a.start(c, at)
-		case c.Op == protocol.Stop && known && a.tasks[at].State != protocol.Exited:
+		case c.Op == protocol.Start && at < 0:
+			a.start(c)
+		case c.Op == protocol.Stop && at >= 0 && !exited:
 			a.exit(at, protocol.ReasonStopped)
-		case c.Op == protocol.Forget && known && a.tasks[at].State == protocol.Exited:
+		case c.Op == protocol.Forget && exited:
 			a.tasks = slices.Delete(a.tasks, at, at+1)
 			a.requestHeartbeat()
 		}
 	}
 }
 
-// start starts a task. It replaces an exited attempt at the index, if there is one.
-func (a *simulatedAgent) start(c protocol.Command, at int) {
-	if at >= 0 && a.tasks[at].State != protocol.Exited {
-		return // another attempt of the task is running
-	}
-	if at >= 0 {
-		a.tasks = slices.Delete(a.tasks, at, at+1)
+// start starts an attempt that is not listed, or refuses it.
+func (a *simulatedAgent) start(c protocol.Command) {
+	inUse := slices.ContainsFunc(a.tasks, func(t protocol.TaskStatus) bool { return t.Task == c.Task && t.State != protocol.Exited })
+	if inUse {
+		a.refuse(c, protocol.ReasonInUse)
+		return
 	}
 	uid, _, _ := protocol.SplitTask(c.Task)
 	name, ok := parseJobName(uid)
 	if !ok {
-		a.tasks = append(a.tasks, protocol.TaskStatus{Task: c.Task, Attempt: c.Attempt, State: protocol.Exited, Reason: protocol.ReasonNoSuch})
-		a.requestHeartbeat()
+		a.refuse(c, protocol.ReasonNoSuch)
 		return
 	}
 	a.tasks = append(a.tasks, protocol.TaskStatus{Task: c.Task, Attempt: c.Attempt, State: protocol.Running})
@@ -113,10 +111,16 @@
 	}
 }
 
+// refuse lists an attempt as exited without starting it.
+func (a *simulatedAgent) refuse(c protocol.Command, why protocol.ExitReason) {
+	a.tasks = append(a.tasks, protocol.TaskStatus{Task: c.Task, Attempt: c.Attempt, State: protocol.Exited, Reason: why})
+	a.requestHeartbeat()
+}
+
 func (a *simulatedAgent) complete(task string, attempt uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if at := a.find(task); at >= 0 && a.tasks[at].Attempt == attempt && a.tasks[at].State == protocol.Running {
+	if at := a.find(task, attempt); at >= 0 && a.tasks[at].State == protocol.Running {
 		a.exit(at, protocol.ReasonDone)
 	}
 }
