controller: log a term that was only raised without all members and shards

The term is raised about every 30 s while tasks end. Each raise logged every shard with its owner, some 100 KB with 950 teams. A record that differs from the one before in nothing but its term is logged as "term raised term=N" now.

--- a/internal/controller/record.go
+++ b/internal/controller/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 
@@ -29,13 +30,13 @@
 
 // adopt replaces the known membership record and applies what changes with it.
 func (n *Node) adopt(r *leadership.Record, version uint64) {
-	now := time.Now()
+	now, before := time.Now(), n.leadership.Record()
 	changes := n.leadership.Adopt(r, version, now)
 	if changes == nil {
 		return
 	}
 	if changes.TermChanged {
-		n.log.Info("membership record", "term", r.Term, "members", r.Members(), "shards", r.Shards)
+		n.logRecord(r, before)
 		n.agents.SetTerm(r.Term, func(m string) bool { return r.Home(m) == n.name })
 		n.endCommandSenders()
 	}
@@ -56,6 +57,15 @@
 	n.wake()
 }
 
+// logRecord logs a record of a later term; its members and shards only if they differ from those of the record before.
+func (n *Node) logRecord(r, before *leadership.Record) {
+	if before != nil && slices.Equal(before.Members(), r.Members()) && reflect.DeepEqual(before.Shards, r.Shards) {
+		n.log.Info("term raised", "term", r.Term)
+		return
+	}
+	n.log.Info("membership record", "term", r.Term, "members", r.Members(), "shards", r.Shards)
+}
+
 // endCommandSenders stops the goroutines that send commands to machines whose home is now another controller.
 func (n *Node) endCommandSenders() {
 	for name, sender := range n.commandSenders {
