--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -344,3 +344,73 @@
 	}
 	return n
 }
+
+// caseReport: the cloud has fewer machines to give; a team's small tasks fill the reports of all of them, and a job
+// within another team's guarantee waits beside free cores.
+func caseReport(root, record, dir string, seed int64) int {
+	w := begin(peaje(), root, record, dir, seed)
+	if trouble() {
+		// As in the site file: count = 0.5, spot = 0.0 in santiago-centro, for 100 s.
+		w.cloud.mu.Lock()
+		w.cloud.capacity["cordillera-16/santiago-centro/false"] = 3
+		w.cloud.capacity["cordillera-16/santiago-centro/true"] = 0
+		w.cloud.mu.Unlock()
+		w.rec("the cloud has fewer machines to give: 3 ordinary ones and no cheap one in santiago-centro")
+	}
+	// Work that brings 15 machines up: it takes 100 of 128 GB and one of 16 cores of each.
+	e := &Spec{UID: "job-000500", Clase: "plate-match", Equipo: "cobranza", Tipo: "batch", Prioridad: "standard", Tramos: 15, Cores: 1, RAM: 100,
+		Imagen: "img-1", ImageGB: 0.1, Prestadas: true, Estimado: 300, run: 300}
+	if st := w.Submit(e, 10*time.Second); st != 201 && st != 200 {
+		return w.norun("first work not accepted")
+	}
+	if !until(30*time.Second, func() bool { return len(w.check.onMachines(e.UID)) == 15 }) {
+		return w.norun(fmt.Sprintf("only %d machines have work", len(w.check.onMachines(e.UID))))
+	}
+	s := &Spec{UID: "job-000501", Clase: "plate-match", Equipo: "cobranza", Tipo: "batch", Prioridad: "standard", Tramos: 8000, Cores: 0.025, RAM: 0.01,
+		Imagen: "img-1", ImageGB: 0.1, Prestadas: true, Estimado: 300, run: 300}
+	if st := w.Submit(s, 10*time.Second); st != 201 && st != 200 {
+		return w.norun("small tasks not accepted")
+	}
+	n, want := 0, 8000
+	if trouble() {
+		want = 7350 // about 495 on each of 15 machines
+	}
+	if !until(40*time.Second, func() bool { n = len(w.check.onMachines(s.UID)); return n >= want }) {
+		return w.norun(fmt.Sprintf("only %d small tasks run", n))
+	}
+	time.Sleep(2 * time.Second)
+	n = len(w.check.onMachines(s.UID))
+	w.rec("cobranza runs %d small tasks, %.0f cores in all; it is guaranteed 160", n, s.Cores*float64(n)+15)
+	a := &Spec{UID: "job-000502", Clase: "dispute-rerun", Equipo: "fiscalia-ops", Tipo: "batch", Prioridad: "high", Tramos: 1, Cores: 2, RAM: 12,
+		Imagen: "img-1", ImageGB: 0.1, Prestadas: true, Estimado: 20, run: 5}
+	if st := w.Submit(a, 10*time.Second); st != 201 && st != 200 {
+		return w.norun("job not accepted")
+	}
+	from, used, room, up := time.Now(), 0.0, 0, 0
+	for time.Since(w.began) < 114*time.Second && time.Since(from) < 90500*time.Millisecond {
+		time.Sleep(time.Second)
+		st, state := w.call(0, "ask", a.UID, nil)
+		if len(w.check.onMachines(a.UID)) > 0 || state == "done" {
+			return w.finish(fmt.Sprintf("the job within its team's guarantee started after %.0f s", time.Since(from).Seconds()), false)
+		}
+		tasks := map[string]int{}
+		for _, p := range w.check.onMachines(s.UID) {
+			tasks[p.machine]++
+		}
+		used, room, up = 0, 0, len(w.cloud.Workers())
+		for _, k := range tasks { // besides one task of the first work
+			used += e.Cores + s.Cores*float64(k)
+			if 16-e.Cores-s.Cores*float64(k) >= a.Cores && 128-e.RAM-s.RAM*float64(k) >= a.RAM {
+				room++
+			}
+		}
+		if int(time.Since(from).Seconds())%10 == 0 {
+			w.rec("fiscalia-ops waits for %.0f s, told %d %s; cobranza uses %.0f cores; %d of %d machines have 2 free cores", time.Since(from).Seconds(), st, state, used, room, up)
+		}
+	}
+	if time.Since(from) < 90*time.Second {
+		return w.norun("not enough time left")
+	}
+	return w.finish(fmt.Sprintf("a high job of fiscalia-ops (2 of 128 guaranteed cores) waited for %.0f s for standard work of cobranza beyond its guarantee (%.0f of 160 cores), while %d of %d machines had 2 free cores",
+		time.Since(from).Seconds(), used, room, up), used > 160)
+}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -47,4 +47,5 @@
 	"guarantee": caseGuarantee,
 	"gang":      caseGang,
 	"image":     caseImage,
+	"report":    caseReport,
 }
