--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -241,9 +241,19 @@
 				}
 			}
 		}
+		// They fail together, so that none of their tasks is stopped before it fails.
 		for _, m := range bad {
 			m.mu.Lock()
+		}
+		for _, m := range bad {
 			m.faulty = true
+			for _, t := range m.tasks {
+				if t.State == "running" {
+					m.exit(t, "error", false)
+				}
+			}
+		}
+		for _, m := range bad {
 			m.mu.Unlock()
 			w.rec("machine %s is faulty: its tasks fail", m.name)
 		}
