jobstate: a gang's fetches go on when others of its tasks exit as incomplete

Cause, from the debug log of a failed run: 30.0 s after its start the task on the machine with the image exits as "incomplete"; 18 ms later the owner stops the task that is still pulling (command sent op=stop, released why=stopped), so the machine gives the fetch up; 2 s later the next attempt begins the same fetch anew. Four such rounds, 32 s each.

Change: the tasks that are pulling finish their fetches; only then the attempt is stopped and the next one begins, on the machines of the last one. Until then the places of the exited tasks are held: the owner's and the peers' passes leave the room free (demand.held, a new field), the fleet's owner neither releases nor retires these machines and rents none for the tasks. A raised term does not end the wait: the term is raised for exits every 30 s. After two minutes, doubled each time, the wait ends and the machines still fetching are avoided. Stops for any other reason (cancellation, eviction notice, lowered limits) end it at once. What proves an attempt off its machine, tokens and forget are untouched.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -44,6 +44,7 @@
 type Demand struct {
 	Spec            *protocol.Submission
 	Count           int
+	Held            []string  // machines that hold room for further tasks of the job and stay in service
 	Due             time.Time // target completion time of the job
 	CPUsBeyondQuota float64   // CPUs requested by its class beyond its team's quota; Count is 0 if set
 	PreferSpot      bool      // acquires on-demand machines only if no capacity is expected otherwise
@@ -111,6 +112,7 @@
 	bootTimes        map[pool]*bootHistory
 	booting          map[string]bool      // machines without a heartbeat as of the last decision
 	retired          map[string]bool      // machines that get no more tasks
+	held             map[string]bool      // machines that hold room for a job, as of the last decision
 	waitingSince     map[string]time.Time // by job, since when it has had waiting tasks
 	scaledOutAt      time.Time            // when machines were last requested
 	forecastStarts   map[string]time.Time // by job, forecast start of its last task; the earliest forecast counts
@@ -213,6 +215,7 @@
 			live = append(live, m)
 		}
 	}
+	a.recordHeld(demands)
 	a.retire(live, d.types, demands, now)
 	a.returnNeeded(live, types, demands, now)
 	plan.Retire = a.retiredMachines(live)
@@ -220,7 +223,7 @@
 	bins = append(bins, a.pendingBins(d.types)...)
 	a.scaleOut(&plan, types, bins, demands, arrivals, now)
 	if len(plan.ScaleOut) == 0 {
-		a.scaleInIdle(&plan, d.types, idleMachines(live), len(bins)+len(plan.Retire), now)
+		a.scaleInIdle(&plan, d.types, a.idleMachines(live), len(bins)+len(plan.Retire), now)
 	}
 	return plan
 }
@@ -251,6 +254,16 @@
 	return operating
 }
 
+// recordHeld records the machines that hold room for jobs.
+func (a *Autoscaler) recordHeld(demands []Demand) {
+	a.held = map[string]bool{}
+	for i := range demands {
+		for _, machine := range demands[i].Held {
+			a.held[machine] = true
+		}
+	}
+}
+
 // retiredMachines returns the names of the operating machines that are retired.
 func (a *Autoscaler) retiredMachines(live []*Machine) (names []string) {
 	for _, m := range live {
@@ -261,10 +274,10 @@
 	return names
 }
 
-// idleMachines returns the machines without tasks.
-func idleMachines(live []*Machine) (idle []*Machine) {
+// idleMachines returns the machines without tasks that hold no room for any.
+func (a *Autoscaler) idleMachines(live []*Machine) (idle []*Machine) {
 	for _, m := range live {
-		if !m.IdleSince.IsZero() {
+		if !m.IdleSince.IsZero() && !a.held[m.Name] {
 			idle = append(idle, m)
 		}
 	}
--- a/internal/autoscaler/retire.go
+++ b/internal/autoscaler/retire.go
@@ -61,7 +61,7 @@
 		isLive[m.Name] = true
 	}
 	for name := range a.retired {
-		if !isLive[name] || onDemandOnly {
+		if !isLive[name] || onDemandOnly || a.held[name] {
 			delete(a.retired, name)
 		}
 	}
@@ -117,7 +117,7 @@
 		if now.Sub(a.scaledOutAt) < retirePause || room-1 < 2*freeReserveShare*(kept-1) || kept <= warm {
 			break
 		}
-		if !a.retired[m.Name] && a.hasCheaperSpot(m, t) && !m.runsOnDemandOnly() && !m.runsService() {
+		if !a.retired[m.Name] && a.hasCheaperSpot(m, t) && !m.runsOnDemandOnly() && !m.runsService() && !a.held[m.Name] {
 			a.retired[m.Name] = true
 			room--
 			kept--
--- a/internal/autoscaler/retire_test.go
+++ b/internal/autoscaler/retire_test.go
@@ -249,3 +249,23 @@
 		t.Error("an earlier wait counts although nothing waited in between")
 	}
 }
+
+// TestHeldMachineStaysInService guards against the release of a machine that holds room for a gang which waits for its image
+// elsewhere: the next attempt would have to fetch the image on another machine.
+func TestHeldMachineStaysInService(t *testing.T) {
+	for _, held := range []bool{false, true} {
+		a, types, now := setup()
+		old := now.Add(-time.Hour)
+		ms := []Machine{{Name: "n-0", Type: "m8", Zone: "a", LastHeartbeat: now, IdleSince: old, AcquiredAt: old, FreeCPUs: 8, FreeMemory: 64},
+			{Name: "n-1", Type: "m8", Zone: "a", LastHeartbeat: now, AcquiredAt: old, FreeCPUs: 7, FreeMemory: 64}}
+		demand := Demand{Spec: &protocol.Submission{CPUs: 8, Spot: true}}
+		if held {
+			demand.Held = []string{"n-0"}
+		}
+		a.retired["n-0"] = true
+		plan := a.Decide(types, ms, []Demand{demand}, nil, now, old)
+		if released := slices.Contains(plan.ScaleIn, "n-0"); released == held || held && slices.Contains(plan.Retire, "n-0") {
+			t.Errorf("held %v: releases %v, retires %v", held, plan.ScaleIn, plan.Retire)
+		}
+	}
+}
--- a/internal/controller/autoscaling_inputs.go
+++ b/internal/controller/autoscaling_inputs.go
@@ -143,7 +143,8 @@
 		behind := time.Duration(d.QuotaDelay) * time.Millisecond
 		list = append(list, autoscaler.Demand{
 			Spec:            specInZone(j.spec, d.Zone),
-			Count:           d.Count,
+			Count:           d.Count - len(d.Held),
+			Held:            d.Held,
 			CPUsBeyondQuota: d.CPUsBeyondQuota,
 			Due:             n.dueTime(j, now).Add(-behind),
 			PreferSpot:      protocol.Rank(j.spec.Priority) == 0 && len(n.objectives(j)) == 0,
--- a/internal/controller/demands.go
+++ b/internal/controller/demands.go
@@ -35,6 +35,7 @@
 			CPUsBeyondQuota: d.CPUsBeyondQuota,
 			Prioritized:     prioritized[i],
 			Zone:            boundZone(team, d.Spec),
+			Held:            d.Held,
 		})
 	}
 	return all
--- a/internal/controller/demands_test.go
+++ b/internal/controller/demands_test.go
@@ -42,3 +42,17 @@
 		}
 	}
 }
+
+// TestHeldRoomIsNotAcquiredAgain: the fleet's owner acquires no machines for tasks whose room is held for them, and learns
+// where that is.
+func TestHeldRoomIsNotAcquiredAgain(t *testing.T) {
+	g := newNodeHarness(2, 1)
+	g.n.mu.Lock()
+	defer g.n.mu.Unlock()
+	spec := &protocol.Submission{UID: "job-000001", Team: "team-0", Kind: protocol.Gang, Priority: "high", Tasks: 4, CPUs: 4, EstimateSeconds: 10}
+	g.n.learnJob(userapi.ActiveJob{SubmittedAtMillis: g.now.UnixMilli(), Spec: spec}, 1)
+	list := g.n.appendFleetDemands(nil, []demand{{Job: spec.UID, Count: 3, Held: g.machineNames}}, g.now)
+	if len(list) != 1 || list[0].Count != 1 || len(list[0].Held) != 2 {
+		t.Fatalf("demands %+v, want one task and two held machines", list)
+	}
+}
--- a/internal/jobstate/demand.go
+++ b/internal/jobstate/demand.go
@@ -11,6 +11,7 @@
 	Spec            *protocol.Submission
 	Count           int           // number of tasks
 	Borrowed        bool          // beyond the team's guarantee
+	Held            []string      // machines that hold room for some of the tasks, one entry for each of these; see HeldPlaces
 	Probe           bool          // one task of a faulty job, to find out whether it still fails
 	FirstTask       bool          // the first task of a large array that has waited long; served before more urgent demands
 	CPUsBeyondQuota float64       // CPUs that waiting tasks of the job's class need beyond the quota; if set, Count is 0
@@ -20,6 +21,7 @@
 // demandPlan is one pass over the jobs that wait for quota, in the order in which they are served.
 type demandPlan struct {
 	quota     *Quota
+	now       time.Time
 	requested Resources // the quota in use plus the demands so far
 	committed Resources // the same plus what is reserved; later jobs get the rest of the quota
 
@@ -43,7 +45,7 @@
 // while quota is unused.
 func (q *Quota) Demands(now time.Time) []Demand {
 	charged := q.charged()
-	p := demandPlan{quota: q, requested: charged, committed: charged, beyondByClass: map[string]int{}}
+	p := demandPlan{quota: q, now: now, requested: charged, committed: charged, beyondByClass: map[string]int{}}
 	p.shortfalls, p.shortfall = q.floorShortfalls(q.limits.Max.CPUs - charged.CPUs)
 	waiting, _ := q.waitingJobs(now)
 	p.addFirstTasks(waiting, now)
@@ -114,11 +116,14 @@
 	p.commit(j, unstarted, fit)
 	p.reduceShortfall(j, fit)
 	p.addBeyondQuota(j, unstarted-fit)
+	held := j.HeldPlaces(p.now)
 	if withinGuarantee > 0 {
-		p.demands = append(p.demands, Demand{Spec: j.Spec, Count: withinGuarantee})
+		heldWithin := held[:min(withinGuarantee, len(held))]
+		held = held[len(heldWithin):]
+		p.demands = append(p.demands, Demand{Spec: j.Spec, Count: withinGuarantee, Held: heldWithin})
 	}
 	if borrowed := fit - withinGuarantee; borrowed > 0 {
-		p.demands = append(p.demands, Demand{Spec: j.Spec, Count: borrowed, Borrowed: true})
+		p.demands = append(p.demands, Demand{Spec: j.Spec, Count: borrowed, Borrowed: true, Held: held[:min(borrowed, len(held))]})
 	}
 }
 
--- a/internal/jobstate/gang.go
+++ b/internal/jobstate/gang.go
@@ -1,6 +1,8 @@
 package jobstate
 
 import (
+	"time"
+
 	"topazhollow/internal/protocol"
 )
 
@@ -24,6 +26,7 @@
 	}
 	if id == 0 {
 		j.mustRestart = false
+		j.images.since = time.Time{}
 	}
 	return missing, id
 }
@@ -39,18 +42,24 @@
 		id = AttemptID(t.term, t.lastAttempt)
 	}
 	t.placeTasks(j, id, at)
+	j.images.end()
 	t.quota.gangs.placed()
 	return true
 }
 
 // stopIncompleteGangs stops the remaining tasks of gangs that must restart, and of gangs that were placed in an earlier
-// term and are incomplete. The next attempt starts once all tasks of the gang are proven to be off their machines.
-func (t *Team) stopIncompleteGangs() {
+// term and are incomplete, unless they are to finish fetching the image first. The next attempt starts once all tasks of the
+// gang are proven to be off their machines.
+func (t *Team) stopIncompleteGangs(now time.Time) {
 	for _, j := range t.jobs.byUID {
 		if j.Spec.Kind != protocol.Gang || len(j.attempts) == 0 {
 			continue
 		}
-		if j.mustRestart || j.isIncompleteFromOtherTerm(t.term) {
+		if j.fetchesOverdue(now) {
+			t.log("gang's image was not fetched in time", "task", j.Spec.UID, "waited", now.Sub(j.images.since))
+			j.giveUpFetches(now)
+		}
+		if !j.awaitsImages(now) && (j.mustRestart || j.isIncompleteFromOtherTerm(t.term)) {
 			t.StopJob(j, j.Spec.CheckpointSeconds)
 		}
 	}
--- a/internal/jobstate/gang_test.go
+++ b/internal/jobstate/gang_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"topazhollow/internal/protocol"
 )
@@ -95,3 +97,25 @@
 		t.Fatal("one task is done but the gang is not complete")
 	}
 }
+
+// TestStoppedGangGivesItsFetchesUp checks that a gang that waits for its image holds the places of its exited tasks, and
+// that its other tasks are stopped at once and the places soon given up when the gang is to be stopped for another reason,
+// such as a machine that the cloud takes back.
+func TestStoppedGangGivesItsFetchesUp(t *testing.T) {
+	m, j, locations := newModelWithGang(t)
+	m.team.PlaceGang(j, 0, locations)
+	id := AttemptID(1, 1)
+	observeGangTask(m, j, id, 1, protocol.Pulling, "")
+	observeGangTask(m, j, id, 2, protocol.Pulling, "")
+	observeGangTask(m, j, id, 0, protocol.Exited, protocol.ReasonIncomplete)
+	due := func() int { return len(m.team.TakeDueOrders(99, m.now, func(string, uint64) bool { return true })) }
+	if stops, held := due(), j.HeldPlaces(m.now); stops != 0 || !slices.Equal(held, []string{"m0"}) {
+		t.Fatalf("stops on %d machines, %v held; want none while the image is fetched, and m0 held", stops, held)
+	}
+	until := m.now.Add(placeHold)
+	m.now = m.now.Add(time.Second)
+	m.team.StopJob(j, 0)
+	if stops, held := due(), j.HeldPlaces(until); stops != 2 || len(held) != 0 {
+		t.Fatalf("stops on %d machines, want 2; %v held", stops, held)
+	}
+}
--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -49,6 +49,7 @@
 	unsaved       bool              // some done tasks are not saved there
 	retryAt       map[int]time.Time // by task; not placed before this time
 	mustRestart   bool              // a gang whose present attempt must end before the next
+	images        imageWait         // of a gang
 }
 
 // avoidance is how a job treats a machine on which an attempt failed: until retryFrom no task is placed there, and from
@@ -151,9 +152,10 @@
 	return max(0, j.Spec.Tasks-j.doneCount()-len(j.attempts))
 }
 
-// HasWaitingTasks reports whether some tasks would be placed now if there were capacity. Faulty jobs have none.
+// HasWaitingTasks reports whether some tasks would be placed now if there were capacity. Faulty jobs have none, nor have
+// gangs that wait for an image.
 func (j *Job) HasWaitingTasks(now time.Time) bool {
-	return !j.Ended && !j.Finishing && !j.faulty && !now.Before(j.backoffUntil) && j.Unstarted() > 0
+	return !j.images.active() && !j.Ended && !j.Finishing && !j.faulty && !now.Before(j.backoffUntil) && j.Unstarted() > 0
 }
 
 // Running calls f for each assignment that was last listed as running.
@@ -307,7 +309,9 @@
 	case protocol.ReasonFull:
 		j.avoid(a.Machine, now, avoidWhileFull, avoidWhileFull)
 	case protocol.ReasonIncomplete:
-		j.backoffUntil = now.Add(backoffIncomplete)
+		if !j.images.active() {
+			j.backoffUntil = now.Add(backoffIncomplete)
+		}
 	case protocol.ReasonInUse, protocol.ReasonNoSuch:
 		j.retryAt[a.Index] = now.Add(retryDelay)
 	}
--- a/internal/jobstate/orders.go
+++ b/internal/jobstate/orders.go
@@ -21,7 +21,7 @@
 	acked uint64, now time.Time, ready func(machine string, incarnation uint64) bool,
 ) map[string][]Order {
 	due := map[string][]Order{}
-	t.stopIncompleteGangs()
+	t.stopIncompleteGangs(now)
 	for a := range t.assignments.openOrders {
 		if now.Sub(a.lastOrdered) < resendInterval {
 			continue
--- a/internal/jobstate/team.go
+++ b/internal/jobstate/team.go
@@ -309,6 +309,9 @@
 		t.completeTask(a.TaskID)
 	}
 	j := t.Job(a.Job)
+	if j != nil && j.recordIncomplete(a, x.Reason, now) {
+		t.log("gang waits for its image", "task", a.Job, "attempt", a.Attempt)
+	}
 	t.release(a, x.Reason)
 	if j == nil {
 		return
--- a/internal/scheduler/gangs.go
+++ b/internal/scheduler/gangs.go
@@ -13,6 +13,7 @@
 	if len(missing) == 0 {
 		return true // the gang is running or ending
 	}
+	p.releasePlaces(w.spec.UID, ask)
 	for _, zone := range p.scheduler.candidateZones(w) {
 		if p.placeGangIn(zone, w, ask, missing, attempt) {
 			return true
@@ -57,12 +58,18 @@
 	zones := p.scheduler.zoneRule(w)
 	taken := map[int]*placement.Host{}
 	for _, index := range missing {
-		choose := func(avoids func(machine string, now time.Time) bool) *placement.Host {
-			return p.scheduler.chooseHost(p.hosts, ask, func(h *placement.Host) bool {
+		skips := func(avoids func(machine string, now time.Time) bool) func(*placement.Host) bool {
+			return func(h *placement.Host) bool {
 				return (zone != anyZone && h.Zone != zone) || avoids(h.Name, p.now) || !zones.allows(h)
-			})
+			}
+		}
+		choose := func(avoids func(machine string, now time.Time) bool) *placement.Host {
+			return p.scheduler.chooseHost(p.hosts, ask, skips(avoids))
+		}
+		h := p.formerHost(w, ask, index, skips(w.job.Avoids))
+		if h == nil {
+			h = choose(w.job.Avoids)
 		}
-		h := choose(w.job.Avoids)
 		if h == nil && w.job.AvoidsAny() {
 			h = choose(w.job.Excludes)
 		}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -24,22 +24,28 @@
 	snapshot        Snapshot
 	now             time.Time
 	teams           []Team
-	queue           []waitingTasks         // most urgent first
-	hosts           []*placement.Host      // with the capacity that this pass has left free; see allocate
-	hostsCurrent    bool                   // the scheduler's hosts were updated for this pass
-	unplaceableAsks []*placement.Request   // requests that no longer fit any host
-	unplaced        []waitingTasks         // own tasks that could not be placed
-	unplacedGangs   []*waitingTasks        // gangs of the current urgency class that could not be placed as a whole
-	reserved        map[reservationKey]int // number of tasks that capacity is reserved for
+	queue           []waitingTasks               // most urgent first
+	hosts           []*placement.Host            // with the capacity that this pass has left free; see allocate
+	hostsCurrent    bool                         // the scheduler's hosts were updated for this pass
+	unplaceableAsks []*placement.Request         // requests that no longer fit any host
+	unplaced        []waitingTasks               // own tasks that could not be placed
+	unplacedGangs   []*waitingTasks              // gangs of the current urgency class that could not be placed as a whole
+	reserved        map[reservationKey]int       // number of tasks that capacity is reserved for
+	holds           []Demand                     // those whose jobs hold room on machines
+	held            map[string][]*placement.Host // by job, where room that it holds was taken out of the pass
 	evictions       []Eviction
 }
 
 // Pass places the waiting tasks that fit, most urgent first, and selects preemption victims for those that do not.
 // Capacity needed by more urgent tasks of peer controllers is left free.
 func (s *Scheduler) Pass(snapshot Snapshot, now time.Time) Result {
-	p := &pass{scheduler: s, snapshot: snapshot, now: now, teams: snapshot.Teams(), reserved: map[reservationKey]int{}}
+	p := &pass{scheduler: s, snapshot: snapshot, now: now, teams: snapshot.Teams(), reserved: map[reservationKey]int{},
+		held: map[string][]*placement.Host{}}
 	p.buildQueue()
 	p.listHosts()
+	for _, d := range p.holds {
+		p.holdPlaces(d.Job, d.Held)
+	}
 	for i := range p.queue {
 		w := &p.queue[i]
 		if i > 0 && p.queue[i-1].compareClass(w) != 0 {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -37,6 +37,8 @@
 		return
 	}
 	for demand := range p.snapshot.PeerDemands(p.now) {
+		p.recordHeld(&demand)
+		demand.Count -= len(demand.Held)
 		p.enqueue(&waitingTasks{}, &demand)
 	}
 	sortQueue(p.queue)
@@ -49,7 +51,16 @@
 	for i := range demands {
 		d := &demands[i]
 		w := waitingTasks{team: team, job: team.Job(d.Spec.UID)}
-		p.enqueue(&w, &Demand{Job: d.Spec.UID, Count: d.Count, Prioritized: prioritized[i], Borrowed: d.Borrowed, Probe: d.Probe})
+		demand := Demand{Job: d.Spec.UID, Count: d.Count, Prioritized: prioritized[i], Borrowed: d.Borrowed, Held: d.Held, Probe: d.Probe}
+		p.recordHeld(&demand)
+		p.enqueue(&w, &demand)
+	}
+}
+
+// recordHeld records a demand whose job holds room on machines.
+func (p *pass) recordHeld(d *Demand) {
+	if len(d.Held) > 0 {
+		p.holds = append(p.holds, *d)
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -113,10 +113,11 @@
 // Demand is a request to place pending tasks of a job.
 type Demand struct {
 	Job         string
-	Count       int  // number of tasks
-	Prioritized int  // number of these tasks that are placed before more urgent work
-	Borrowed    bool // uses capacity beyond the team's guarantee
-	Probe       bool // tests whether a faulty job still fails
+	Count       int      // number of tasks
+	Prioritized int      // number of these tasks that are placed before more urgent work
+	Borrowed    bool     // uses capacity beyond the team's guarantee
+	Held        []string // machines that hold room for some of the tasks, one entry for each of these
+	Probe       bool     // tests whether a faulty job still fails
 }
 
 // Eviction is a request to stop a task in favor of a job of higher priority.
