jobstate: no place of a gang is held on a machine that no longer exists

A gang that waits for its image held the place of an exited task although the machine was returned meanwhile, so that the fleet's owner rented no other one until the wait was over. The place is given up with the machine.

--- a/internal/jobstate/gangimages.go
+++ b/internal/jobstate/gangimages.go
@@ -37,6 +37,11 @@
 // end ends the wait and gives the places up.
 func (w *imageWait) end() { *w = imageWait{failed: w.failed} }
 
+// releasePlaces gives up the places on a machine.
+func (w *imageWait) releasePlaces(machine string) {
+	maps.DeleteFunc(w.places, func(_ int, name string) bool { return name == machine })
+}
+
 // HeldPlaces returns the machines that have room for the gang's next attempt, which is not to be used otherwise: one entry
 // for each task, sorted.
 func (j *Job) HeldPlaces(now time.Time) []string {
--- a/internal/jobstate/observe.go
+++ b/internal/jobstate/observe.go
@@ -163,4 +163,7 @@
 		t.release(a, "machine returned")
 	}
 	t.quota.orphans.release(machine)
+	for _, j := range t.jobs.byUID {
+		j.images.releasePlaces(machine)
+	}
 }
