scheduler: replicas of services may be preempted

Cause: a task with less than 60 s left and more than half of its estimate behind it is not stopped. The estimate of a service is 0, so that every replica counted as nearly done from its first second. Change: replicas have no end and never count as nearly done.

--- a/internal/scheduler/preemption_test.go
+++ b/internal/scheduler/preemption_test.go
@@ -76,3 +76,29 @@
 		}
 	}
 }
+
+// TestServiceIsPreempted guards against replicas of a service that keep all machines from work of higher priority within its
+// team's guarantee (review/6). They count as running for as long as they have, so that tasks that lose less are stopped first.
+func TestServiceIsPreempted(t *testing.T) {
+	for _, array := range []bool{false, true} {
+		c := newCluster(t, 2, 2)
+		c.submit(1, 0, protocol.Submission{UID: "job-000001", Kind: protocol.Service, Priority: "standard", Tasks: 3, CPUs: 16, MemoryGB: 1, Spot: true})
+		c.run(10)
+		fourth := protocol.Submission{UID: "job-000002", Kind: protocol.Service, Priority: "standard", Tasks: 1, CPUs: 16, MemoryGB: 1, Spot: true}
+		if array {
+			fourth.Kind, fourth.EstimateSeconds = protocol.JobArray, 600
+		}
+		c.submit(1, 0, fourth)
+		c.run(10)
+		c.submit(0, 0, protocol.Submission{UID: "job-000003", Kind: protocol.JobArray, Priority: "high", Tasks: 1, CPUs: 2, MemoryGB: 1, EstimateSeconds: 20, Spot: true})
+		victims := c.run(5)
+		if len(victims) != 1 {
+			t.Fatalf("array %v: %d tasks evicted, want one", array, len(victims))
+		}
+		for ref := range victims {
+			if ref.Job != "job-000002" {
+				t.Errorf("array %v: %v evicted, which has run longer than another task", array, ref)
+			}
+		}
+	}
+}
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -13,6 +13,13 @@
 // nearlyDoneSeconds is the remaining run time in seconds below which a task past half of its estimate is not stopped.
 const nearlyDoneSeconds = 60
 
+// isNearlyDone reports whether so little of a task that ran for a number of seconds is left that it is not stopped.
+// Replicas of a service run without an end.
+func isNearlyDone(spec *protocol.Submission, ran float64) bool {
+	left := spec.EstimateSeconds - ran
+	return spec.Kind != protocol.Service && ran > left && left < nearlyDoneSeconds
+}
+
 // victim is a running task that may be stopped in favor of others.
 type victim struct {
 	ref            jobstate.AttemptRef
@@ -69,7 +76,7 @@
 	v = victim{ref: ref, spec: j.Spec}
 	if since, running := m.runningSince[ref]; running {
 		ran := s.pass.now.Sub(since).Seconds()
-		if left := j.Spec.EstimateSeconds - ran; ran > left && left < nearlyDoneSeconds {
+		if isNearlyDone(j.Spec, ran) {
 			return v, false // too much progress would be lost
 		}
 		v.lostCPUSeconds = ran * j.Spec.CPUs
