quarantine: a service is sound again once a replica has run for long

Cause: failures on three machines mark a job as faulty, and only a task that completes ends that; a replica never does. Change: a replica that has run for 30 s makes its service sound; twice as long each further time, up to 32 min, so that replicas that fail late do not fill the machines again and again. Failures on three more machines mark the service again.

--- a/internal/controller/machinestatus.go
+++ b/internal/controller/machinestatus.go
@@ -226,6 +226,22 @@
 	}
 }
 
+// recordRuns ends the quarantine of the team's services of which a replica has run for long.
+func (n *Node) recordRuns(shard *shards.Owned, now time.Time) {
+	shard.Team().Jobs(func(job *jobstate.Job) {
+		if job.Spec.Kind != protocol.Service || !n.quarantine.IsJobFaulty(job.Spec.UID) {
+			return
+		}
+		job.Running(func(assignment jobstate.Assignment) {
+			since, running := n.scheduler.RunningSince(assignment.Machine, assignment.Ref())
+			if running && n.quarantine.RecordRun(job.Spec.UID, now.Sub(since)) {
+				n.log.Info("job no longer marked faulty: a task runs", "job", job.Spec.UID, "team", job.Spec.Team, "machine", assignment.Machine)
+				job.SetFaulty(false)
+			}
+		})
+	})
+}
+
 // sendChangedStatuses sends the statuses that changed to all peers.
 func (n *Node) sendChangedStatuses() {
 	for _, statuses := range n.agents.TakeChanged() {
--- a/internal/controller/step.go
+++ b/internal/controller/step.go
@@ -99,6 +99,7 @@
 	n.sendDueOrders(shard, shard.Replicas().AcknowledgedByAll(cluster), now)
 	n.commitFinishedJobs(shard)
 	if reviewRunning {
+		n.recordRuns(shard, now)
 		n.moveSlowTasks(shard, now)
 		n.evictFromNoticedMachines(shard)
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,5 +1,5 @@
 // Package quarantine attributes task failures to the job or to the machine. A job that fails on several machines and
-// succeeds on none is faulty. A machine is bad while several jobs that succeeded elsewhere have recently failed on it.
+// succeeds on none is faulty, until it succeeds or, if its tasks never end, one of them has run for long. A machine is bad while several jobs that succeeded elsewhere have recently failed on it.
 // The package only classifies: its callers place no tasks on bad machines, and try faulty jobs one task at a time. It
 // does no I/O and reads no clock. A Tracker is not safe for concurrent use; the controller's lock guards it.
 package quarantine
@@ -16,6 +16,10 @@
 	minFailures = 3
 	// failureTTL is how long a failure counts against a machine.
 	failureTTL = 5 * time.Minute
+	// provenRun is how long a task of a faulty job must have run for the job to be sound again, although the task has not
+	// ended. It doubles each time that the job is sound again, up to maxProvenDoublings times.
+	provenRun          = 30 * time.Second
+	maxProvenDoublings = 6
 )
 
 // Tracker records on which machines each job failed.
@@ -28,6 +32,7 @@
 type job struct {
 	succeeded bool
 	failed    map[string]bool // machines that it failed on; nil once it succeeded
+	recovered int             // how often it was sound again without a success
 }
 
 // New returns a Tracker without failures.
@@ -72,6 +77,22 @@
 	return wasFaulty
 }
 
+// RecordRun records that a task of a job has been running for a time, and reports whether that made a faulty job sound. It
+// is meant for tasks that never end: a replica of a service cannot succeed. Such a job is faulty again if it fails on as
+// many machines again.
+func (t *Tracker) RecordRun(uid string, ran time.Duration) (becameSound bool) {
+	if !t.IsJobFaulty(uid) {
+		return false
+	}
+	j := t.jobs[uid]
+	if ran < provenRun<<min(j.recovered, maxProvenDoublings) {
+		return false
+	}
+	j.failed = map[string]bool{}
+	j.recovered++
+	return true
+}
+
 // IsJobFaulty reports whether a job failed on several machines and succeeded on none.
 func (t *Tracker) IsJobFaulty(uid string) bool {
 	j := t.jobs[uid]
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -111,3 +111,21 @@
 	}
 	return true
 }
+
+// TestRunningTaskEndsQuarantine checks that a job whose tasks never end is sound again once one has run for long, and that
+// the time doubles each time, so that a job whose tasks fail late does not fill the machines again and again.
+func TestRunningTaskEndsQuarantine(t *testing.T) {
+	tracker, now := New(), time.Unix(1000, 0)
+	for i := range 10 {
+		for machine := range minFailures {
+			if tracker.RecordRun("job", time.Hour) {
+				t.Fatalf("round %d: a job with %d failures became sound", i, machine)
+			}
+			tracker.RecordFailure("job", fmt.Sprint("m-", machine), now)
+		}
+		ran := provenRun << min(i, maxProvenDoublings)
+		if tracker.RecordRun("job", ran-time.Second) || !tracker.RecordRun("job", ran) || tracker.IsJobFaulty("job") {
+			t.Fatalf("round %d: faulty or sound at a wrong time, want sound after %v", i, ran)
+		}
+	}
+}
