scheduler: preempt on machines whose heartbeats have no room

Cause: a task needs room in its machine's heartbeat, but the search for victims gave back only their CPUs, GPUs and memory, so that no set of victims ever made room there. Change: what a victim takes in the heartbeat counts as well. It is listed until it is forgotten, which needs a later term (up to 30 s), so that such an eviction lasts until then, up to a minute, and no second victim is chosen meanwhile.

Gangs still see CPUs, GPUs and memory only (internal/gangpreemption).

--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -98,7 +98,7 @@
 // stop evicts the chosen victims on a host for a job.
 func (r *preemption) stop(chosen evictionSet, job string) {
 	for i, v := range chosen.victims {
-		e := eviction{job: job, at: r.pass.now}
+		e := eviction{job: job, at: r.pass.now, listedOn: chosen.listedOn()}
 		if i == 0 { // the victims together make room for one task
 			e.tasks = 1
 		}
--- a/internal/scheduler/preemption_test.go
+++ b/internal/scheduler/preemption_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"topazhollow/internal/jobstate"
 	"topazhollow/internal/protocol"
 )
 
@@ -102,3 +103,37 @@
 		}
 	}
 }
+
+// TestPreemptionOnMachineWithFullHeartbeat guards against tasks that keep a machine whose heartbeat has no room for another
+// task, beside free CPUs, from work of higher priority within its team's guarantee (review/8). One task is stopped, and no
+// other one while that is still listed.
+func TestPreemptionOnMachineWithFullHeartbeat(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.submit(1, 0, protocol.Submission{UID: "job-000001", Kind: protocol.JobArray, Priority: "standard", Tasks: 1000, CPUs: 0.01, EstimateSeconds: 600, Spot: true})
+	c.run(5)
+	tasks := c.runningOn(c.machines[0])
+	if len(tasks) == 1000 {
+		t.Fatal("all tasks are placed, so the heartbeat is not full")
+	}
+	c.submit(0, 0, protocol.Submission{UID: "job-000002", Kind: protocol.JobArray, Priority: "high", Tasks: 1, CPUs: 2, EstimateSeconds: 20, Spot: true})
+	victims := c.run(30)
+	if len(victims) != 1 {
+		t.Fatalf("%d tasks evicted, want one", len(victims))
+	}
+	for i := range tasks {
+		if _, evicted := victims[tasks[i].Ref()]; evicted {
+			tasks[i].State, tasks[i].Reason = protocol.Exited, protocol.ReasonStopped
+		}
+	}
+	status := &jobstate.MachineStatus{Machine: c.machines[0], Type: "m32", Zone: "east", Incarnation: 1, Tasks: tasks}
+	c.teams[1].Observe(status, c.now, jobDirectory{c})
+	c.observe(0, tasks...)
+	c.now = c.now.Add(preemptionInterval)
+	if more := c.pass().Evictions; len(more) > 0 {
+		t.Errorf("%d tasks evicted while the first one is not forgotten", len(more))
+	}
+	c.run(1) // the exited task is no longer listed
+	if placed, _ := c.teams[0].Assignments().Count(); placed != 1 {
+		t.Error("the task is not placed once the heartbeat has room for it")
+	}
+}
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -96,6 +96,15 @@
 	host           *placement.Host // nil if no such set was found
 	victims        []victim
 	lostCPUSeconds float64 // CPU seconds of the victims' progress
+	listed         bool    // the host's heartbeat has no room for the task until victims are forgotten
+}
+
+// listedOn returns the host if its heartbeat has no room for the task yet, and "" otherwise.
+func (s *evictionSet) listedOn() string {
+	if s.listed {
+		return s.host.Name
+	}
+	return ""
 }
 
 // cheapestEvictionSet finds the host where making room for a task discards the least progress.
@@ -120,12 +129,13 @@
 // none or their loss is not below lowest.
 func (s *victimSearch) evictionSetOn(h *placement.Host, ask *placement.Request, rank int, lowest float64) (found evictionSet, ok bool) {
 	room := *h
-	found.host = h
+	found.host, found.listed = h, h.ListedBytes < ask.ListedBytes
 	for _, v := range s.candidatesOn(h) {
 		if protocol.Rank(v.spec.Priority) >= rank {
 			continue
 		}
 		room.Release(v.spec.CPUs, v.spec.GPUs, v.spec.MemoryGB)
+		room.ListedBytes += protocol.ListedBytes(protocol.TaskNameLength(v.ref.Job, v.ref.Index))
 		found.lostCPUSeconds += v.lostCPUSeconds
 		if found.lostCPUSeconds >= lowest {
 			return found, false
