jobstate: machines are acquired for a faulty job whose probe waits for room

Cause: failures on three machines mark a job as faulty, and the demand of its probe is left out of what the fleet's owner is told. A gang is placed whole or not at all, so that its success, which alone would end the mark, could not happen. Change: a probe that has waited for 5 s for room has machines acquired for it, of a gang for all its tasks, within the quota. The wait doubles with each probe that fails, up to 320 s, so that few machines are acquired for a job that fails everywhere.

--- a/internal/controller/demands.go
+++ b/internal/controller/demands.go
@@ -18,13 +18,17 @@
 	return all
 }
 
-// appendDemands adds the demands of one team, except those of faulty jobs, which only probe whether a task can run.
+// appendDemands adds the demands of one team. Those of faulty jobs, which only probe whether a task can run, are included
+// once they have waited for long.
 func (n *Node) appendDemands(all []demand, shard *shards.Owned, now time.Time) []demand {
 	team := shard.Team()
 	list := team.Quota().Demands(now)
 	prioritized := n.prioritizedTasks(shard, list, now)
 	for i, d := range list {
 		if d.Probe {
+			d.Count = d.ProbeTasks
+		}
+		if d.Probe && d.Count == 0 {
 			continue
 		}
 		all = append(all, demand{
--- a/internal/controller/demands_test.go
+++ b/internal/controller/demands_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"topazhollow/internal/jobstate"
 	"topazhollow/internal/protocol"
 	"topazhollow/internal/userapi"
 )
@@ -56,3 +57,34 @@
 		t.Fatalf("demands %+v, want one task and two held machines", list)
 	}
 }
+
+// TestProbeIsDemandedAfterAWait guards against a faulty job that no machine is acquired for, so that it never runs once the
+// machines with room for it are gone (review/4). A gang needs room for all of its tasks.
+func TestProbeIsDemandedAfterAWait(t *testing.T) {
+	for kind, tasks := range map[protocol.JobKind]int{protocol.Gang: 3, protocol.JobArray: 1} {
+		g := newNodeHarness(3, 1)
+		n := g.n
+		n.mu.Lock()
+		spec := &protocol.Submission{UID: "job-000001", Team: "team-0", Kind: kind, Priority: "high", Tasks: 3, CPUs: 20, MemoryGB: 1, EstimateSeconds: 10, Spot: true}
+		n.learnJob(userapi.ActiveJob{SubmittedAtMillis: g.now.UnixMilli(), Spec: spec}, 1)
+		n.place(g.now)
+		for _, name := range g.machineNames {
+			g.reportStatus(name, func(v *jobstate.MachineStatus) {
+				n.shards.OfTeam("team-0").Team().Assignments().On(name, func(a jobstate.Assignment) {
+					v.Tasks = append(v.Tasks, jobstate.TaskStatus{TaskID: a.TaskID, Attempt: a.Attempt, State: protocol.Exited, Reason: protocol.ReasonError})
+				})
+			})
+		}
+		demanded := func(after time.Duration) (count int) {
+			for _, d := range n.demands(g.now.Add(after)) {
+				count += d.Count
+			}
+			return count
+		}
+		soon, later := demanded(5*time.Second), demanded(time.Minute)
+		if !n.quarantine.IsJobFaulty(spec.UID) || soon != 0 || later != tasks {
+			t.Errorf("%s: faulty %v, %d tasks demanded after 5 s and %d after a minute, want 0 and %d", kind, n.quarantine.IsJobFaulty(spec.UID), soon, later, tasks)
+		}
+		n.mu.Unlock()
+	}
+}
--- a/internal/controller/machinestatus.go
+++ b/internal/controller/machinestatus.go
@@ -222,7 +222,7 @@
 		return
 	}
 	if shard := n.shards.OfTeam(j.spec.Team); shard != nil && shard.Phase() != shards.Loading {
-		shard.Team().Job(t.Job).SetFaulty(faulty)
+		shard.Team().Job(t.Job).SetFaulty(faulty, now)
 	}
 }
 
@@ -236,7 +236,7 @@
 			since, running := n.scheduler.RunningSince(assignment.Machine, assignment.Ref())
 			if running && n.quarantine.RecordRun(job.Spec.UID, now.Sub(since)) {
 				n.log.Info("job no longer marked faulty: a task runs", "job", job.Spec.UID, "team", job.Spec.Team, "machine", assignment.Machine)
-				job.SetFaulty(false)
+				job.SetFaulty(false, now)
 			}
 		})
 	})
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -202,5 +202,5 @@
 func (n *Node) addJob(shard *shards.Owned, j *job, done *bitset.BitSet) {
 	shard.Team().AddJob(j.spec, j.version, j.waitingSince, done)
 	shard.Team().Job(j.spec.UID).SetObjectives(n.objectives(j))
-	shard.Team().Job(j.spec.UID).SetFaulty(n.quarantine.IsJobFaulty(j.spec.UID))
+	shard.Team().Job(j.spec.UID).SetFaulty(n.quarantine.IsJobFaulty(j.spec.UID), time.Now())
 }
--- a/internal/jobstate/demand.go
+++ b/internal/jobstate/demand.go
@@ -13,6 +13,7 @@
 	Borrowed        bool          // beyond the team's guarantee
 	Held            []string      // machines that hold room for some of the tasks, one entry for each of these; see HeldPlaces
 	Probe           bool          // one task of a faulty job, to find out whether it still fails
+	ProbeTasks      int           // how many tasks of a probe machines are to be acquired for; 0: none
 	FirstTask       bool          // the first task of a large array that has waited long; served before more urgent demands
 	CPUsBeyondQuota float64       // CPUs that waiting tasks of the job's class need beyond the quota; if set, Count is 0
 	QuotaDelay      time.Duration // estimated time to run the tasks beyond the quota with the whole quota
@@ -100,13 +101,6 @@
 	p.committed.GPUs = min(p.committed.GPUs+needed.GPUs, max(p.committed.GPUs, limit.GPUs))
 }
 
-// addProbe adds a demand for one task of a faulty job, unless it has an attempt already.
-func (p *demandPlan) addProbe(j *Job) {
-	if len(j.attempts) == 0 {
-		p.trailing = append(p.trailing, Demand{Spec: j.Spec, Probe: true, Borrowed: true, Count: 1})
-	}
-}
-
 // addJob adds demands for as many of a job's unstarted tasks as fit the quota: first those within the guarantee, then
 // those that borrow.
 func (p *demandPlan) addJob(j *Job, unstarted int) {
--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -20,8 +20,6 @@
 	avoidWhileFull      = 1500 * time.Millisecond // the machine's next status arrives within this time
 	backoffIncomplete   = 2 * time.Second         // for a gang whose tasks did not all start
 	retryDelay          = 3 * time.Second         // for a task whose name is still in use on a machine
-	maxProbeBackoff     = time.Minute             // between probes of a faulty job
-	maxProbeDoublings   = 6
 	maxRetryDoublings   = 5
 )
 
@@ -42,6 +40,7 @@
 	objectives    Objectives
 	faulty        bool // assumed to fail everywhere: one task at a time is tried, with increasing backoff
 	failedProbes  int
+	probeSince    time.Time         // since when the next probe may start
 	running       int               // tasks that were last listed as running
 	attempts      map[int]*attempt  // by task; those that may be on machines
 	lowestPending int               // no task with a lower index can be pending
@@ -254,17 +253,6 @@
 	return b
 }
 
-// SetFaulty records whether the job is assumed to fail on every machine. Such a job requests capacity for one task
-// only, so that it neither fills the machines nor causes more of them to be rented. It is retried until its user
-// cancels it or a task succeeds. A nil job is ignored.
-func (j *Job) SetFaulty(faulty bool) {
-	if j == nil || j.faulty == faulty {
-		return
-	}
-	j.faulty, j.failedProbes, j.backoffUntil = faulty, 0, time.Time{}
-	clear(j.avoidances) // failures of a faulty job are no evidence against machines
-}
-
 // SetObjectives records when the job should be complete. Before the first call the job counts as one without
 // objectives. A nil job is ignored.
 func (j *Job) SetObjectives(objectives Objectives) {
@@ -301,10 +289,8 @@
 	case protocol.ReasonError:
 		if !j.faulty {
 			j.avoidAfterFailure(a.Machine, now)
-		} else if !now.Before(j.backoffUntil) {
-			j.failedProbes++
-			backoff := time.Second << min(j.failedProbes, maxProbeDoublings)
-			j.backoffUntil = now.Add(min(maxProbeBackoff, backoff))
+		} else {
+			j.recordFailedProbe(now)
 		}
 	case protocol.ReasonFull:
 		j.avoid(a.Machine, now, avoidWhileFull, avoidWhileFull)
--- a/internal/jobstate/jobstate_test.go
+++ b/internal/jobstate/jobstate_test.go
@@ -252,3 +252,26 @@
 		t.Errorf("an attempt of an earlier owner counts as returned: %v", got)
 	}
 }
+
+// TestProbesAreDemandedEverLater checks that the wait before machines are acquired for a faulty job doubles with each probe
+// that fails, so that few are acquired for a job that fails everywhere, and that none are beyond the quota.
+func TestProbesAreDemandedEverLater(t *testing.T) {
+	now := time.Unix(1000, 0)
+	team := NewTeam("t", Limits{Max: Resources{CPUs: 10, GPUs: math.Inf(1)}}, NewReplica(), 1, func(string, ...any) {})
+	team.AddJob(&protocol.Submission{UID: "job-1", Kind: protocol.Gang, Tasks: 5, CPUs: 2}, 1, now, nil)
+	j := team.Job("job-1")
+	j.SetFaulty(true, now)
+	tasks := func(at time.Time) int { return team.Quota().Demands(at)[0].ProbeTasks }
+	for failed := range 9 {
+		wait := firstProbeWait << min(failed, maxProbeDoublings)
+		if before, after := tasks(j.probeSince.Add(wait-time.Second)), tasks(j.probeSince.Add(wait)); before != 0 || after != 5 {
+			t.Fatalf("after %d failed probes %d and %d tasks are demanded around %v, want 0 and 5", failed, before, after, wait)
+		}
+		now = now.Add(time.Hour)
+		j.recordFailedProbe(now)
+	}
+	team.Quota().SetLimits(Limits{Max: Resources{CPUs: 9}})
+	if got := tasks(now.Add(time.Hour)); got != 0 {
+		t.Fatalf("%d tasks of 2 CPUs are demanded within a limit of 9", got)
+	}
+}
