--- a/internal/agents/liveness.go
+++ b/internal/agents/liveness.go
@@ -1,6 +1,10 @@
 package agents
 
-import "time"
+import (
+	"time"
+
+	"topazhollow/internal/instant"
+)
 
 // Liveness records when an agent was last known to be alive, whichever controller is its home.
 type Liveness struct {
@@ -19,8 +23,8 @@
 
 // RecordHomeHeartbeat records when another controller, the agent's home, reports to have received a heartbeat.
 func (l *Liveness) RecordHomeHeartbeat(at time.Time) {
-	l.HeardAt = later(l.HeardAt, at)
-	l.HomeHeardAt = later(l.HomeHeardAt, at)
+	l.HeardAt = instant.Later(l.HeardAt, at)
+	l.HomeHeardAt = instant.Later(l.HomeHeardAt, at)
 }
 
 // LastSeenAt returns when any controller last received a heartbeat of the agent, as far as known here. An agent that
@@ -30,5 +34,5 @@
 	if l.HeardAt.IsZero() {
 		return time.Time{}
 	}
-	return later(l.HeardAt, l.MisdirectedAt)
+	return instant.Later(l.HeardAt, l.MisdirectedAt)
 }
--- a/internal/agents/unreachablehomes.go
+++ b/internal/agents/unreachablehomes.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"topazhollow/internal/instant"
 )
 
 // Route is the decision about a heartbeat that should have been sent to another controller.
@@ -139,7 +141,7 @@
 }
 
 // reachedHomeAt returns when a heartbeat of the agent last reached its home or, if later, when homes last changed.
-func (m *Misdirected) reachedHomeAt() time.Time { return later(m.HomeHeardAt, m.SettledAt) }
+func (m *Misdirected) reachedHomeAt() time.Time { return instant.Later(m.HomeHeardAt, m.SettledAt) }
 
 // Homes looks up the homes of machines.
 type Homes interface {
@@ -181,11 +183,3 @@
 	}
 	return count
 }
-
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/arch/arch.go
+++ b/internal/arch/arch.go
@@ -22,6 +22,7 @@
 		"internal/tomlfile",
 		"internal/certs",
 		"internal/wait",
+		"internal/instant",
 		"internal/wal",
 	}},
 	{"subsystems", []string{
--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"topazhollow/internal/instant"
 	"topazhollow/internal/protocol"
 )
 
@@ -231,7 +232,7 @@
 // conditionOf classifies a machine.
 func (a *Autoscaler) conditionOf(m *Machine, d *decision) condition {
 	t := d.types[m.Type]
-	silence := d.now.Sub(later(m.LastHeartbeat, d.settled))
+	silence := d.now.Sub(instant.Later(m.LastHeartbeat, d.settled))
 	booting := m.LastHeartbeat.IsZero()
 	switch {
 	case m.ListedState == protocol.HostFailed, m.Faulty:
@@ -290,7 +291,8 @@
 		if a.retired[m.Name] {
 			continue
 		}
-		b := &bin{pool: m.pool(), totalCPUs: types[m.Type].CPUs, changes: []capacityChange{{0, m.FreeCPUs, m.FreeGPUs, m.FreeMemory}}}
+		b := m.presentBin()
+		b.totalCPUs = types[m.Type].CPUs
 		for _, task := range m.Tasks {
 			b.add(capacityChange{max(task.SecondsLeft, 1), task.CPUs, task.GPUs, task.Memory})
 		}
@@ -313,14 +315,6 @@
 	return bins
 }
 
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // ImageFetchSeconds returns how many seconds a machine takes to fetch a job's image. It assumes the slowest machine
 // type, since concurrent fetches share the rate.
 func ImageFetchSeconds(types []protocol.MachineType, s *protocol.Submission) float64 {
--- a/internal/autoscaler/bin.go
+++ b/internal/autoscaler/bin.go
@@ -30,6 +30,11 @@
 	return &bin{pool: p, totalCPUs: t.CPUs, changes: []capacityChange{{at, t.CPUs, t.GPUs, t.MemoryGB}}}
 }
 
+// presentBin returns a machine with its present room, which does not change.
+func (m *Machine) presentBin() *bin {
+	return &bin{pool: m.pool(), changes: []capacityChange{{0, m.FreeCPUs, m.FreeGPUs, m.FreeMemory}}}
+}
+
 // add inserts a capacity change after those of the same time.
 func (b *bin) add(r capacityChange) {
 	i, _ := slices.BinarySearchFunc(b.changes, r.at, func(x capacityChange, at float64) int {
--- a/internal/autoscaler/boot.go
+++ b/internal/autoscaler/boot.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"topazhollow/internal/instant"
 	"topazhollow/internal/protocol"
 )
 
@@ -62,7 +63,7 @@
 			b.seconds = append(b.seconds, max(0, m.LastHeartbeat.Sub(m.AcquiredAt).Seconds()))
 			b.seconds = b.seconds[max(0, len(b.seconds)-maxBootHistory):]
 			b.p75 = slices.Sorted(slices.Values(b.seconds))[len(b.seconds)*3/4]
-			b.newestBooted = later(b.newestBooted, m.AcquiredAt)
+			b.newestBooted = instant.Later(b.newestBooted, m.AcquiredAt)
 		}
 	}
 	a.booting = booting
--- a/internal/autoscaler/neededmachines.go
+++ b/internal/autoscaler/neededmachines.go
@@ -60,7 +60,7 @@
 func (a *Autoscaler) newReturnPass(live []*Machine) *returnPass {
 	p := &returnPass{autoscaler: a, kept: forecast{queues: map[taskShape]*binQueue{}}, names: map[*bin]string{}, useless: map[taskShape]bool{}}
 	for _, m := range live {
-		b := &bin{pool: m.pool(), changes: []capacityChange{{0, m.FreeCPUs, m.FreeGPUs, m.FreeMemory}}}
+		b := m.presentBin()
 		if a.retired[m.Name] {
 			p.retired = append(p.retired, b)
 			p.names[b] = m.Name
--- a/internal/autoscaler/silence.go
+++ b/internal/autoscaler/silence.go
@@ -1,6 +1,10 @@
 package autoscaler
 
-import "time"
+import (
+	"time"
+
+	"topazhollow/internal/instant"
+)
 
 // This file decides when a machine that sends no heartbeats is given up.
 
@@ -36,7 +40,7 @@
 		m := &machines[i]
 		if m.AwaitedByBarrier && m.ProbeUnanswered {
 			overdue++
-		} else if silence := now.Sub(later(m.LastHeartbeat, settled)); m.AwaitedByBarrier && silence > a.options.BarrierTimeout {
+		} else if silence := now.Sub(instant.Later(m.LastHeartbeat, settled)); m.AwaitedByBarrier && silence > a.options.BarrierTimeout {
 			overdue++
 			silent++
 		} else if m.AwaitedByBarrier && silence > a.options.OverdueTimeout {
@@ -66,7 +70,7 @@
 			continue
 		}
 		known[m.Zone]++
-		if now.Sub(later(m.LastHeartbeat, settled)) > a.options.BarrierTimeout/2 {
+		if now.Sub(instant.Later(m.LastHeartbeat, settled)) > a.options.BarrierTimeout/2 {
 			silent[m.Zone]++
 		}
 	}
--- a/internal/controller/unreachablehomes.go
+++ b/internal/controller/unreachablehomes.go
@@ -7,6 +7,7 @@
 
 	"topazhollow/internal/agents"
 	"topazhollow/internal/httpx"
+	"topazhollow/internal/instant"
 	"topazhollow/internal/protocol"
 	"topazhollow/internal/settings"
 )
@@ -48,7 +49,7 @@
 
 // ReachedHomeAt returns when a machine last reached its home, or when homes last changed if that was later.
 func (h homesView) ReachedHomeAt(machine string) time.Time {
-	return later(h.n.machine(machine).HomeHeardAt, h.n.leadership.StableSince())
+	return instant.Later(h.n.machine(machine).HomeHeardAt, h.n.leadership.StableSince())
 }
 
 // CountOf counts the machines with a home.
@@ -111,11 +112,3 @@
 	resp, _, err := conn.Do(ctx, "GET", protocol.PathInspect, nil, probeRequestTime)
 	return err == nil && resp.Status == 200
 }
-
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -51,6 +51,11 @@
 // room is the free capacity of a machine.
 type room struct{ cpus, gpus, memoryGB float64 }
 
+// without returns the room that is left once a task takes some.
+func (r room) without(cpus, gpus, memoryGB float64) room {
+	return room{r.cpus - cpus, r.gpus - gpus, r.memoryGB - memoryGB}
+}
+
 // roomOf returns the free capacity of a host.
 func roomOf(h *placement.Host) room { return room{h.CPUs, h.GPUs, h.MemoryGB} }
 
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -175,8 +175,8 @@
 	if status.Spot {
 		h.PricePerHour = machineType.SpotPricePerHour
 	}
-	h.CPUs, h.GPUs, h.MemoryGB = s.freeRoom(m, assignments)
-	h.ListedBytes = freeListedBytes(status, assignments)
+	free, listedBytes := s.freeRoom(m, assignments)
+	h.CPUs, h.GPUs, h.MemoryGB, h.ListedBytes = free.cpus, free.gpus, free.memoryGB, listedBytes
 	m.host, m.roomCurrent = h, true
 	return true
 }
@@ -196,40 +196,27 @@
 }
 
 // freeRoom returns a machine's capacity minus the tasks it lists and the unlisted attempts that own teams have assigned
-// to it.
-func (s *Scheduler) freeRoom(m *machine, assignments Assignments) (cpus, gpus, memory float64) {
-	cpus, gpus, memory, _ = s.Capacity(m.status.Type)
-	listed := map[jobstate.AttemptRef]bool{}
+// to it. The bytes are what its heartbeat has left for further tasks: unlike other resources they are also taken by tasks
+// that have exited, until they are forgotten.
+func (s *Scheduler) freeRoom(m *machine, assignments Assignments) (free room, listedBytes int) {
+	free.cpus, free.gpus, free.memoryGB, _ = s.Capacity(m.status.Type)
+	listedBytes = protocol.MaxListedBytes
+	listed := make(map[jobstate.AttemptRef]bool, len(m.status.Tasks))
 	for _, t := range m.status.Tasks {
 		listed[t.Ref()] = true
+		listedBytes -= protocol.ListedBytes(protocol.TaskNameLength(t.Job, t.Index))
 		if t.State == protocol.Exited {
 			continue
 		}
 		if j, known := assignments.Job(t.Job); known {
-			cpus, gpus, memory = cpus-j.Spec.CPUs, gpus-j.Spec.GPUs, memory-j.Spec.MemoryGB
+			free = free.without(j.Spec.CPUs, j.Spec.GPUs, j.Spec.MemoryGB)
 		}
 	}
 	assignments.AssignmentsOn(m.status.Machine, func(a jobstate.Assignment) {
 		if !listed[a.Ref()] {
-			cpus, gpus, memory = cpus-a.CPUs, gpus-a.GPUs, memory-a.Memory
+			free = free.without(a.CPUs, a.GPUs, a.Memory)
+			listedBytes -= protocol.ListedBytes(protocol.TaskNameLength(a.Job, a.Index))
 		}
 	})
-	return cpus, gpus, memory
-}
-
-// freeListedBytes returns how much room a machine's heartbeat has for further tasks. Unlike other resources, it is also
-// taken by tasks that have exited, until they are forgotten.
-func freeListedBytes(status *jobstate.MachineStatus, assignments Assignments) int {
-	free := protocol.MaxListedBytes
-	listed := make(map[jobstate.AttemptRef]bool, len(status.Tasks))
-	for _, t := range status.Tasks {
-		listed[t.Ref()] = true
-		free -= protocol.ListedBytes(protocol.TaskNameLength(t.Job, t.Index))
-	}
-	assignments.AssignmentsOn(status.Machine, func(a jobstate.Assignment) {
-		if !listed[a.Ref()] {
-			free -= protocol.ListedBytes(protocol.TaskNameLength(a.Job, a.Index))
-		}
-	})
-	return free
+	return free, listedBytes
 }
