--- a/internal/faultinjection/combinedfaults.go
+++ b/internal/faultinjection/combinedfaults.go
@@ -52,7 +52,8 @@
 		dir := filepath.Join(o.Dir, fmt.Sprint(t.Seed))
 		rng := rand.New(rand.NewPCG(t.Seed, 29))
 		g := &region{dir: dir, program: o.Program, rng: rng, size: combinedFaultRegion(), client: &http.Client{Timeout: 3 * time.Second},
-			checker: simulation.NewChecker(map[string]float64{"red": 24, "blue": 16}), taskDuration: combinedTaskDuration, taskFails: failFirstStarts()}
+			checker: simulation.NewChecker(map[string]float64{"red": 24, "blue": 16}), taskDuration: combinedTaskDuration, taskFails: failFirstStarts(),
+			images: drawnImages(t.Seed)}
 		g.checker.CancelTimeout = time.Duration(g.size.cancelSeconds*float64(time.Second)) + cancelSlack
 		var err error
 		if t.Broken, err = g.runTrial(ctx, func() error { return g.runCombined(ctx, t, o.Always) }); err != nil {
@@ -108,6 +109,9 @@
 	}
 }
 
+// firstGang is the lowest number of a gang.
+const firstGang = 80
+
 // runCombined submits jobs, injects overlapping faults while users cancel and query jobs, waits until all jobs have
 // ended, and checks the answers against each other.
 func (g *region) runCombined(ctx context.Context, t *CombinedTrial, always []string) error {
@@ -119,6 +123,13 @@
 			return err
 		}
 	}
+	for i := range 2 {
+		gang := gangJob(firstGang+i, 2+i)
+		if err := f.submitUntilAccepted(ctx, gang); err != nil {
+			return err
+		}
+		f.short = append(f.short, gang)
+	}
 	if err := g.await(ctx, "seven tasks are running", func() bool { return g.checker.CountRunning() > 6 }); err != nil {
 		return err
 	}
--- a/internal/faultinjection/region.go
+++ b/internal/faultinjection/region.go
@@ -27,6 +27,7 @@
 	script       string                          // content of the controllers' options file
 	taskDuration func(task string) time.Duration // overrides size.taskDuration if set
 	taskFails    func(task string) bool          // see simulation.AgentConfig
+	images       *simulation.ImageConfig         // the same
 	store        *simulation.KVStore
 	endpoints    []*simulation.Endpoint // each controller's endpoint of the state service
 	pipes        simulation.Paths       // from one controller to another
@@ -39,6 +40,12 @@
 	client       *http.Client
 }
 
+// How long a task waits for the others of its gang, and how soon it notices that one of them is gone.
+const (
+	gangWait = 10 * time.Second
+	gangPeer = 4 * time.Second
+)
+
 // controllerNames are the names of the controllers.
 var controllerNames = []string{"node-a", "node-b", "node-c"}
 
@@ -133,6 +140,7 @@
 		Lease:     settings.Seconds(g.size.leaseSeconds),
 		Run:       g.taskDuration,
 		Fails:     g.taskFails,
+		Images:    g.images,
 	}
 	types := []protocol.MachineType{{
 		Name: "m8", CPUs: g.size.cpus, MemoryGB: 8 * g.size.cpus,
@@ -188,7 +196,7 @@
 			Teams: g.size.teams,
 			Agents: settings.Agents{
 				HeartbeatSeconds: g.size.heartbeatSeconds, LeaseSeconds: g.size.leaseSeconds,
-				GangWaitSeconds: 10, GangPeerSeconds: 4, CancelSeconds: g.size.cancelSeconds,
+				GangWaitSeconds: gangWait.Seconds(), GangPeerSeconds: gangPeer.Seconds(), CancelSeconds: g.size.cancelSeconds,
 			},
 			KVStore: g.size.store,
 			Cloud:   g.size.cloud,
