autoscaler: idle machines that waiting work needs are not released

A gang that waits for machines which boot late loses the ones that are up, asks for new ones, and may never have room for all of its tasks; while the cloud refuses requests nothing replaces them at all.

Change: a machine that the forecast has put a waiting task on is not idle. The forecast is also made while the cloud refuses all requests; forecast starts stay untouched then, as before.

TestIdleMachineForWaitingGangStaysInService failed before in both cases with a waiting gang ("releases [idle]"); one mutant, caught. Not seen on a deployment.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -220,11 +220,16 @@
 	a.retire(live, d.types, demands, now)
 	a.returnNeeded(live, types, demands, now)
 	plan.Retire = a.retiredMachines(live)
-	bins = append(bins, a.liveBins(live, d.types)...)
+	inService := a.liveBins(live, d.types)
+	for _, m := range live {
+		if b := inService[m.Name]; b != nil {
+			bins = append(bins, b)
+		}
+	}
 	bins = append(bins, a.pendingBins(d.types)...)
 	a.scaleOut(&plan, types, bins, demands, arrivals, now)
 	if len(plan.ScaleOut) == 0 {
-		a.scaleInIdle(&plan, d.types, a.idleMachines(live), len(bins)+len(plan.Retire), now)
+		a.scaleInIdle(&plan, d.types, a.idleMachines(live, inService), len(bins)+len(plan.Retire), now)
 	}
 	return plan
 }
@@ -275,18 +280,22 @@
 	return names
 }
 
-// idleMachines returns the machines without tasks that hold no room for any.
-func (a *Autoscaler) idleMachines(live []*Machine) (idle []*Machine) {
+// idleMachines returns the machines without tasks that hold no room for any and that the forecast has put no waiting task
+// on. A gang, for example, may wait for further machines before all of its tasks can start.
+func (a *Autoscaler) idleMachines(live []*Machine, forecast map[string]*bin) (idle []*Machine) {
 	for _, m := range live {
-		if !m.IdleSince.IsZero() && !a.held[m.Name] {
+		b := forecast[m.Name]
+		isNeeded := a.held[m.Name] || b != nil && b.reservations > 0
+		if !m.IdleSince.IsZero() && !isNeeded {
 			idle = append(idle, m)
 		}
 	}
 	return idle
 }
 
-// liveBins returns the free capacity over time of operating machines that are not retired.
-func (a *Autoscaler) liveBins(live []*Machine, types map[string]*protocol.MachineType) (bins []*bin) {
+// liveBins returns the free capacity over time of operating machines that are not retired, by name.
+func (a *Autoscaler) liveBins(live []*Machine, types map[string]*protocol.MachineType) map[string]*bin {
+	bins := make(map[string]*bin, len(live))
 	for _, m := range live {
 		if a.retired[m.Name] {
 			continue
@@ -296,7 +305,7 @@
 		for _, task := range m.Tasks {
 			b.add(capacityChange{max(task.SecondsLeft, 1), task.CPUs, task.GPUs, task.Memory})
 		}
-		bins = append(bins, b)
+		bins[m.Name] = b
 	}
 	return bins
 }
--- a/internal/autoscaler/retire_test.go
+++ b/internal/autoscaler/retire_test.go
@@ -269,3 +269,30 @@
 		}
 	}
 }
+
+// TestIdleMachineForWaitingGangStaysInService guards against idle machines that are released while a gang waits for others
+// that boot late: by the time those are up the first ones are gone, and the gang never has room for all of its tasks. That
+// holds also while the cloud refuses all requests.
+func TestIdleMachineForWaitingGangStaysInService(t *testing.T) {
+	for _, c := range []struct{ waits, refused bool }{{false, false}, {true, false}, {true, true}} {
+		a, types, now := setup()
+		types[0].Zones = []string{"a"}
+		old := now.Add(-time.Hour)
+		ms := []Machine{{Name: "idle", Type: "m8", Zone: "a", LastHeartbeat: now, IdleSince: old, AcquiredAt: old, FreeCPUs: 8, FreeMemory: 64},
+			{Name: "boots", Type: "m8", Zone: "a", ListedState: protocol.HostBooting, AcquiredAt: now.Add(-5 * time.Second)}}
+		if c.refused {
+			for _, spot := range []bool{true, false} {
+				a.RecordScaleOut(protocol.ScaleOutRequest{Type: "m8", Zone: "a", Spot: spot, Count: 1}, 0, now, true)
+			}
+		}
+		var demands []Demand
+		if c.waits {
+			gang := &protocol.Submission{UID: "job-000001", Kind: protocol.Gang, Tasks: 2, CPUs: 8, EstimateSeconds: 60, OneZone: true, Spot: true}
+			demands = []Demand{{Spec: gang, Count: 2, Due: now.Add(time.Hour)}}
+		}
+		plan := a.Decide(types, ms, demands, nil, now, old)
+		if released := slices.Contains(plan.ScaleIn, "idle"); released == c.waits || len(plan.ScaleOut) > 0 {
+			t.Errorf("%+v: releases %v, acquires %v", c, plan.ScaleIn, plan.ScaleOut)
+		}
+	}
+}
--- a/internal/autoscaler/scaleout.go
+++ b/internal/autoscaler/scaleout.go
@@ -32,9 +32,6 @@
 // for tasks that would start too late and would start earlier on a new machine. The forecast accounts for future work
 // of higher priority at the recent arrival rate, and for jobs that are behind an earlier forecast.
 func (a *Autoscaler) scaleOut(plan *Plan, types []protocol.MachineType, bins []*bin, demands []Demand, arrivals Arrivals, now time.Time) {
-	if !a.anyAvailable(types, now) {
-		return // no pool accepts requests; keep the forecast start times
-	}
 	r := &scaleOutPass{autoscaler: a, types: types, arrivals: arrivals, now: now, forecast: forecast{bins: bins, queues: map[taskShape]*binQueue{}},
 		wanted: map[pool]int{}, startTimes: map[string]time.Time{}, gangRank: -1}
 	for _, b := range bins {
@@ -45,6 +42,9 @@
 			r.place(&demands[i])
 		}
 	}
+	if !a.anyAvailable(types, now) {
+		return // no pool accepts requests; keep the forecast start times
+	}
 	a.recordStartTimes(r.startTimes)
 	plan.ScaleOut = a.scaleOutRequests(poolsByUrgency(r.wanted, r.forecast.bins[len(bins):]), r.wanted)
 	if len(plan.ScaleOut) > 0 {
