scheduler: a gang in one zone starts again in the zone that has its image

The zones are tried in the order of the settings, so that a gang whose machines had just fetched its image could begin its next attempt in another zone that had room meanwhile, and fetch it again there. The zone of its former places comes first.

--- a/internal/scheduler/gangimage_test.go
+++ b/internal/scheduler/gangimage_test.go
@@ -18,7 +18,7 @@
 	hasImage bool
 	fetched  time.Time // when the present fetch is complete
 	tasks    []jobstate.TaskStatus
-	waiting  map[jobstate.AttemptRef]time.Time // since when tasks wait for the others of their gang
+	since    map[jobstate.AttemptRef]time.Time // when tasks got their image
 }
 
 // gangWait is how long a task waits for the others of its gang.
@@ -40,18 +40,20 @@
 }
 
 // advance continues the fetch, which is given up when no task waits for it, and lets tasks wait for their gang.
-func (m *imageMachine) advance(now time.Time) {
+func (m *imageMachine) advance(now time.Time, jobs map[string]*Job) {
 	pulls := false
 	for i := range m.tasks {
 		t := &m.tasks[i]
 		switch {
 		case t.State == protocol.Pulling && t.Job != gangUID:
-			t.State = protocol.Running
+			t.State, m.since[t.Ref()] = protocol.Running, now
+		case t.State == protocol.Running && now.Sub(m.since[t.Ref()]) > jobs[t.Job].Spec.RunTime():
+			t.State, t.Reason = protocol.Exited, protocol.ReasonDone
 		case t.State == protocol.Pulling && m.hasImage:
-			t.State, m.waiting[t.Ref()] = protocol.Waiting, now
+			t.State, m.since[t.Ref()] = protocol.Waiting, now
 		case t.State == protocol.Pulling:
 			pulls = true
-		case t.State == protocol.Waiting && now.Sub(m.waiting[t.Ref()]) > gangWait:
+		case t.State == protocol.Waiting && now.Sub(m.since[t.Ref()]) > gangWait:
 			t.State, t.Reason = protocol.Exited, protocol.ReasonIncomplete
 		}
 	}
@@ -75,7 +77,7 @@
 // addMachine adds a machine that takes a time to fetch the image; 0: it has the image.
 func (g *gangRegion) addMachine(fetch time.Duration) {
 	g.machines = append(g.machines, fmt.Sprintf("n-%06d", len(g.machines)))
-	g.models = append(g.models, &imageMachine{fetch: fetch, hasImage: fetch == 0, waiting: map[jobstate.AttemptRef]time.Time{}})
+	g.models = append(g.models, &imageMachine{fetch: fetch, hasImage: fetch == 0, since: map[jobstate.AttemptRef]time.Time{}})
 	g.observe(len(g.machines) - 1)
 }
 
@@ -88,7 +90,7 @@
 	due := team.TakeDueOrders(math.MaxUint64, g.now, func(string, uint64) bool { return true })
 	for i, m := range g.models {
 		m.execute(due[g.machines[i]])
-		m.advance(g.now)
+		m.advance(g.now, g.jobs)
 		g.observe(i, slices.Clone(m.tasks)...)
 		status := *g.scheduler.machines[g.machines[i]].status
 		status.FencingToken = g.term
@@ -115,6 +117,7 @@
 		later  time.Duration   // by a machine that comes up after 10 s; 0: there is none
 		raised bool            // the term is raised every 10 s
 		array  bool            // other work of the same priority waits for any room
+		shares bool            // the gang shares a zone; machines of the first one, which lack the image, are busy for 20 s
 		within time.Duration
 	}{
 		"one machine has the image":           {fetch: []time.Duration{0, long}, within: 50 * time.Second},
@@ -122,14 +125,22 @@
 		"other work waits for room":           {fetch: []time.Duration{0, long}, array: true, within: 50 * time.Second},
 		"a cheaper machine comes up":          {fetch: []time.Duration{0, long}, later: long, within: 50 * time.Second},
 		"machines finish one after the other": {fetch: []time.Duration{0, 40 * time.Second, 75 * time.Second, 110 * time.Second}, within: 115 * time.Second},
+		"the gang shares a zone":              {fetch: []time.Duration{long, 0, long, long}, shares: true, within: 50 * time.Second},
 		"one machine never has the image":     {fetch: []time.Duration{0, never}, later: long, within: 4 * time.Minute},
 	} {
 		g := &gangRegion{cluster: newCluster(t, 0, 1), term: 1}
 		for _, fetch := range c.fetch {
 			g.addMachine(fetch)
 		}
-		g.submit(0, 0, protocol.Submission{UID: gangUID, Kind: protocol.Gang, Priority: "standard", Tasks: len(c.fetch), CPUs: 20, MemoryGB: 20,
-			Image: "img", ImageGB: 11, EstimateSeconds: 60, Spot: true})
+		gang := protocol.Submission{UID: gangUID, Kind: protocol.Gang, Priority: "standard", Tasks: len(c.fetch), CPUs: 20, MemoryGB: 20,
+			Image: "img", ImageGB: 11, EstimateSeconds: 60, Spot: true}
+		if c.shares {
+			gang.OneZone, gang.Tasks = true, len(c.fetch)/len(g.settings.Zones)
+			g.submit(0, 0, protocol.Submission{UID: "job-000002", Kind: protocol.JobArray, Priority: "high", Tasks: gang.Tasks, CPUs: 20, MemoryGB: 1,
+				Image: "other", EstimateSeconds: 20, Spot: true, Zone: &g.settings.Zones[0]})
+			g.step()
+		}
+		g.submit(0, 0, gang)
 		for began := g.now; !g.step(); {
 			elapsed := g.now.Sub(began)
 			if elapsed > c.within {
--- a/internal/scheduler/gangs.go
+++ b/internal/scheduler/gangs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"topazhollow/internal/jobstate"
@@ -22,14 +23,20 @@
 	return false
 }
 
-// candidateZones returns the zones that can hold a whole gang, or anyZone if its tasks may be in different zones.
+// candidateZones returns the zones that can hold a whole gang, or anyZone if its tasks may be in different zones. The zone
+// whose machines have fetched the gang's image comes first.
 func (s *Scheduler) candidateZones(w *waitingTasks) []int {
 	if !w.job.Spec.OneZone {
 		return []int{anyZone}
 	}
-	var zones []int
+	zones := []int{}
+	former := s.formerZone(w.job)
 	for zone := range s.config.Deployment.Zones {
-		zones = append(zones, zone)
+		if zone == former {
+			zones = slices.Insert(zones, 0, zone)
+		} else {
+			zones = append(zones, zone)
+		}
 	}
 	return zones
 }
--- a/internal/scheduler/heldplaces.go
+++ b/internal/scheduler/heldplaces.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "topazhollow/internal/placement"
+import (
+	"topazhollow/internal/jobstate"
+	"topazhollow/internal/placement"
+)
 
 // Some gangs hold room on machines that their next attempt starts on, see jobstate.Job.HeldPlaces. A pass leaves this room
 // to them.
@@ -30,6 +33,17 @@
 	delete(p.held, job)
 }
 
+// formerZone returns the zone of the machines that tasks of a gang in one zone exited on while others finished fetching the
+// image, or anyZone if there are none.
+func (s *Scheduler) formerZone(job *jobstate.Job) int {
+	for index := range job.Spec.Tasks {
+		if m := s.machines[job.FormerPlace(index)]; m != nil {
+			return s.zoneIndex(m.status.Zone)
+		}
+	}
+	return anyZone
+}
+
 // formerHost returns the machine that a task exited on while others of its gang finished fetching the image, if the task
 // can be placed there again, or nil.
 func (p *pass) formerHost(w *waitingTasks, ask *placement.Request, index int, skip func(*placement.Host) bool) *placement.Host {
