controller: no room is left for probes of peers' faulty jobs

Since machines are acquired for probes that wait, their demands reached the peers' passes, which left room for them by their priority as for sound work, although an owner places its own probes after all other work.

Found by reading the change once more.

--- a/internal/controller/demands.go
+++ b/internal/controller/demands.go
@@ -39,6 +39,7 @@
 			CPUsBeyondQuota: d.CPUsBeyondQuota,
 			Prioritized:     prioritized[i],
 			Zone:            boundZone(team, d.Spec),
+			Probe:           d.Probe,
 			Held:            d.Held,
 		})
 	}
--- a/internal/controller/demands_test.go
+++ b/internal/controller/demands_test.go
@@ -85,6 +85,10 @@
 		if !n.quarantine.IsJobFaulty(spec.UID) || soon != 0 || later != tasks {
 			t.Errorf("%s: faulty %v, %d tasks demanded after 5 s and %d after a minute, want 0 and %d", kind, n.quarantine.IsJobFaulty(spec.UID), soon, later, tasks)
 		}
+		n.peers = map[string]*peerState{"node-b": {entitled: true, lastMessageAt: g.now, demands: n.demands(g.now.Add(time.Minute))}}
+		for range (*schedulerSnapshot)(n).PeerDemands(g.now) {
+			t.Errorf("%s: room is left for the probe of a peer's faulty job", kind)
+		}
 		n.mu.Unlock()
 	}
 }
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -84,6 +84,8 @@
 	CPUsBeyondQuota float64 `json:"beyond,omitempty"`   // that the job's class needs; Count is 0 if it is set
 	Prioritized     int     `json:"first,omitempty"`    // how many of the tasks are placed before more urgent work
 	Zone            string  `json:"zone,omitempty"`     // that the tasks are bound to by the job's other tasks; "" for any
+	// Probe: the job is faulty. Machines are acquired for the tasks, but no room is left for them.
+	Probe bool `json:"probe,omitempty"`
 	// Held lists the machines that hold room for some of the tasks, one entry for each of these.
 	Held []string `json:"held,omitempty"`
 }
--- a/internal/controller/scheduling.go
+++ b/internal/controller/scheduling.go
@@ -142,6 +142,9 @@
 				continue // other controllers have taken over the teams of one that lost its lease
 			}
 			for _, d := range p.demands {
+				if d.Probe {
+					continue // probes are placed after all other work
+				}
 				if !yield(scheduler.Demand{Job: d.Job, Count: d.Count, Prioritized: d.Prioritized, Borrowed: d.Borrowed, Held: d.Held}) {
 					return
 				}
